Serve a request through a four-stage pipeline in separate processes

Cause: the repository was empty; every later part needs a path on which to measure. Change: error kinds and answers, timer service, settings, configuration document and changes, table adapter, upstream client, pipeline run, callers' API, daemon program, stand-ins of table, instance list and upstreams, and the design page. Ruled out: an AWS SDK for the table adapter; undici with aws4 signs the same protocol without looking up credentials and without retries of its own. Conclusion: the path stands; admission, routing, retries and peers are minimal so far.

--- /dev/null
+++ b/src/caller/answer-log.ts
@@ -0,0 +1,45 @@
+import { LRUCache } from "lru-cache";
+import type { Settings } from "../settings/settings.js";
+import { AnswerRecord } from "./answer-record.js";
+
+/** Bytes charged for a record beside its text. */
+const RECORD_OVERHEAD_BYTES = 2_048;
+
+/** The answers held by this instance: those in progress, and finished ones for a documented time. */
+export class AnswerLog {
+  private readonly running = new Map<string, AnswerRecord>();
+  private readonly finished: LRUCache<string, AnswerRecord>;
+
+  private constructor(settings: Settings) {
+    this.finished = new LRUCache({
+      maxSize: settings.limits.answerBytes,
+      sizeCalculation: (record) => record.bytes + RECORD_OVERHEAD_BYTES,
+      ttl: settings.bounds.answerRetentionMs,
+    });
+  }
+
+  static create(parts: { settings: Settings }): AnswerLog {
+    return new AnswerLog(parts.settings);
+  }
+
+  /** Number of answers in progress. */
+  get inProgress(): number {
+    return this.running.size;
+  }
+
+  start(request: string, team: string): AnswerRecord {
+    const record = AnswerRecord.create(request, team);
+    this.running.set(request, record);
+    return record;
+  }
+
+  /** Moves a finished answer to the bounded part of the log. */
+  retire(record: AnswerRecord): void {
+    this.running.delete(record.request);
+    this.finished.set(record.request, record);
+  }
+
+  find(request: string): AnswerRecord | undefined {
+    return this.running.get(request) ?? this.finished.get(request);
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,28 @@
+import type { Settings } from "../settings/settings.js";
+import { type Cradle, createDaemonContainer } from "./container.js";
+
+/** One entry instance of the system. */
+export class Daemon {
+  private constructor(private readonly parts: Cradle) {}
+
+  static create(settings: Settings): Daemon {
+    return new Daemon(createDaemonContainer(settings).cradle);
+  }
+
+  /** Resolves when the daemon accepts requests. */
+  async start(): Promise<void> {
+    const { configurationFollower, callerServer, log, settings } = this.parts;
+    await configurationFollower.start();
+    await callerServer.listen();
+    log.info({ message: "listening", callers: settings.callers });
+  }
+
+  /** Finishes requests in progress, then closes everything. */
+  async stop(): Promise<void> {
+    const { configurationFollower, callerServer, clients, log } = this.parts;
+    log.info({ message: "stopping" });
+    await callerServer.close();
+    configurationFollower.stop();
+    await clients.close();
+  }
+}
--- /dev/null
+++ b/src/error/error-context.ts
@@ -0,0 +1,10 @@
+import type { Outcome } from "./outcome.js";
+
+/** What a thrower knows beyond the kind of an error. */
+export interface ErrorContext {
+  readonly cause?: unknown;
+  /** Replaces the outcome of the answer table. */
+  readonly outcome?: Outcome;
+  /** Replaces the retry time of the answer table, in ms. */
+  readonly retryAfterMs?: number;
+}
--- /dev/null
+++ b/src/pipeline/dispatch-guard.ts
@@ -0,0 +1,5 @@
+/** Consulted synchronously, immediately before an attempt is written to an upstream. */
+export interface DispatchGuard {
+  /** Throws if the request was abandoned; otherwise records that a stage was dispatched. */
+  beforeDispatch(): void;
+}
--- /dev/null
+++ b/src/pipeline/request-state.ts
@@ -0,0 +1,39 @@
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import type { Timers } from "../time/timers.js";
+import type { DispatchGuard } from "./dispatch-guard.js";
+
+/** Whether a request was dispatched or abandoned; it can only become one of them. */
+export class RequestState implements DispatchGuard {
+  private state: "waiting" | "dispatched" | "abandoned" = "waiting";
+
+  private constructor(
+    private readonly timers: Timers,
+    private readonly deadline: number,
+  ) {}
+
+  static create(timers: Timers, deadline: number): RequestState {
+    return new RequestState(timers, deadline);
+  }
+
+  get dispatched(): boolean {
+    return this.state === "dispatched";
+  }
+
+  beforeDispatch(): void {
+    if (this.state === "abandoned") {
+      throw ServeError.create(ErrorKind.Cancelled, "the request was abandoned before dispatch");
+    }
+    if (this.timers.now() >= this.deadline) {
+      throw ServeError.create(ErrorKind.DeadlineExceeded, "the deadline passed before dispatch");
+    }
+    this.state = "dispatched";
+  }
+
+  /** Prevents any later dispatch; returns false if a stage was dispatched already. */
+  abandon(): boolean {
+    if (this.state === "dispatched") return false;
+    this.state = "abandoned";
+    return true;
+  }
+}
--- /dev/null
+++ b/src/platform/listed-instance.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+
+/** Schema of one entry of the platform's instance list. */
+export const listedInstanceSchema = z.object({
+  id: z.string(),
+  peerAddress: z.url(),
+  dataCentre: z.string(),
+  state: z.enum(["live", "leaving"]),
+});
+
+/** An instance as the platform lists it; the list lags. */
+export type ListedInstance = z.output<typeof listedInstanceSchema>;
--- /dev/null
+++ b/src/program/nutmegstaged.ts
@@ -0,0 +1,37 @@
+#!/usr/bin/env node
+import { Command } from "commander";
+import { Daemon } from "../daemon/daemon.js";
+import { ServeError } from "../error/serve-error.js";
+import { loadSettings } from "../settings/load-settings.js";
+
+const EXIT_INVALID = 2;
+
+const program = new Command("nutmegstaged").description("Entry daemon of nutmegstage");
+
+program
+  .command("run")
+  .description("serve requests until SIGTERM")
+  .requiredOption("--settings <file>", "settings file in JSON")
+  .action(async (options: { settings: string }) => {
+    const daemon = Daemon.create(await loadSettings(options.settings));
+    await daemon.start();
+    process.once("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
+    process.once("SIGINT", () => void daemon.stop().then(() => process.exit(0)));
+  });
+
+program
+  .command("check")
+  .description("check a settings file")
+  .requiredOption("--settings <file>", "settings file in JSON")
+  .action(async (options: { settings: string }) => {
+    await loadSettings(options.settings);
+    process.stdout.write("settings are valid\n");
+  });
+
+try {
+  await program.parseAsync();
+} catch (error) {
+  if (!(error instanceof ServeError)) throw error;
+  process.stderr.write(`${error.kind}: ${error.message}\n`);
+  process.exitCode = EXIT_INVALID;
+}
--- /dev/null
+++ b/src/upstream/generate-request.ts
@@ -0,0 +1,16 @@
+import type { Rank } from "../configuration/rank.js";
+import type { CallIdentity } from "./call-identity.js";
+
+/** A request to an engine for the rest of an answer. */
+export interface GenerateRequest {
+  readonly identity: CallIdentity;
+  readonly model: string;
+  readonly prompt: string;
+  readonly rank: Rank;
+  /** Most tokens of the whole answer. */
+  readonly maxTokens: number;
+  /** Text received before the stream broke; empty on the first attempt. */
+  readonly receivedText: string;
+  /** Number of tokens in `receivedText`. */
+  readonly receivedTokens: number;
+}
--- /dev/null
+++ b/src/upstream/http-upstream-clients.ts
@@ -0,0 +1,30 @@
+import type { Upstream } from "../configuration/configuration-document.js";
+import { HttpUpstreamClient } from "./http-upstream-client.js";
+import type { UpstreamClient } from "./upstream-client.js";
+import type { UpstreamClients } from "./upstream-clients.js";
+
+/** Clients of upstreams over HTTP, one per address. */
+export class HttpUpstreamClients implements UpstreamClients {
+  private readonly clients = new Map<string, HttpUpstreamClient>();
+
+  private constructor() {
+    // Instances come from `create`.
+  }
+
+  static create(): HttpUpstreamClients {
+    return new HttpUpstreamClients();
+  }
+
+  of(upstream: Upstream): UpstreamClient {
+    const known = this.clients.get(upstream.address);
+    if (known !== undefined) return known;
+    const client = HttpUpstreamClient.create(upstream.address);
+    this.clients.set(upstream.address, client);
+    return client;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.clients.values()].map((client) => client.close()));
+    this.clients.clear();
+  }
+}
--- /dev/null
+++ b/standin/child.ts
@@ -0,0 +1,55 @@
+import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
+
+/** A process of a test or of the demo; it is ended with its parent at the latest. */
+export class Child {
+  private constructor(
+    private readonly process: ChildProcess,
+    private readonly lines: string[],
+  ) {}
+
+  /** Starts a program of `dist/` and waits until it reports that it is ready. */
+  static async create(program: string, options: readonly string[]): Promise<Child> {
+    const started = fork(program, options, { stdio: ["ignore", "pipe", "pipe", "ipc"] });
+    const lines: string[] = [];
+    const keep = (data: Buffer): void => {
+      lines.push(
+        ...data
+          .toString()
+          .split("\n")
+          .filter((line) => line !== ""),
+      );
+    };
+    started.stdout?.on("data", keep);
+    started.stderr?.on("data", keep);
+    const exited = once(started, "exit").then(() => {
+      throw new Error(`${program} ended before it was ready:\n${lines.join("\n")}`);
+    });
+    await Promise.race([once(started, "message"), exited]);
+    exited.catch(() => undefined);
+    return new Child(started, lines);
+  }
+
+  /** Lines that the process wrote so far. */
+  get output(): readonly string[] {
+    return this.lines;
+  }
+
+  get running(): boolean {
+    return this.process.exitCode === null && this.process.signalCode === null;
+  }
+
+  /** Sends a signal without waiting. */
+  signal(name: NodeJS.Signals): void {
+    this.process.kill(name);
+  }
+
+  /** Sends a signal and resolves with the exit code, null if the signal ended the process. */
+  async end(name: NodeJS.Signals = "SIGTERM"): Promise<number | null> {
+    if (!this.running) return this.process.exitCode;
+    const exited = once(this.process, "exit") as Promise<[number | null]>;
+    this.process.kill(name);
+    const [code] = await exited;
+    return code;
+  }
+}
