--- /dev/null
+++ b/src/peer/peer-method.ts
@@ -0,0 +1,9 @@
+/** Methods of the JSON-RPC interface between daemons. */
+export enum PeerMethod {
+  Heartbeat = "heartbeat",
+  Probe = "probe",
+  Broadcast = "broadcast",
+  ConfigurationChangesSince = "configuration.changesSince",
+  LedgerAttempt = "ledger.attempt",
+  AnswerRead = "answer.read",
+}
