Give each upstream call its own checked connection

Cause: calls shared an undici pool, so a call could be written to a connection that had died while idle, and a call on a silent connection hung until its deadline. All failures were "upstream-failed": a refused connection, a process that ended and a lost answer looked the same. Bodies were read without a bound.

Ruled out: a pool with a short keep-alive, which cannot bound the age for non-idempotent calls alone; probing on the quiet connection itself, which HTTP/1.1 does not allow while an answer is due.

Change: one socket per undici client, opened before the call and never reopened. Quiet calls are checked by GET /load on a fresh connection: "connection-silent" if the upstream answers, "upstream-crashed" if it refuses, "upstream-failed" otherwise. Idle connections not heard since are closed with the silent one. Errors say whether certainly nothing was dispatched. Bodies are bounded; answers with another echo, malformed and oversize ones are counted.

A call on a fresh connection that is slower than the adaptive bound is still cut; the bound then learns that gap.

--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -17,6 +17,7 @@
 import type { Settings } from "../settings/settings.js";
 import { SystemTimers } from "../time/system-timers.js";
 import type { Timers } from "../time/timers.js";
+import { DroppedAnswers } from "../upstream/dropped-answers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
 
@@ -33,6 +34,7 @@
   readonly configurationView: ConfigurationView;
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
+  readonly droppedAnswers: DroppedAnswers;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -53,7 +55,8 @@
     configurationView: asFunction(() => ConfigurationView.create()).singleton(),
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
-    clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
+    droppedAnswers: asFunction(() => DroppedAnswers.create()).singleton(),
+    clients: asFunction(HttpUpstreamClients.create).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
     requestIntake: asFunction(RequestIntake.create).singleton(),
--- a/src/error/answer-table.ts
+++ b/src/error/answer-table.ts
@@ -56,6 +56,7 @@
   [ErrorKind.RequestConvicted]: final(422, "The request crashes upstreams"),
   [ErrorKind.UpstreamFailed]: retryable(502, "An upstream failed", SHORT_RETRY_MS),
   [ErrorKind.UpstreamCrashed]: retryable(502, "An upstream crashed", SHORT_RETRY_MS),
+  [ErrorKind.ConnectionSilent]: retryable(502, "A connection went silent", SHORT_RETRY_MS),
   [ErrorKind.UpstreamRejected]: final(502, "An upstream rejected the request"),
   [ErrorKind.NoUpstream]: retryable(503, "No upstream is available", LONG_RETRY_MS),
   [ErrorKind.TableUnavailable]: retryable(503, "The table service is unavailable", LONG_RETRY_MS),
--- a/src/error/error-context.ts
+++ b/src/error/error-context.ts
@@ -5,6 +5,8 @@
   readonly cause?: unknown;
   /** Replaces the outcome of the answer table. */
   readonly outcome?: Outcome;
+  /** True if the failed attempt certainly handed nothing to an upstream. */
+  readonly undispatched?: boolean;
   /** Replaces the retry time of the answer table, in ms. */
   readonly retryAfterMs?: number;
 }
--- a/src/error/error-kind.ts
+++ b/src/error/error-kind.ts
@@ -23,6 +23,7 @@
   RequestConvicted = "request-convicted",
   UpstreamFailed = "upstream-failed",
   UpstreamCrashed = "upstream-crashed",
+  ConnectionSilent = "connection-silent",
   UpstreamRejected = "upstream-rejected",
   NoUpstream = "no-upstream",
   TableUnavailable = "table-unavailable",
--- a/src/error/serve-error.ts
+++ b/src/error/serve-error.ts
@@ -8,6 +8,8 @@
   override readonly name = "ServeError";
   readonly kind: ErrorKind;
   readonly outcome: Outcome;
+  /** Whether the attempt that failed certainly handed nothing to an upstream. */
+  readonly undispatched: boolean;
   /** Earliest useful retry in ms from now; absent if a retry cannot help. */
   readonly retryAfterMs: number | undefined;
 
@@ -16,6 +18,7 @@
     const answer = answerTable[kind];
     this.kind = kind;
     this.outcome = context.outcome ?? answer.outcome;
+    this.undispatched = context.undispatched ?? false;
     this.retryAfterMs = context.retryAfterMs ?? answer.retryAfterMs;
   }
 
@@ -30,6 +33,17 @@
     return new ServeError(fallback, detail, { cause: thrown });
   }
 
+  /** The same error for an attempt that certainly handed nothing to an upstream. */
+  asUndispatched(): ServeError {
+    const { retryAfterMs, outcome } = this;
+    return new ServeError(this.kind, this.message, {
+      outcome,
+      cause: this,
+      undispatched: true,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    });
+  }
+
   /** The same error for a request of which at least one stage was handed to an upstream. */
   afterDispatch(): ServeError {
     if (this.outcome !== Outcome.NotRun) return this;
--- a/src/pipeline/pipeline-run.ts
+++ b/src/pipeline/pipeline-run.ts
@@ -47,20 +47,23 @@
   private async runStage(stage: Stage, service: Service, signal: AbortSignal): Promise<void> {
     const run = StageRun.create(this.parts, this.request, stage, service, this.guard);
     if (service.kind === ServiceKind.Generate) await this.generate(run, stage, service, signal);
-    else await this.call(run, stage, service.kind, signal);
+    else await this.call(run, stage, service, service.kind, signal);
   }
 
   private async call(
     run: StageRun,
     stage: Stage,
+    service: Service,
     kind: Exclude<ServiceKind, ServiceKind.Generate>,
     signal: AbortSignal,
   ): Promise<void> {
     const { path, body, results } = stageCall(kind, this.request.input, this.results);
     this.results = await run.run(
       "",
-      async (client, attempt) =>
-        results(await client.call(path, this.identity(stage, attempt), body, signal)),
+      async (client, attempt) => {
+        const identity = this.identity(stage, attempt);
+        return results(await client.call(path, identity, body, signal, service.idempotent));
+      },
       signal,
     );
   }
--- /dev/null
+++ b/src/upstream/connection.ts
@@ -0,0 +1,90 @@
+import { once } from "node:events";
+import { type Socket, connect } from "node:net";
+import { Client, type Dispatcher } from "undici";
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import type { Timers } from "../time/timers.js";
+
+const CONNECT_MS = 1_000;
+const DEFAULT_PORT = 80;
+/** Idle connections close before the other end does so at its usual 5 s. */
+const KEEP_ALIVE_MS = 4_000;
+
+/** One TCP connection to an upstream; it carries one call at a time and never reconnects. */
+export class Connection {
+  private constructor(
+    private readonly client: Client,
+    private readonly socket: Socket,
+    /** Monotonic time in ms at which the upstream was last heard on this connection. */
+    public heardAt: number,
+  ) {}
+
+  /**
+   * Opens a connection. Throws `UpstreamCrashed` if it is refused, `UpstreamFailed` if it is not
+   * accepted in time, and the signal's reason when it aborts; nothing was dispatched in any case.
+   */
+  static async open(address: string, timers: Timers, signal: AbortSignal): Promise<Connection> {
+    const { hostname, port } = new URL(address);
+    const host = hostname.replace(/^\[|\]$/g, "");
+    const late = new AbortController();
+    const timeout = timers.after(CONNECT_MS, () => {
+      late.abort();
+    });
+    const socket = connect({ host, port: Number(port || DEFAULT_PORT), noDelay: true });
+    // The connection may break while no call listens; the next call then finds it closed.
+    socket.on("error", () => undefined);
+    try {
+      await once(socket, "connect", { signal: AbortSignal.any([signal, late.signal]) });
+    } catch (error) {
+      socket.destroy();
+      throw openFailure(error, signal).asUndispatched();
+    } finally {
+      timeout.cancel();
+    }
+    return new Connection(clientOn(address, socket), socket, timers.now());
+  }
+
+  get usable(): boolean {
+    return !this.socket.destroyed && this.socket.readable && this.socket.writable;
+  }
+
+  request(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+    return this.client.request(options);
+  }
+
+  /** Closes the connection; a call in progress fails. */
+  destroy(): void {
+    this.socket.destroy();
+    void this.client.destroy();
+  }
+}
+
+/** A client on an open socket. A second connect attempt of the client means the first one closed. */
+function clientOn(address: string, socket: Socket): Client {
+  let used = false;
+  return new Client(address, {
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: (_options, done) => {
+      // The client ignores a connection that it gets before its connector has returned.
+      queueMicrotask(() => {
+        if (used || socket.destroyed) done(closedBeforeCall(), null);
+        else done(null, socket);
+        used = true;
+      });
+    },
+  });
+}
+
+function openFailure(error: unknown, signal: AbortSignal): ServeError {
+  if (signal.aborted) return ServeError.from(signal.reason, ErrorKind.Cancelled);
+  const refused = (error as NodeJS.ErrnoException).code === "ECONNREFUSED";
+  return ServeError.from(error, refused ? ErrorKind.UpstreamCrashed : ErrorKind.UpstreamFailed);
+}
+
+function closedBeforeCall(): ServeError {
+  const detail = "the connection was closed before the call was written";
+  return ServeError.create(ErrorKind.ConnectionSilent, detail, { undispatched: true });
+}
--- /dev/null
+++ b/src/upstream/drop-reason.ts
@@ -0,0 +1,9 @@
+/** Why an answer of an upstream was not used. */
+export enum DropReason {
+  /** Its echoed request id names another call. */
+  OtherCall = "other-call",
+  Malformed = "malformed",
+  TooLarge = "too-large",
+  /** Another attempt of the stage had already won. */
+  Late = "late",
+}
--- /dev/null
+++ b/src/upstream/dropped-answers.ts
@@ -0,0 +1,22 @@
+import type { DropReason } from "./drop-reason.js";
+
+/** Counts answers of upstreams that were not used. */
+export class DroppedAnswers {
+  private readonly counts = new Map<DropReason, number>();
+
+  private constructor() {
+    // Instances come from `create`.
+  }
+
+  static create(): DroppedAnswers {
+    return new DroppedAnswers();
+  }
+
+  add(reason: DropReason): void {
+    this.counts.set(reason, this.count(reason) + 1);
+  }
+
+  count(reason: DropReason): number {
+    return this.counts.get(reason) ?? 0;
+  }
+}
--- a/src/upstream/http-upstream-client.ts
+++ b/src/upstream/http-upstream-client.ts
@@ -1,22 +1,28 @@
-import { EventSourceParserStream } from "eventsource-parser/stream";
-import { type Dispatcher, Pool } from "undici";
+import { createParser } from "eventsource-parser";
 import { z } from "zod";
 import { Rank } from "../configuration/rank.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
-import { type CallIdentity, callHeader } from "./call-identity.js";
+import type { Timers } from "../time/timers.js";
+import type { CallIdentity } from "./call-identity.js";
+import { DropReason } from "./drop-reason.js";
+import type { DroppedAnswers } from "./dropped-answers.js";
+import { readLoad } from "./read-load.js";
 import type { GenerateRequest } from "./generate-request.js";
 import type { Token } from "./token.js";
 import type { UpstreamClient } from "./upstream-client.js";
+import { UpstreamExchange } from "./upstream-exchange.js";
 
-const CONNECTIONS = 256;
 const END_OF_STREAM = "[DONE]";
+const CALL_BYTES = 8_388_608;
+/** Bounds of a stream; an event with one token and its usage takes about 150 bytes. */
+const STREAM_BYTES = 65_536;
+const TOKEN_BYTES = 2_048;
 
 const chunkSchema = z.object({
   choices: z.array(z.object({ text: z.string(), finish_reason: z.string().nullish() })),
   usage: z.object({ completion_tokens: z.number().int().nonnegative() }),
 });
-const loadSchema = z.object({ server_load: z.number() });
 
 /** Engine priorities; lower numbers run first. */
 const priorities: Readonly<Record<Rank, number>> = {
@@ -27,10 +33,18 @@
 
 /** One upstream over HTTP. */
 export class HttpUpstreamClient implements UpstreamClient {
-  private constructor(private readonly pool: Pool) {}
+  private readonly exchange: UpstreamExchange;
 
-  static create(address: string): HttpUpstreamClient {
-    return new HttpUpstreamClient(new Pool(address, { connections: CONNECTIONS, pipelining: 1 }));
+  private constructor(
+    private readonly address: string,
+    private readonly timers: Timers,
+    private readonly dropped: DroppedAnswers,
+  ) {
+    this.exchange = UpstreamExchange.create(address, timers, dropped);
+  }
+
+  static create(address: string, timers: Timers, dropped: DroppedAnswers): HttpUpstreamClient {
+    return new HttpUpstreamClient(address, timers, dropped);
   }
 
   async call(
@@ -38,82 +52,87 @@
     identity: CallIdentity,
     body: unknown,
     signal: AbortSignal,
+    idempotent = false,
   ): Promise<unknown> {
-    const response = await this.post(path, identity, body, signal);
-    try {
-      return await response.json();
-    } catch (error) {
-      throw failureOf(error, signal);
-    }
+    const parts: Uint8Array[] = [];
+    const call = { path, identity, body, idempotent, mostBytes: CALL_BYTES };
+    for await (const part of this.exchange.answer(call, signal)) parts.push(part);
+    return this.parsed(Buffer.concat(parts).toString());
   }
 
   async *generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<Token> {
-    const body = await this.post(
-      "/v1/completions",
-      request.identity,
-      completionOf(request),
-      signal,
-    );
-    const events = ReadableStream.from(body as AsyncIterable<Uint8Array>)
-      .pipeThrough(new TextDecoderStream())
-      .pipeThrough(new EventSourceParserStream());
+    const rest = request.maxTokens - request.receivedTokens;
+    const call = {
+      path: "/v1/completions",
+      identity: request.identity,
+      body: completionOf(request),
+      idempotent: true,
+      mostBytes: STREAM_BYTES + rest * TOKEN_BYTES,
+    };
+    const parts = this.exchange.answer(call, signal);
+    const received: string[] = [];
+    const decoder = new TextDecoder();
+    const parser = createParser({ onEvent: ({ data }) => received.push(data) });
+    let count = 0;
+    let ended = false;
     try {
-      for await (const { data } of events) {
-        if (data === END_OF_STREAM) return;
-        const { choices, usage } = chunkSchema.parse(JSON.parse(data));
-        const text = choices[0]?.text ?? "";
-        if (text === "") continue;
-        yield { index: request.receivedTokens + usage.completion_tokens - 1, text };
+      for (let part = await parts.next(); part.done !== true; part = await parts.next()) {
+        parser.feed(decoder.decode(part.value, { stream: true }));
+        for (const data of received.splice(0)) {
+          if (data === END_OF_STREAM) {
+            ended = true;
+            return;
+          }
+          const { choices, usage } = this.chunk(data);
+          const text = choices[0]?.text ?? "";
+          // The last chunk repeats the count without text; a token may have no text of its own.
+          if (text === "" && usage.completion_tokens === count) continue;
+          count = usage.completion_tokens;
+          yield { index: request.receivedTokens + count - 1, text };
+        }
       }
-    } catch (error) {
-      throw failureOf(error, signal);
+    } finally {
+      // The connection can be used again once the end of the body was read.
+      if (ended) void drained(parts);
+      else await parts.return(undefined);
     }
     throw ServeError.create(ErrorKind.UpstreamFailed, "the stream ended before its last event");
   }
 
   async load(signal: AbortSignal): Promise<number> {
-    const { body } = await this.pool.request({ path: "/load", method: "GET", signal });
-    return loadSchema.parse(await body.json()).server_load;
+    return readLoad(this.address, this.timers, signal);
   }
 
-  async close(): Promise<void> {
-    await this.pool.destroy();
+  close(): Promise<void> {
+    this.exchange.close();
+    return Promise.resolve();
   }
 
-  private async post(
-    path: string,
-    identity: CallIdentity,
-    body: unknown,
-    signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData["body"]> {
-    const header = callHeader(identity);
+  private chunk(data: string): z.output<typeof chunkSchema> {
+    const result = chunkSchema.safeParse(this.parsed(data));
+    if (result.success) return result.data;
+    this.dropped.add(DropReason.Malformed);
+    throw ServeError.create(ErrorKind.UpstreamFailed, "a chunk of the stream is malformed");
+  }
+
+  private parsed(text: string): unknown {
     try {
-      const response = await this.pool.request({
-        path,
-        method: "POST",
-        headers: { "content-type": "application/json", "x-request-id": header },
-        body: JSON.stringify(body),
-        signal,
-      });
-      const { statusCode, headers } = response;
-      if (statusCode !== 200) {
-        await response.body.dump();
-        throw ServeError.create(
-          statusCode < 500 ? ErrorKind.UpstreamRejected : ErrorKind.UpstreamFailed,
-          `status ${statusCode}`,
-        );
-      }
-      if (headers["x-request-id"] !== header) {
-        await response.body.dump();
-        throw ServeError.create(ErrorKind.UpstreamFailed, "the answer belongs to another call");
-      }
-      return response.body;
+      return JSON.parse(text) as unknown;
     } catch (error) {
-      throw failureOf(error, signal);
+      this.dropped.add(DropReason.Malformed);
+      throw ServeError.from(error, ErrorKind.UpstreamFailed);
     }
   }
 }
 
+async function drained(parts: AsyncGenerator<Uint8Array>): Promise<void> {
+  try {
+    while ((await parts.next()).done !== true);
+  } catch {
+    // The answer is complete; the exchange has closed the connection.
+  }
+}
+
 function completionOf(request: GenerateRequest): unknown {
   return {
     model: request.model,
@@ -124,9 +143,3 @@
     stream_options: { include_usage: true, continuous_usage_stats: true },
   };
 }
-
-/** An abort keeps the reason of the signal; any other failure may have lost the answer. */
-function failureOf(error: unknown, signal: AbortSignal): ServeError {
-  if (signal.aborted) return ServeError.from(signal.reason, ErrorKind.Cancelled);
-  return ServeError.from(error, ErrorKind.UpstreamFailed);
-}
--- a/src/upstream/http-upstream-clients.ts
+++ b/src/upstream/http-upstream-clients.ts
@@ -1,24 +1,33 @@
 import type { Upstream } from "../configuration/configuration-document.js";
+import type { Timers } from "../time/timers.js";
+import type { DroppedAnswers } from "./dropped-answers.js";
 import { HttpUpstreamClient } from "./http-upstream-client.js";
 import type { UpstreamClient } from "./upstream-client.js";
 import type { UpstreamClients } from "./upstream-clients.js";
 
+interface Parts {
+  readonly timers: Timers;
+  readonly droppedAnswers: DroppedAnswers;
+}
+
 /** Clients of upstreams over HTTP, one per address. */
 export class HttpUpstreamClients implements UpstreamClients {
   private readonly clients = new Map<string, HttpUpstreamClient>();
 
-  private constructor() {
-    // Instances come from `create`.
-  }
+  private constructor(private readonly parts: Parts) {}
 
-  static create(): HttpUpstreamClients {
-    return new HttpUpstreamClients();
+  static create(parts: Parts): HttpUpstreamClients {
+    return new HttpUpstreamClients(parts);
   }
 
   of(upstream: Upstream): UpstreamClient {
     const known = this.clients.get(upstream.address);
     if (known !== undefined) return known;
-    const client = HttpUpstreamClient.create(upstream.address);
+    const client = HttpUpstreamClient.create(
+      upstream.address,
+      this.parts.timers,
+      this.parts.droppedAnswers,
+    );
     this.clients.set(upstream.address, client);
     return client;
   }
--- a/src/upstream/plain-service.ts
+++ b/src/upstream/plain-service.ts
@@ -4,7 +4,15 @@
 export interface PlainService {
   /**
    * Sends `body` once and returns the answer. Throws `UpstreamFailed` if the answer may have been
-   * lost, `UpstreamCrashed` if the upstream died, `UpstreamRejected` if it refused the request.
+   * lost, `UpstreamCrashed` if the upstream died, `UpstreamRejected` if it refused the request,
+   * `ConnectionSilent` if only the connection failed. `undispatched` is set on the error if nothing
+   * was handed over. A call that is not `idempotent` uses a fresh or recently used connection.
    */
-  call(path: string, identity: CallIdentity, body: unknown, signal: AbortSignal): Promise<unknown>;
+  call(
+    path: string,
+    identity: CallIdentity,
+    body: unknown,
+    signal: AbortSignal,
+    idempotent: boolean,
+  ): Promise<unknown>;
 }
--- a/standin/engine-faults.ts
+++ b/standin/engine-faults.ts
@@ -12,6 +12,14 @@
   readonly breakAfter: number;
   /** The process exits when a request contains this text; empty for never. */
   readonly crashOn: string;
+  /** Answers echo this request id; empty for the right one. */
+  readonly echo: string;
+  /** What is sent in place of the answer. */
+  readonly body: "answer" | "garbage" | "endless";
+  /** The connection is closed when a request arrives, without an answer. */
+  readonly hangUp: boolean;
+  /** The load report is this many ms old. */
+  readonly loadLagMs: number;
 }
 
 export const noEngineFaults: EngineFaults = {
@@ -21,4 +29,8 @@
   tokenMs: 1,
   breakAfter: 0,
   crashOn: "",
+  echo: "",
+  body: "answer",
+  hangUp: false,
+  loadLagMs: 0,
 };
--- a/standin/upstream-server.ts
+++ b/standin/upstream-server.ts
@@ -15,6 +15,7 @@
 export class UpstreamServer {
   private faults: EngineFaults = noEngineFaults;
   private running = 0;
+  private hangUps = 0;
   /** Bodies of `/call` by request id, so that tests can count executions. */
   private readonly calls: { readonly id: string; readonly body: unknown }[] = [];
 
@@ -51,7 +52,7 @@
     server.post("/v1/completions", (request, reply) =>
       upstream.guarded(request, reply, () => upstream.complete(request, reply)),
     );
-    server.get("/load", () => ({ server_load: upstream.running }));
+    server.get("/load", async () => ({ server_load: await upstream.reportedLoad() }));
     server.get("/calls", () => upstream.calls);
     server.post("/control", (request) => {
       upstream.faults = { ...upstream.faults, ...(request.body as Partial<EngineFaults>) };
@@ -65,12 +66,19 @@
     reply: FastifyReply,
     work: () => Promise<FastifyReply>,
   ): Promise<FastifyReply> {
-    const { status, frozen, crashOn } = this.faults;
+    const { status, frozen, crashOn, echo, body, hangUp } = this.faults;
     if (crashOn !== "" && JSON.stringify(request.body).includes(crashOn))
       process.exit(CRASH_EXIT_CODE);
     if (frozen) return reply.hijack();
+    if (hangUp) {
+      this.hangUps += 1;
+      request.raw.socket.destroy();
+      return reply.hijack();
+    }
     if (status !== 0) return reply.status(status).send({ error: "fault" });
+    request.headers["x-request-id"] = echo || String(request.headers["x-request-id"]);
     reply.header("x-request-id", request.headers["x-request-id"]);
+    if (body !== "answer") return sendNonsense(reply, body === "endless");
     this.running += 1;
     try {
       return await work();
@@ -79,6 +87,17 @@
     }
   }
 
+  /** Requests whose connection was closed without an answer. */
+  get hangUpCount(): number {
+    return this.hangUps;
+  }
+
+  private async reportedLoad(): Promise<number> {
+    const load = this.running;
+    await delay(this.faults.loadLagMs);
+    return load;
+  }
+
   private async complete(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const { prompt, max_tokens: tokens } = request.body as Completion;
     const { firstMs, tokenMs, breakAfter } = this.faults;
@@ -101,6 +120,21 @@
   }
 }
 
+async function sendNonsense(reply: FastifyReply, endless: boolean): Promise<FastifyReply> {
+  reply.hijack();
+  const { raw } = reply;
+  raw.writeHead(200, {
+    "content-type": "text/event-stream",
+    "x-request-id": String(reply.getHeader("x-request-id")),
+  });
+  do {
+    raw.write(`data: {"choices": ${"#".repeat(65_536)}\n\n`.slice(0, endless ? 60_000 : 100));
+    await delay(0);
+  } while (endless && !raw.destroyed);
+  raw.end();
+  return reply;
+}
+
 function chunk(text: string, count: number): string {
   const body = { choices: [{ text, finish_reason: null }], usage: { completion_tokens: count } };
   return `data: ${JSON.stringify(body)}\n\n`;
