Call other daemons by JSON-RPC over HTTP

Cause: ledger, configuration and answers need calls between daemons, and a faulty peer must cost at most itself.

Change: PeerServer (fastify, bearer secret compared in constant time by @fastify/bearer-auth) limits body, header and receive time, closes the connection of a refused request, and bounds the calls in progress, in total and for each instance. PeerClient limits time, response size and calls. A repeatable call without an answer after 1 s (or half its time limit) is tried once more on new connections, which replace the old ones. Batches are refused, since one batch would escape the bound on calls. A ServeError keeps kind, outcome and retry time.

--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -1,5 +1,5 @@
 import { randomInt } from "node:crypto";
-import { type AwilixContainer, asFunction, asValue, createContainer } from "awilix";
+import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
 import type { ConsolaInstance } from "consola";
 import { ServicePools } from "../admission/service-pools.js";
 import type { Pools } from "../admission/pools.js";
@@ -11,6 +11,10 @@
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
+import { AddressBook } from "../peer/address-book.js";
+import { PeerClients } from "../peer/peer-clients.js";
+import type { PeerMethods } from "../peer/peer-methods.js";
+import { PeerServer } from "../peer/peer-server.js";
 import { DynamoTable } from "../platform/dynamo-table.js";
 import type { Table } from "../platform/table.js";
 import { RandomSource } from "../random/random-source.js";
@@ -33,6 +37,10 @@
   readonly configurationView: ConfigurationView;
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
+  readonly addressBook: AddressBook;
+  readonly peerServer: PeerServer;
+  readonly peerMethods: PeerMethods;
+  readonly peerCalls: PeerClients;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -53,6 +61,10 @@
     configurationView: asFunction(() => ConfigurationView.create()).singleton(),
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
+    addressBook: asFunction(() => AddressBook.create()).singleton(),
+    peerServer: asFunction(PeerServer.create).singleton(),
+    peerMethods: aliasTo("peerServer"),
+    peerCalls: asFunction(PeerClients.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,7 +11,8 @@
 
   /** Resolves when the daemon accepts requests. */
   async start(): Promise<void> {
-    const { configurationFollower, callerServer, log, settings } = this.parts;
+    const { configurationFollower, callerServer, peerServer, log, settings } = this.parts;
+    await peerServer.listen();
     await configurationFollower.start();
     await callerServer.listen();
     log.info({ message: "listening", callers: settings.callers });
@@ -19,10 +20,12 @@
 
   /** Finishes requests in progress, then closes everything. */
   async stop(): Promise<void> {
-    const { configurationFollower, callerServer, clients, log } = this.parts;
+    const { configurationFollower, callerServer, peerServer, peerCalls, clients, log } = this.parts;
     log.info({ message: "stopping" });
     await callerServer.close();
     configurationFollower.stop();
+    await peerServer.close();
+    await peerCalls.close();
     await clients.close();
   }
 }
--- /dev/null
+++ b/src/peer/peer-clients.ts
@@ -0,0 +1,63 @@
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import type { Settings } from "../settings/settings.js";
+import type { Timers } from "../time/timers.js";
+import type { AddressBook } from "./address-book.js";
+import type { PeerCalls } from "./peer-calls.js";
+import { PeerClient } from "./peer-client.js";
+import type { PeerMethod } from "./peer-method.js";
+
+interface Parts {
+  readonly settings: Settings;
+  readonly timers: Timers;
+  readonly addressBook: AddressBook;
+}
+
+/** One client for each peer, created at the first call and replaced when the address changes. */
+export class PeerClients implements PeerCalls {
+  private readonly clients = new Map<string, PeerClient>();
+
+  private constructor(private readonly parts: Parts) {}
+
+  static create(parts: Parts): PeerClients {
+    return new PeerClients(parts);
+  }
+
+  async call(
+    instance: string,
+    method: PeerMethod,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const address = this.parts.addressBook.find(instance);
+    if (address === undefined) {
+      this.forget(instance);
+      throw ServeError.create(ErrorKind.PeerUnavailable, `no address of "${instance}" is known`);
+    }
+    return this.client(instance, address).call(method, params, timeoutMs);
+  }
+
+  /** Ends the connections to an instance. */
+  forget(instance: string): void {
+    void this.clients.get(instance)?.close();
+    this.clients.delete(instance);
+  }
+
+  async close(): Promise<void> {
+    const clients = [...this.clients.values()];
+    this.clients.clear();
+    await Promise.all(clients.map((client) => client.close()));
+  }
+
+  private client(instance: string, address: string): PeerClient {
+    const known = this.clients.get(instance);
+    if (known?.address === address) return known;
+    this.forget(instance);
+    const { settings, timers } = this.parts;
+    const { secret } = settings.peers;
+    const self = settings.instance.id;
+    const client = PeerClient.create(timers, { self, instance, address, secret });
+    this.clients.set(instance, client);
+    return client;
+  }
+}
