Track members by heartbeats and spread updates along the ring

Cause: ledger, configuration and admission need to know which instances live, and updates must reach all of them within seconds.

Change: each instance exchanges heartbeats with all others, or with 3 ring successors from 16 members on (peers.meshMembers, peers.successors). Silence leads to suspicion, probes through two others, then death. News of deaths is spread in ring mode only; a member that learns a wrong belief about itself raises its revision. Views whose digests differ exchange 16 entries in each heartbeat. The instance list only adds unknown instances and lets dead ones be forgotten an hour after it dropped them. Pauses (PauseDetection) restarts all silences, so that a woken instance does not bury the others. Heartbeats carry the configuration version (PeerVersions), recent update ids and the demand digest (DemandReports); NeutralDemand stands in for a source. A broadcast splits the ring among 4 children; a child without an answer is replaced by the next member of its range, and heartbeat partners resend what is lacking.

Ruled out: refutation by a higher incarnation, since claims and leases take that for a restart.

--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,78 @@
+Feature: Membership
+  Instances know which others are alive from heartbeats; the platform's list only corrects them.
+
+  Scenario Outline: A killed instance is suspected, then dead
+    Given <count> members on an in-memory network
+    When member 3 is killed
+    Then within 5 s <observer> sees member 3 as "suspect" or "dead"
+    And within <dead> s all see member 3 as "dead"
+
+    Examples:
+      | count | observer    | dead |
+      | 8     | member 2    | 13   |
+      | 40    | some member | 20   |
+
+  Scenario Outline: A frozen instance that wakes is alive again
+    Given <count> members on an in-memory network
+    When member 3 is frozen for <frozen> s
+    Then within 8 s all see member 3 as "alive"
+    And member 3 noticed a pause and sees all others as "alive"
+
+    Examples:
+      | count | frozen |
+      | 8     | 5      |
+      | 8     | 30     |
+      | 40    | 30     |
+
+  Scenario: A link between two instances is cut
+    Given 8 members on an in-memory network
+    When the region of member 1 is cut for 8 s
+    Then within 5 s all see member 1 as "alive"
+
+  Scenario: Half of the fleet is cut off for a minute
+    Given 40 members on an in-memory network
+    When the region of member 1 is cut for 60 s
+    Then within 30 s all see each other as "alive"
+
+  Scenario Outline: The platform's list is wrong
+    Given 8 members on an in-memory network
+    When the list <fault>
+    And 30 s pass
+    Then all see each other as "alive"
+
+    Examples:
+      | fault            |
+      | drops member 3   |
+      | is empty         |
+      | is down          |
+
+  Scenario: A stale list does not bring back an instance that left
+    Given 8 members on an in-memory network
+    When member 3 leaves and is killed
+    And 30 s pass
+    Then all see member 3 as "dead"
+
+  Scenario: A listed instance that never answers is dead
+    Given 8 members on an in-memory network
+    When the list adds an instance that does not exist
+    And 20 s pass
+    Then all see the added instance as "dead"
+
+  Scenario Outline: A restarted instance has a higher incarnation
+    Given <count> members on an in-memory network
+    When member 3 is killed and restarts with its clock <clock>
+    Then within 8 s all see the new run of member 3
+
+    Examples:
+      | count | clock          |
+      | 8     | right          |
+      | 40    | right          |
+      | 8     | an hour behind |
+
+  Scenario: An update reaches all in spite of dead and frozen instances
+    Given 40 members on an in-memory network
+    When members 3, 7, 11, 15 are killed
+    And member 20 is frozen and member 1 publishes an update
+    Then within 14 s all running members have the update once
+    When member 20 is thawed
+    Then within 5 s member 20 has the update once
--- /dev/null
+++ b/features/steps/membership.ts
@@ -0,0 +1,180 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { MemberState } from "../../src/peer/member-state.js";
+import type { ListedInstance } from "../../src/platform/listed-instance.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { MemberGroup } from "../support/member-group.js";
+
+const SECOND_MS = 1_000;
+const HOUR_MS = 3_600_000;
+const GHOST: ListedInstance = {
+  id: "sousse-ghost",
+  peerAddress: "http://127.0.0.1:2",
+  dataCentre: "sousse-0",
+  state: "live",
+};
+const UPDATE = { kind: "crash-acquittal", team: "branches", contentDigest: "d" } as const;
+
+let group: MemberGroup;
+let pauses: number[] = [];
+let firstRun = 0;
+
+function allSee(number: number, state: string): boolean {
+  return group.others(number).every((each) => each.stateOf(group.member(number).id) === state);
+}
+
+function allSeeAll(state: string): boolean {
+  return group.members.every((_, at) => allSee(at + 1, state));
+}
+
+async function within(seconds: number, condition: () => boolean): Promise<void> {
+  const views = (): unknown =>
+    group.members.map(({ id, parts }) => [
+      id,
+      parts.members
+        .all()
+        .flatMap(({ id, state }) => (state === MemberState.Alive ? [] : [`${id} ${state}`])),
+    ]);
+  const held = await group.until(seconds * SECOND_MS, condition);
+  assert(held, held ? "" : JSON.stringify(views()).slice(0, 2_000));
+}
+
+Given("{int} members on an in-memory network", async (count: number) => {
+  group = await MemberGroup.create(count);
+});
+
+When("member {int} is killed", (number: number) => {
+  group.member(number).kill();
+});
+
+When(/^members ([\d, ]+) are killed$/, (numbers: string) => {
+  for (const number of numbers.split(", ")) group.member(Number(number)).kill();
+});
+
+When("member {int} is frozen for {int} s", async (number: number, seconds: number) => {
+  const member = group.member(number);
+  pauses = [];
+  member.parts.pauses.subscribe((length) => pauses.push(length));
+  member.freeze();
+  await group.clock.advance(seconds * SECOND_MS);
+  member.thaw();
+});
+
+When("the region of member {int} is cut for {int} s", async (number: number, seconds: number) => {
+  const { region } = group.member(number).port;
+  group.network.cut(region);
+  await group.clock.advance(seconds * SECOND_MS);
+  group.network.join(region);
+});
+
+When("the list drops member {int}", (number: number) => {
+  group.list = () => group.others(number).map(({ listed }) => listed);
+});
+
+When("the list is empty", () => {
+  group.list = () => [];
+});
+
+When("the list is down", () => {
+  group.list = () => {
+    throw new Error("the list is down");
+  };
+});
+
+When("the list adds an instance that does not exist", () => {
+  const listed = group.members.map((member) => member.listed);
+  group.list = () => [...listed, GHOST];
+});
+
+When("{int} s pass", async (seconds: number) => {
+  await group.clock.advance(seconds * SECOND_MS);
+});
+
+When("member {int} leaves and is killed", async (number: number) => {
+  group.member(number).parts.membership.leave();
+  await group.clock.advance(SECOND_MS);
+  assert(allSee(number, "leaving"));
+  group.member(number).kill();
+});
+
+When(
+  /^member (\d+) is killed and restarts with its clock (.*)$/,
+  async (number: string, clock: string) => {
+    const { own } = group.member(Number(number)).parts.memberTable;
+    firstRun = own.incarnation;
+    group.member(Number(number)).kill();
+    await group.clock.advance(SECOND_MS);
+    const shift = clock === "right" ? 0 : HOUR_MS;
+    const shifted: ManualTimers = Object.create(group.clock, {
+      wallClock: { value: () => group.clock.wallClock() - shift },
+    }) as ManualTimers;
+    await group.restart(Number(number), shifted);
+  },
+);
+
+When(
+  "member {int} is frozen and member {int} publishes an update",
+  (frozen: number, by: number) => {
+    group.member(frozen).freeze();
+    group.member(by).parts.updates.publish(UPDATE);
+  },
+);
+
+When("member {int} is thawed", (number: number) => {
+  group.member(number).thaw();
+});
+
+Then(
+  /^within (\d+) s (member 2|some member) sees member (\d+) as "(\w+)" or "(\w+)"$/,
+  (seconds: string, by: string, number: string, first: string, second: string) =>
+    within(Number(seconds), () =>
+      (by === "some member" ? group.others(Number(number)) : [group.member(2)]).some((each) =>
+        [first, second].includes(each.stateOf(group.member(Number(number)).id)),
+      ),
+    ),
+);
+
+Then(
+  "within {int} s all see member {int} as {string}",
+  (limit: number, of: number, state: string) => within(limit, () => allSee(of, state)),
+);
+
+Then("all see member {int} as {string}", (number: number, state: string) =>
+  within(0, () => allSee(number, state)),
+);
+
+Then("within {int} s all see each other as {string}", (seconds: number, state: string) =>
+  within(seconds, () => allSeeAll(state)),
+);
+
+Then("all see each other as {string}", (state: string) => within(0, () => allSeeAll(state)));
+
+Then("all see the added instance as {string}", (state: string) => {
+  assert(group.members.every((member) => member.stateOf(GHOST.id) === state));
+});
+
+Then(
+  "member {int} noticed a pause and sees all others as {string}",
+  (number: number, state: string) => {
+    assert.equal(pauses.length, 1);
+    const member = group.member(number);
+    assert(group.others(number).every(({ id }) => member.stateOf(id) === state));
+  },
+);
+
+Then("within {int} s all see the new run of member {int}", (seconds: number, number: number) =>
+  within(seconds, () =>
+    group.others(number).every(({ parts }) => {
+      const seen = parts.members.find(group.member(number).id);
+      return seen?.state === MemberState.Alive && seen.incarnation > firstRun;
+    }),
+  ),
+);
+
+Then("within {int} s all running members have the update once", (seconds: number) =>
+  within(seconds, () => group.others(1).every(({ id }) => group.received.get(id)?.length === 1)),
+);
+
+Then("within {int} s member {int} has the update once", (seconds: number, number: number) =>
+  within(seconds, () => group.received.get(group.member(number).id)?.length === 1),
+);
--- /dev/null
+++ b/features/support/member-group.ts
@@ -0,0 +1,70 @@
+import { RandomSource } from "../../src/random/random-source.js";
+import type { ListedInstance } from "../../src/platform/listed-instance.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { NetworkMember } from "../../standin/network-member.js";
+import { PeerNetwork } from "../../standin/peer-network.js";
+
+const EPOCH_MS = 1_800_000_000_000;
+const SETTLE_MS = 20_000;
+const STEP_MS = 250;
+const REGIONS = 2;
+
+/** Members on one in-memory network; members are numbered from 1. */
+export class MemberGroup {
+  readonly members: NetworkMember[] = [];
+  /** Ids of the updates that each member received. */
+  readonly received = new Map<string, string[]>();
+  list: () => readonly ListedInstance[] = () => this.members.map(({ listed }) => listed);
+
+  private constructor(
+    readonly clock: ManualTimers,
+    readonly network: PeerNetwork,
+  ) {}
+
+  static async create(count: number): Promise<MemberGroup> {
+    const clock = ManualTimers.create(EPOCH_MS);
+    const group = new MemberGroup(clock, PeerNetwork.create(clock, RandomSource.create(1)));
+    for (let at = 0; at < count; at += 1) group.members.push(group.create(at, clock));
+    await Promise.all(group.members.map((member) => member.start()));
+    await clock.advance(SETTLE_MS);
+    return group;
+  }
+
+  /** The member with this number. */
+  member(number: number): NetworkMember {
+    const member = this.members[number - 1];
+    if (member === undefined) throw new Error(`no member ${number}`);
+    return member;
+  }
+
+  /** Starts a new run of a killed member. */
+  async restart(number: number, clock: ManualTimers): Promise<void> {
+    this.members[number - 1] = this.create(number - 1, clock);
+    await this.member(number).start();
+  }
+
+  others(number: number): NetworkMember[] {
+    return this.members.filter((each, at) => at !== number - 1 && each.port.up);
+  }
+
+  /** Advances the clock until the condition holds; false if it does not in time. */
+  async until(limitMs: number, condition: () => boolean): Promise<boolean> {
+    for (let passed = 0; !condition() && passed < limitMs; passed += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+    }
+    return condition();
+  }
+
+  private create(at: number, clock: ManualTimers): NetworkMember {
+    const member = NetworkMember.create(clock, this.network, {
+      id: `sousse-${at + 1}`,
+      region: `sousse-${at % REGIONS}`,
+      seed: at + 1,
+      list: () => this.list(),
+    });
+    const received: string[] = [];
+    this.received.set(member.id, received);
+    member.parts.updates.subscribe((update) => received.push(JSON.stringify(update)));
+    return member;
+  }
+}
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -11,6 +11,23 @@
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
+import { HttpInstanceList } from "../platform/http-instance-list.js";
+import type { InstanceList } from "../platform/instance-list.js";
+import { NeutralDemand } from "../admission/neutral-demand.js";
+import type { DemandReports } from "../admission/demand-reports.js";
+import type { DemandSource } from "../admission/demand-source.js";
+import { Broadcast } from "../peer/broadcast.js";
+import { HeartbeatReports } from "../peer/heartbeat-reports.js";
+import { Heartbeats } from "../peer/heartbeats.js";
+import { ListCorrection } from "../peer/list-correction.js";
+import { MemberNews } from "../peer/member-news.js";
+import { MemberTable } from "../peer/member-table.js";
+import type { Members } from "../peer/members.js";
+import { Membership } from "../peer/membership.js";
+import type { PeerVersions } from "../peer/peer-versions.js";
+import type { Updates } from "../peer/updates.js";
+import { PauseDetection } from "../time/pause-detection.js";
+import type { Pauses } from "../time/pauses.js";
 import { AddressBook } from "../peer/address-book.js";
 import { PeerClients } from "../peer/peer-clients.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
@@ -41,6 +58,21 @@
   readonly peerServer: PeerServer;
   readonly peerMethods: PeerMethods;
   readonly peerCalls: PeerClients;
+  readonly instanceList: InstanceList;
+  readonly pauseDetection: PauseDetection;
+  readonly pauses: Pauses;
+  readonly memberTable: MemberTable;
+  readonly members: Members;
+  readonly broadcast: Broadcast;
+  readonly updates: Updates;
+  readonly memberNews: MemberNews;
+  readonly heartbeatReports: HeartbeatReports;
+  readonly demandReports: DemandReports;
+  readonly peerVersions: PeerVersions;
+  readonly demandSource: DemandSource;
+  readonly heartbeats: Heartbeats;
+  readonly listCorrection: ListCorrection;
+  readonly membership: Membership;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -65,6 +97,23 @@
     peerServer: asFunction(PeerServer.create).singleton(),
     peerMethods: aliasTo("peerServer"),
     peerCalls: asFunction(PeerClients.create).singleton(),
+    instanceList: asFunction((parts: Cradle) =>
+      HttpInstanceList.create(parts.settings.instanceList.endpoint),
+    ).singleton(),
+    pauseDetection: asFunction(PauseDetection.create).singleton(),
+    pauses: aliasTo("pauseDetection"),
+    memberTable: asFunction(MemberTable.create).singleton(),
+    members: aliasTo("memberTable"),
+    broadcast: asFunction((parts: Cradle) => Broadcast.create(parts)).singleton(),
+    updates: aliasTo("broadcast"),
+    memberNews: asFunction(MemberNews.create).singleton(),
+    heartbeatReports: asFunction(HeartbeatReports.create).singleton(),
+    demandReports: aliasTo("heartbeatReports"),
+    peerVersions: aliasTo("heartbeatReports"),
+    demandSource: asFunction(() => NeutralDemand.create()).singleton(),
+    heartbeats: asFunction(Heartbeats.create).singleton(),
+    listCorrection: asFunction(ListCorrection.create).singleton(),
+    membership: asFunction(Membership.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
--- /dev/null
+++ b/src/peer/heartbeat-reports.ts
@@ -0,0 +1,61 @@
+import type { DemandDigest } from "../admission/demand-digest.js";
+import type { DemandReport, DemandReports } from "../admission/demand-reports.js";
+import type { Timers } from "../time/timers.js";
+import { MemberState } from "./member-state.js";
+import type { MemberTable } from "./member-table.js";
+import type { PeerVersions, VersionReport } from "./peer-versions.js";
+
+interface Received {
+  readonly atMs: number;
+  readonly version: number;
+  readonly demand: DemandDigest | undefined;
+}
+
+interface Parts {
+  readonly timers: Timers;
+  readonly memberTable: MemberTable;
+}
+
+/** What the heartbeats of live instances carried last. */
+export class HeartbeatReports implements DemandReports, PeerVersions {
+  private readonly received = new Map<string, Received>();
+
+  private constructor(private readonly parts: Parts) {
+    parts.memberTable.subscribe(({ id, state }) => {
+      if (state === MemberState.Dead) this.received.delete(id);
+    });
+  }
+
+  static create(parts: Parts): HeartbeatReports {
+    return new HeartbeatReports(parts);
+  }
+
+  note(instance: string, version: number, demand: DemandDigest | undefined): void {
+    // A heartbeat of an instance that the table did not accept would never be removed.
+    if (this.parts.memberTable.record(instance) === undefined) return;
+    const known = this.received.get(instance);
+    const atMs = this.parts.timers.now();
+    this.received.set(instance, { atMs, version, demand: demand ?? known?.demand });
+  }
+
+  reports(): readonly DemandReport[] {
+    const now = this.parts.timers.now();
+    return [...this.received].flatMap(([instance, { atMs, demand }]) =>
+      demand === undefined ? [] : [{ instance, ageMs: now - atMs, digest: demand }],
+    );
+  }
+
+  versions(): readonly VersionReport[] {
+    const now = this.parts.timers.now();
+    return [...this.received].map(([instance, { atMs, version }]) => ({
+      instance,
+      version,
+      ageMs: now - atMs,
+    }));
+  }
+
+  liveInstances(): number {
+    const { memberTable } = this.parts;
+    return memberTable.ring.between(memberTable.self, memberTable.self).length + 1;
+  }
+}
--- /dev/null
+++ b/src/peer/member-entry.ts
@@ -0,0 +1,29 @@
+import { z } from "zod";
+import { MemberState } from "./member-state.js";
+
+/** Schema of what daemons tell each other about one member. */
+export const memberEntrySchema = z.object({
+  id: z.string().min(1).max(63),
+  incarnation: z.number().int().nonnegative(),
+  /** Raised by the member itself to correct what others believe of it. */
+  revision: z.number().int().nonnegative(),
+  state: z.enum([MemberState.Alive, MemberState.Leaving, MemberState.Dead]),
+  dataCentre: z.string().max(63),
+  peerAddress: z.string().max(128),
+});
+
+/** One member at one point of its history. */
+export type MemberEntry = z.output<typeof memberEntrySchema>;
+
+const order: Readonly<Record<MemberEntry["state"], number>> = {
+  [MemberState.Alive]: 0,
+  [MemberState.Leaving]: 1,
+  [MemberState.Dead]: 2,
+};
+
+/** Whether `entry` is later than `known` in the history of the same member. */
+export function supersedes(entry: MemberEntry, known: MemberEntry): boolean {
+  if (entry.incarnation !== known.incarnation) return entry.incarnation > known.incarnation;
+  if (entry.revision !== known.revision) return entry.revision > known.revision;
+  return order[entry.state] > order[known.state];
+}
--- /dev/null
+++ b/src/peer/member-table.ts
@@ -0,0 +1,208 @@
+import { createHash } from "node:crypto";
+import type { Settings } from "../settings/settings.js";
+import type { Subscription } from "../time/subscription.js";
+import type { Timers } from "../time/timers.js";
+import type { AddressBook } from "./address-book.js";
+import type { Member } from "./member.js";
+import { type MemberEntry, supersedes } from "./member-entry.js";
+import { type MemberRecord, memberOf } from "./member-record.js";
+import { MemberState } from "./member-state.js";
+import type { Members } from "./members.js";
+import { Ring } from "./ring.js";
+
+/** Far above a fleet with its dead members; further ids are ignored to bound memory. */
+const MAX_MEMBERS = 4_096;
+const HASH_DIGITS = 12;
+
+interface Parts {
+  readonly settings: Settings;
+  readonly timers: Timers;
+  readonly addressBook: AddressBook;
+}
+
+/** What this daemon believes of all members. */
+export class MemberTable implements Members {
+  private readonly records = new Map<string, MemberRecord>();
+  private readonly handlers = new Set<(member: Member) => void>();
+  private ownEntry: MemberEntry;
+  private cachedRing: Ring | undefined;
+  private cachedHash: string | undefined;
+
+  private constructor(private readonly parts: Parts) {
+    const { settings, timers } = parts;
+    const { host, port } = settings.peers;
+    this.ownEntry = {
+      id: settings.instance.id,
+      incarnation: Math.floor(timers.wallClock()),
+      revision: 0,
+      state: MemberState.Alive,
+      dataCentre: settings.instance.dataCentre,
+      peerAddress: `http://${host.includes(":") ? `[${host}]` : host}:${port}`,
+    };
+  }
+
+  static create(parts: Parts): MemberTable {
+    return new MemberTable(parts);
+  }
+
+  get self(): string {
+    return this.ownEntry.id;
+  }
+
+  get own(): MemberEntry {
+    return this.ownEntry;
+  }
+
+  /** This instance and all members that are not dead. */
+  get ring(): Ring {
+    const live = [...this.records.values()].filter(isLive).map(({ entry }) => entry.id);
+    return (this.cachedRing ??= Ring.create([this.self, ...live]));
+  }
+
+  /** Digest of all live members; equal on two instances that believe the same. */
+  get hash(): string {
+    if (this.cachedHash !== undefined) return this.cachedHash;
+    const entries = [this.ownEntry, ...[...this.records.values()].filter(isLive).map(entryOf)];
+    const lines = entries.map((each) => [each.id, each.incarnation, each.revision, each.state]);
+    const text = lines.map((line) => line.join(" ")).sort();
+    const digest = createHash("sha256").update(text.join("\n")).digest("hex");
+    return (this.cachedHash = digest.slice(0, HASH_DIGITS));
+  }
+
+  all(): readonly Member[] {
+    return [...this.records.values()].map(memberOf);
+  }
+
+  find(id: string): Member | undefined {
+    const record = this.records.get(id);
+    return record && memberOf(record);
+  }
+
+  record(id: string): MemberRecord | undefined {
+    return this.records.get(id);
+  }
+
+  allRecords(): readonly MemberRecord[] {
+    return [...this.records.values()];
+  }
+
+  subscribe(handler: (member: Member) => void): Subscription {
+    this.handlers.add(handler);
+    return {
+      cancel: () => {
+        this.handlers.delete(handler);
+      },
+    };
+  }
+
+  /** Takes over an entry that supersedes the known one; `direct` if the member itself sent it. */
+  learn(entry: MemberEntry, direct: boolean): boolean {
+    if (entry.id === this.self) return this.refute(entry);
+    const known = this.records.get(entry.id);
+    if (known === undefined) {
+      // The dead are forgotten at different times; learning them again would keep them for ever.
+      if (entry.state === MemberState.Dead || this.records.size >= MAX_MEMBERS) return false;
+    } else if (!supersedes(entry, known.entry)) {
+      if (direct) this.heard(entry.id, entry.incarnation);
+      return false;
+    } else if (!direct && entry.state === MemberState.Dead && this.heardLately(known, entry)) {
+      return false;
+    }
+    const heardMs = this.parts.timers.now();
+    this.put({ entry, suspect: false, heardMs, unlistedMs: undefined });
+    return true;
+  }
+
+  /** Notes a sign of life of the known run of a member; a dead member stays dead. */
+  heard(id: string, incarnation: number): void {
+    const known = this.records.get(id);
+    if (known?.entry.incarnation !== incarnation) return;
+    this.put({ ...known, suspect: false, heardMs: this.parts.timers.now(), unlistedMs: undefined });
+  }
+
+  suspect(id: string): void {
+    const known = this.records.get(id);
+    if (known !== undefined && !known.suspect) this.put({ ...known, suspect: true });
+  }
+
+  /** Declares a member dead and returns its entry. */
+  bury(id: string): MemberEntry | undefined {
+    const known = this.records.get(id);
+    if (known === undefined || known.entry.state === MemberState.Dead) return undefined;
+    const entry = { ...known.entry, state: MemberState.Dead as const };
+    this.put({ ...known, entry, suspect: false });
+    return entry;
+  }
+
+  /** Starts, or ends with undefined, the time until a dead member is forgotten. */
+  setUnlisted(id: string, unlistedMs: number | undefined): void {
+    const known = this.records.get(id);
+    if (known !== undefined) this.records.set(id, { ...known, unlistedMs });
+  }
+
+  forget(id: string): void {
+    this.records.delete(id);
+    this.parts.addressBook.remove(id);
+  }
+
+  /** Restarts the silence of every member; used after a pause of this process. */
+  restartSilence(): void {
+    const heardMs = this.parts.timers.now();
+    for (const [id, record] of this.records) this.records.set(id, { ...record, heardMs });
+  }
+
+  /** Restarts the silence of a member that this instance begins to watch. */
+  restartSilenceOf(id: string): void {
+    const record = this.records.get(id);
+    if (record !== undefined) {
+      this.records.set(id, { ...record, heardMs: this.parts.timers.now() });
+    }
+  }
+
+  /** Marks this instance as leaving. */
+  leave(): MemberEntry {
+    return this.revise(this.ownEntry.revision + 1, MemberState.Leaving);
+  }
+
+  private refute(entry: MemberEntry): boolean {
+    if (!supersedes(entry, this.ownEntry)) return false;
+    // A later incarnation than this one's means that the wall clock went back between two starts.
+    const later = entry.incarnation > this.ownEntry.incarnation;
+    if (later) this.ownEntry = { ...this.ownEntry, incarnation: entry.incarnation + 1 };
+    this.revise(later ? 0 : entry.revision + 1, this.ownEntry.state);
+    return true;
+  }
+
+  private revise(revision: number, state: MemberEntry["state"]): MemberEntry {
+    this.ownEntry = { ...this.ownEntry, revision, state };
+    this.cachedHash = undefined;
+    return this.ownEntry;
+  }
+
+  private heardLately(known: MemberRecord, entry: MemberEntry): boolean {
+    const silentMs = this.parts.timers.now() - known.heardMs;
+    const sameRun = entry.incarnation === known.entry.incarnation;
+    return sameRun && silentMs < this.parts.settings.bounds.suspicionMs;
+  }
+
+  private put(record: MemberRecord): void {
+    const { entry, suspect } = record;
+    const known = this.records.get(entry.id);
+    this.records.set(entry.id, record);
+    if (known?.entry === entry && known.suspect === suspect) return;
+    if (known?.entry !== entry) {
+      this.cachedHash = undefined;
+      this.cachedRing = undefined;
+      this.parts.addressBook.set(entry.id, entry.peerAddress);
+    }
+    for (const handler of this.handlers) handler(memberOf(record));
+  }
+}
+
+function entryOf({ entry }: MemberRecord): MemberEntry {
+  return entry;
+}
+
+function isLive({ entry }: MemberRecord): boolean {
+  return entry.state !== MemberState.Dead;
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -60,7 +60,13 @@
 export const settingsSchema = z.strictObject({
   instance: z.strictObject({ id: identifier, dataCentre: identifier }),
   callers: listener,
-  peers: listener.extend({ secret: z.string().min(16) }),
+  peers: listener.extend({
+    secret: z.string().min(16),
+    /** Fleet size from which heartbeats go to ring successors instead of all members. */
+    meshMembers: z.number().int().min(2).max(64).default(16),
+    /** Members that each instance sends heartbeats to in a large fleet. */
+    successors: z.number().int().min(1).max(8).default(3),
+  }),
   operators: listener.extend({ credentials: z.array(operatorCredential).min(1) }),
   table,
   instanceList: z.strictObject({ endpoint: httpUrl, intervalMs: milliseconds.default(2_000) }),
