Keep a run-once ledger of non-idempotent requests

Cause: a request that must run at most once needs a durable claim that is confirmed before its first dispatch, and an answer for every resend. Change: conditional claims with read-back of uncertain puts; release and tombstone in the background; resends answered from the row or by asking the holder (instance and incarnation); writes of several requests gathered into transactions of up to 100, at most one write for each row; a breaker with probes of 0.5 to 4 s; deletion after 24 h at up to 100 rows/s for the whole fleet. Ruled out: a third write between claim and dispatch, see the design.

--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -10,6 +10,15 @@
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
+import type { AttemptStates } from "../ledger/attempt-states.js";
+import { ClaimHolders } from "../ledger/claim-holders.js";
+import type { Ledger } from "../ledger/ledger.js";
+import { LedgerExpiry } from "../ledger/ledger-expiry.js";
+import { TableBreaker } from "../ledger/table-breaker.js";
+import { TableLedger } from "../ledger/table-ledger.js";
+import { WriteBatcher } from "../ledger/write-batcher.js";
+import type { Members } from "../peer/members.js";
+import type { PeerCalls } from "../peer/peer-calls.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { DynamoTable } from "../platform/dynamo-table.js";
 import type { Table } from "../platform/table.js";
@@ -33,6 +42,16 @@
   readonly configurationView: ConfigurationView;
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
+  /** Start time of this process in ms since the epoch. */
+  readonly incarnation: number;
+  readonly members: Members;
+  readonly peerCalls: PeerCalls;
+  readonly attemptStates: AttemptStates;
+  readonly tableBreaker: TableBreaker;
+  readonly writeBatcher: WriteBatcher;
+  readonly claimHolders: ClaimHolders;
+  readonly ledger: Ledger;
+  readonly ledgerExpiry: LedgerExpiry;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -53,6 +72,12 @@
     configurationView: asFunction(() => ConfigurationView.create()).singleton(),
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
+    incarnation: asFunction((parts: Cradle) => parts.timers.wallClock()).singleton(),
+    tableBreaker: asFunction(TableBreaker.create).singleton(),
+    writeBatcher: asFunction((parts: Cradle) => WriteBatcher.create(parts)).singleton(),
+    claimHolders: asFunction(ClaimHolders.create).singleton(),
+    ledger: asFunction(TableLedger.create).singleton(),
+    ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
--- a/standin/table-faults.ts
+++ b/standin/table-faults.ts
@@ -12,6 +12,8 @@
   readonly effectDelayMs: number;
   /** Most transaction writes per second; others are throttled. */
   readonly writesPerSecond: number;
+  /** Whether that limit counts a transaction as one write. */
+  readonly countTransactions: boolean;
 }
 
 export const noTableFaults: TableFaults = {
@@ -21,4 +23,5 @@
   loseAnswers: 0,
   effectDelayMs: 0,
   writesPerSecond: Number.MAX_SAFE_INTEGER,
+  countTransactions: false,
 };
--- a/standin/table-server.ts
+++ b/standin/table-server.ts
@@ -88,7 +88,7 @@
       this.windowStart = now;
       this.windowWrites = 0;
     }
-    this.windowWrites += writes;
+    this.windowWrites += this.faults.countTransactions ? 1 : writes;
     return this.windowWrites <= this.faults.writesPerSecond;
   }
 }
--- a/standin/table-store.ts
+++ b/standin/table-store.ts
@@ -46,6 +46,8 @@
   /** Applies all items or none; returns the cancellation codes in the latter case. */
   transact(items: readonly TransactItem[], token: string): string[] | undefined {
     if (this.tokens.has(token)) return undefined;
+    const keys = new Set(items.map((item) => JSON.stringify(keyOf(item))));
+    if (keys.size < items.length) throw new Error("a transaction names a row twice");
     const codes = items.map((item) => (this.holds(item) ? "None" : "ConditionalCheckFailed"));
     if (codes.some((code) => code !== "None")) return codes;
     for (const item of items) this.apply(item);
@@ -56,7 +58,7 @@
   private holds(item: TransactItem): boolean {
     const operation = operationOf(item);
     const { ConditionExpression: expression, ExpressionAttributeValues: values } = operation;
-    const present = this.get("Item" in operation ? operation.Item : operation.Key);
+    const present = this.get(keyOf(item));
     switch (expression) {
       case undefined:
         return true;
@@ -84,3 +86,9 @@
   if ("Put" in item) return item.Put;
   return "Delete" in item ? item.Delete : item.ConditionCheck;
 }
+
+function keyOf(item: TransactItem): Key {
+  const operation = operationOf(item);
+  const { pk, sk } = "Item" in operation ? operation.Item : operation.Key;
+  return { pk, sk };
+}
