Merge the ledger part; use the member table's incarnation for claims

Cause: claims and members each took their own start time, so a claim of a live instance looked like one of an earlier run. Change: the ledger reads the incarnation that the instance announces to its peers. Ruled out: a second identifier for the run, which peers would have to learn as well. Conclusion: one incarnation per process start.

--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -10,6 +10,14 @@
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
+import type { AttemptStates } from "../ledger/attempt-states.js";
+import { ClaimHolders } from "../ledger/claim-holders.js";
+import type { Ledger } from "../ledger/ledger.js";
+import { LedgerExpiry } from "../ledger/ledger-expiry.js";
+import { TableBreaker } from "../ledger/table-breaker.js";
+import { TableLedger } from "../ledger/table-ledger.js";
+import { WriteBatcher } from "../ledger/write-batcher.js";
+import type { Members } from "../peer/members.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { HttpInstanceList } from "../platform/http-instance-list.js";
 import type { InstanceList } from "../platform/instance-list.js";
@@ -22,7 +30,6 @@
 import { ListCorrection } from "../peer/list-correction.js";
 import { MemberNews } from "../peer/member-news.js";
 import { MemberTable } from "../peer/member-table.js";
-import type { Members } from "../peer/members.js";
 import { Membership } from "../peer/membership.js";
 import type { PeerVersions } from "../peer/peer-versions.js";
 import type { Updates } from "../peer/updates.js";
@@ -73,6 +80,14 @@
   readonly heartbeats: Heartbeats;
   readonly listCorrection: ListCorrection;
   readonly membership: Membership;
+  /** Start time of this process in ms since the epoch. */
+  readonly incarnation: number;
+  readonly attemptStates: AttemptStates;
+  readonly tableBreaker: TableBreaker;
+  readonly writeBatcher: WriteBatcher;
+  readonly claimHolders: ClaimHolders;
+  readonly ledger: Ledger;
+  readonly ledgerExpiry: LedgerExpiry;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -114,6 +129,12 @@
     heartbeats: asFunction(Heartbeats.create).singleton(),
     listCorrection: asFunction(ListCorrection.create).singleton(),
     membership: asFunction(Membership.create).singleton(),
+    incarnation: asFunction((parts: Cradle) => parts.memberTable.own.incarnation).singleton(),
+    tableBreaker: asFunction(TableBreaker.create).singleton(),
+    writeBatcher: asFunction((parts: Cradle) => WriteBatcher.create(parts)).singleton(),
+    claimHolders: asFunction(ClaimHolders.create).singleton(),
+    ledger: asFunction(TableLedger.create).singleton(),
+    ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
