--- a/standin/child.ts
+++ b/standin/child.ts
@@ -35,6 +35,11 @@
     return this.lines;
   }
 
+  /** Process id. */
+  get pid(): number {
+    return this.process.pid ?? 0;
+  }
+
   get running(): boolean {
     return this.process.exitCode === null && this.process.signalCode === null;
   }
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { createHash } from "node:crypto";
+import type { ConfigurationDocument } from "../src/configuration/configuration-document.js";
 import { ConfigurationHistory } from "../src/configuration/configuration-history.js";
 import { DynamoTable } from "../src/platform/dynamo-table.js";
 import { type Settings, settingsSchema } from "../src/settings/settings.js";
@@ -24,6 +25,8 @@
   readonly services: Readonly<Record<string, number>>;
   /** Changes to the settings of the daemons. */
   readonly settings?: (settings: Settings) => Settings;
+  /** Changes to the initial configuration. */
+  readonly configuration?: (document: ConfigurationDocument) => ConfigurationDocument;
 }
 
 /** A daemon process with its settings. */
@@ -62,7 +65,7 @@
       fleet.standin(StandinKind.InstanceList, "list", listPort),
       ...upstreams.map((upstream) => fleet.startUpstream(upstream)),
     ]);
-    await fleet.initialise(upstreams);
+    await fleet.initialise(upstreams, size);
     await fleet.startDaemons(size);
     return fleet;
   }
@@ -105,10 +108,11 @@
     return child;
   }
 
-  private async initialise(upstreams: readonly SampleUpstream[]): Promise<void> {
+  private async initialise(upstreams: readonly SampleUpstream[], size: FleetSize): Promise<void> {
     const table = DynamoTable.create(this.tableSettings());
     const history = ConfigurationHistory.create({ table });
-    await history.initialise(sampleConfiguration(upstreams), "initial-configuration");
+    const document = sampleConfiguration(upstreams);
+    await history.initialise(size.configuration?.(document) ?? document, "initial-configuration");
   }
 
   private async startDaemons(size: FleetSize): Promise<void> {
