Bound repeated attempts and recheck upstreams before dispatch

Cause: a failed idempotent stage was repeated up to twice without a budget; an upstream that left after it was chosen still got the work; a non-idempotent call failed even where nothing had been handed over, and was told as "may-have-run"; a stream that broke after its last token asked another engine for zero tokens.

Slots are given back if the configuration in force does not have their upstream as active. Undispatched attempts are taken back from the request state and may be repeated. A silent connection excludes no upstream and is not reported against it.

Hedges are not part of this change.

--- /dev/null
+++ b/features/stage-attempts.feature
@@ -0,0 +1,20 @@
+Feature: Attempts of stages
+  Further attempts are bounded and never double, lose or cross results.
+
+  # Guards against a retry storm that makes an outage worse.
+  Scenario: Extra attempts in a full outage stay under a tenth
+    When 2000 requests run over 10 s while every upstream fails
+    Then fewer than 0.1 of the first attempts were repeated
+
+  # Guards against doubled or missing tokens where a stream is resumed.
+  Scenario: Broken streams resume without doubled or missing tokens
+    Then every stream that breaks at random places is answered whole or fails
+
+  # Guards against a dispatch between the choice of an upstream and its leaving mark.
+  Scenario: An upstream that left after its choice gets no work
+    When a request runs on a pool that still offers a leaving upstream
+    Then the leaving upstream got no work
+
+  # Guards against a deposit that runs twice.
+  Scenario: A call that must not be sent twice is repeated only if nothing was dispatched
+    Then calls that must not be sent twice are repeated only when undispatched
--- /dev/null
+++ b/features/support/stage-trial.ts
@@ -0,0 +1,126 @@
+import type { Slot } from "../../src/admission/slot.js";
+import type { Work } from "../../src/admission/work.js";
+import type { AnswerRecord } from "../../src/caller/answer-record.js";
+import { Configuration } from "../../src/configuration/configuration.js";
+import { ConfigurationView } from "../../src/configuration/configuration-view.js";
+import type { Upstream } from "../../src/configuration/configuration-document.js";
+import { PipelineRun } from "../../src/pipeline/pipeline-run.js";
+import { RequestState } from "../../src/pipeline/request-state.js";
+import { RetryBudget } from "../../src/routing/retry-budget.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import type { GenerateRequest } from "../../src/upstream/generate-request.js";
+import type { Token } from "../../src/upstream/token.js";
+import type { UpstreamClient } from "../../src/upstream/upstream-client.js";
+import { sampleConfiguration } from "../../standin/sample-configuration.js";
+
+const DEADLINE_MS = 3_000;
+const MOST_TOKENS = 12;
+
+/** Behaviour of the fake upstreams of a trial. */
+export interface Behaviour {
+  readonly generate?: (request: GenerateRequest, upstream: string) => AsyncIterable<Token>;
+  readonly call?: (upstream: string) => Promise<unknown>;
+  /** Ids of upstreams that the configuration marks as leaving. */
+  readonly leaving?: readonly string[];
+}
+
+/** Runs requests of one stage on in-process fakes and manual timers. */
+export class StageTrial {
+  readonly timers = ManualTimers.create();
+  /** Upstream of every attempt in order. */
+  readonly attempts: string[] = [];
+  private readonly view = ConfigurationView.create();
+  private readonly budget = RetryBudget.create({ timers: this.timers });
+  private readonly configuration: Configuration;
+
+  private constructor(private readonly behaviour: Behaviour) {
+    const names = ["advice", "booking"].flatMap((service) =>
+      [1, 2, 3, 4].map((at) => ({ id: `${service}-${at}`, service, port: at })),
+    );
+    const document = sampleConfiguration(names);
+    this.configuration = Configuration.create(1, {
+      ...document,
+      pipelines: [
+        { name: "advice", stages: [{ name: "generate", service: "advice" }] },
+        { name: "booking", stages: [{ name: "book", service: "booking" }] },
+      ],
+      upstreams: document.upstreams.map((one) => ({
+        ...one,
+        state: behaviour.leaving?.includes(one.id) === true ? "leaving" : "active",
+      })),
+    });
+    this.view.adopt(this.configuration);
+  }
+
+  static create(behaviour: Behaviour): StageTrial {
+    return new StageTrial(behaviour);
+  }
+
+  /** Runs a request and returns its tokens; throws what ended it. */
+  async run(pipeline: string): Promise<{ texts: string[]; state: RequestState }> {
+    const { timers, configuration } = this;
+    const found = configuration.pipeline(pipeline);
+    const workClass = configuration.workClass("chat");
+    if (found === undefined || workClass === undefined) throw new Error("not configured");
+    const deadline = timers.now() + DEADLINE_MS;
+    const request = {
+      id: "r",
+      team: "branches",
+      pipeline: found,
+      workClass,
+      input: { text: "text", maxTokens: MOST_TOKENS },
+      arrival: timers.now(),
+      deadline,
+      contentDigest: "digest",
+      idempotencyKey: undefined,
+    };
+    const state = RequestState.create(timers, deadline);
+    const texts: string[] = [];
+    const record = {
+      events: texts,
+      token: (text: string) => texts.push(text),
+      result: () => undefined,
+      end: () => undefined,
+    } as unknown as AnswerRecord;
+    const parts = {
+      pools: { of: (service: string) => ({ acquire: this.acquire(service), estimate: never }) },
+      clients: { of: (upstream: Upstream) => this.client(upstream.id), close: never },
+      timers,
+      configurationView: this.view,
+      retryBudget: this.budget,
+    };
+    const run = PipelineRun.create(parts, configuration, request, state, record);
+    await run.run(new AbortController().signal);
+    return { texts, state };
+  }
+
+  private acquire(service: string): (work: Work) => Promise<Slot> {
+    return (work) => {
+      const upstream = this.configuration
+        .upstreamsOf(service)
+        .find((one) => !work.excluded.has(one.id));
+      if (upstream === undefined) return Promise.reject(new Error("no upstream left"));
+      return Promise.resolve({ upstream, release: () => undefined });
+    };
+  }
+
+  private client(id: string): UpstreamClient {
+    const { generate, call } = this.behaviour;
+    return {
+      generate: (request: GenerateRequest) => {
+        this.attempts.push(id);
+        return generate?.(request, id) ?? never();
+      },
+      call: () => {
+        this.attempts.push(id);
+        return call?.(id) ?? never();
+      },
+      load: never,
+      close: never,
+    };
+  }
+}
+
+function never(): never {
+  throw new Error("not part of the trial");
+}
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -43,6 +43,7 @@
 import type { Table } from "../platform/table.js";
 import { RandomSource } from "../random/random-source.js";
 import type { Settings } from "../settings/settings.js";
+import { RetryBudget } from "../routing/retry-budget.js";
 import { SystemTimers } from "../time/system-timers.js";
 import type { Timers } from "../time/timers.js";
 import { DroppedAnswers } from "../upstream/dropped-answers.js";
@@ -90,6 +91,7 @@
   readonly claimHolders: ClaimHolders;
   readonly ledger: Ledger;
   readonly ledgerExpiry: LedgerExpiry;
+  readonly retryBudget: RetryBudget;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -111,6 +113,7 @@
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
     droppedAnswers: asFunction(() => DroppedAnswers.create()).singleton(),
+    retryBudget: asFunction(RetryBudget.create).singleton(),
     clients: asFunction(HttpUpstreamClients.create).singleton(),
     addressBook: asFunction(() => AddressBook.create()).singleton(),
     peerServer: asFunction(PeerServer.create).singleton(),
--- a/src/pipeline/dispatch-guard.ts
+++ b/src/pipeline/dispatch-guard.ts
@@ -2,4 +2,6 @@
 export interface DispatchGuard {
   /** Throws if the request was abandoned; otherwise records that a stage was dispatched. */
   beforeDispatch(): void;
+  /** Takes back one `beforeDispatch` whose attempt certainly handed nothing over. */
+  notDispatched(): void;
 }
--- a/src/pipeline/pipeline-run.ts
+++ b/src/pipeline/pipeline-run.ts
@@ -80,6 +80,8 @@
     await run.run(
       prompt,
       async (client, attempt, began) => {
+        // The stream broke between its last token and its end.
+        if (receivedTokens >= this.request.input.maxTokens) return;
         const tokens = client.generate(
           {
             identity: this.identity(stage, attempt),
--- a/src/pipeline/request-state.ts
+++ b/src/pipeline/request-state.ts
@@ -5,7 +5,8 @@
 
 /** Whether a request was dispatched or abandoned; it can only become one of them. */
 export class RequestState implements DispatchGuard {
-  private state: "waiting" | "dispatched" | "abandoned" = "waiting";
+  private abandoned = false;
+  private dispatches = 0;
 
   private constructor(
     private readonly timers: Timers,
@@ -17,23 +18,27 @@
   }
 
   get dispatched(): boolean {
-    return this.state === "dispatched";
+    return this.dispatches > 0;
   }
 
   beforeDispatch(): void {
-    if (this.state === "abandoned") {
+    if (this.abandoned) {
       throw ServeError.create(ErrorKind.Cancelled, "the request was abandoned before dispatch");
     }
     if (this.timers.now() >= this.deadline) {
       throw ServeError.create(ErrorKind.DeadlineExceeded, "the deadline passed before dispatch");
     }
-    this.state = "dispatched";
+    this.dispatches += 1;
+  }
+
+  notDispatched(): void {
+    this.dispatches -= 1;
   }
 
   /** Prevents any later dispatch; returns false if a stage was dispatched already. */
   abandon(): boolean {
-    if (this.state === "dispatched") return false;
-    this.state = "abandoned";
+    if (this.dispatched) return false;
+    this.abandoned = true;
     return true;
   }
 }
--- a/src/pipeline/stage-run.ts
+++ b/src/pipeline/stage-run.ts
@@ -2,8 +2,11 @@
 import type { Slot } from "../admission/slot.js";
 import type { Work } from "../admission/work.js";
 import type { Service, Stage } from "../configuration/configuration-document.js";
+import type { ConfigurationView } from "../configuration/configuration-view.js";
+import { UpstreamState } from "../configuration/upstream-state.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import type { RetryBudget } from "../routing/retry-budget.js";
 import type { Timers } from "../time/timers.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
 import type { UpstreamClient } from "../upstream/upstream-client.js";
@@ -11,12 +14,28 @@
 import type { ServeRequest } from "./serve-request.js";
 
 const MOST_ATTEMPTS = 3;
+/** Slots whose upstream left between admission and dispatch are given back this many times. */
+const MOST_STALE_SLOTS = 8;
+
+const retryable: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.UpstreamFailed,
+  ErrorKind.UpstreamCrashed,
+  ErrorKind.ConnectionSilent,
+]);
+
+/** Ends of attempts that say nothing about the upstream. */
+const blameless: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.Cancelled,
+  ErrorKind.ConnectionSilent,
+]);
 
 /** What a stage needs from the daemon. */
 export interface StageParts {
   readonly pools: Pools;
   readonly clients: UpstreamClients;
   readonly timers: Timers;
+  readonly configurationView: ConfigurationView;
+  readonly retryBudget: RetryBudget;
 }
 
 /** One execution of a stage on one upstream; `began` reports the first byte of the answer. */
@@ -30,6 +49,7 @@
 export class StageRun {
   private readonly excluded = new Set<string>();
   private attempts = 0;
+  private staleSlots = 0;
 
   private constructor(
     private readonly parts: StageParts,
@@ -55,24 +75,49 @@
     attempt: StageAttempt<Result>,
     signal: AbortSignal,
   ): Promise<Result> {
+    this.parts.retryBudget.firstAttempt();
     for (;;) {
-      const slot = await this.parts.pools.of(this.service.name).acquire(this.work(prompt), signal);
+      const slot = await this.activeSlot(prompt, signal);
       try {
         return await this.attemptOn(slot, attempt);
       } catch (error) {
-        this.excluded.add(slot.upstream.id);
-        if (!this.mayRetry(error)) throw error;
+        const failure = ServeError.from(error, ErrorKind.Internal);
+        // A silent connection says nothing against its upstream.
+        if (failure.kind !== ErrorKind.ConnectionSilent) this.excluded.add(slot.upstream.id);
+        if (signal.aborted || !this.mayRetry(failure)) throw failure;
       }
     }
   }
 
+  /** Gives back slots of upstreams that are leaving under the configuration in force. */
+  private async activeSlot(prompt: string, signal: AbortSignal): Promise<Slot> {
+    for (;;) {
+      const slot = await this.parts.pools.of(this.service.name).acquire(this.work(prompt), signal);
+      if (this.isActive(slot.upstream.id)) return slot;
+      slot.release({ kind: "cancelled" });
+      this.excluded.add(slot.upstream.id);
+      this.staleSlots += 1;
+      if (this.staleSlots > MOST_STALE_SLOTS) {
+        throw ServeError.create(ErrorKind.NoUpstream, `the upstreams of ${this.stage.name} leave`);
+      }
+    }
+  }
+
+  private isActive(id: string): boolean {
+    const { configuration } = this.parts.configurationView;
+    const upstreams = configuration?.upstreamsOf(this.service.name) ?? [];
+    return upstreams.some((one) => one.id === id && one.state === UpstreamState.Active);
+  }
+
   private async attemptOn<Result>(slot: Slot, attempt: StageAttempt<Result>): Promise<Result> {
     const { timers, clients } = this.parts;
     const start = timers.now();
     let firstByteMs: number | undefined;
+    let guarded = false;
     try {
       const client = clients.of(slot.upstream);
       this.guard.beforeDispatch();
+      guarded = true;
       const result = await attempt(client, this.attempts++, () => {
         firstByteMs ??= timers.now() - start;
       });
@@ -81,8 +126,9 @@
       return result;
     } catch (error) {
       const failure = ServeError.from(error, ErrorKind.UpstreamFailed);
+      if (guarded && failure.undispatched) this.guard.notDispatched();
       slot.release(
-        failure.kind === ErrorKind.Cancelled
+        blameless.has(failure.kind)
           ? { kind: "cancelled" }
           : { kind: "failed", error: failure.kind, durationMs: timers.now() - start },
       );
@@ -90,11 +136,11 @@
     }
   }
 
-  private mayRetry(error: unknown): boolean {
-    if (!this.service.idempotent || this.attempts >= MOST_ATTEMPTS) return false;
+  private mayRetry(failure: ServeError): boolean {
+    if (!this.service.idempotent && !failure.undispatched) return false;
+    if (this.attempts >= MOST_ATTEMPTS) return false;
     if (this.parts.timers.now() >= this.request.deadline) return false;
-    const kind = error instanceof ServeError ? error.kind : ErrorKind.Internal;
-    return kind === ErrorKind.UpstreamFailed || kind === ErrorKind.UpstreamCrashed;
+    return retryable.has(failure.kind) && this.parts.retryBudget.takeRetry();
   }
 
   private work(prompt: string): Work {
