Complete the callers' API with resume through any instance and limits

Cause: answers could be read on the instance that ran the request only, a quiet stream sent nothing, slow senders were looked for every 30 s, and malformed bytes got no problem document. Ruled out: coalescing the tokens of a finished answer into one event, which would change event ids under readers; the ends of tokens are kept instead. Change: pages of answers over `answer.read`, keep-alive comments, flushed compression, limits per connection, checked headers, readiness with reasons, refusal of new requests on its own switch. `src/daemon/absent-parts.ts` stands in for peers, ledger and registry until these are registered.

--- /dev/null
+++ b/features/support/caller-host.ts
@@ -0,0 +1,85 @@
+import { Writable } from "node:stream";
+import { asValue } from "awilix";
+import { createConsola } from "consola";
+import { Configuration } from "../../src/configuration/configuration.js";
+import { type Cradle, createDaemonContainer } from "../../src/daemon/container.js";
+import { UnreadyReason } from "../../src/daemon/readiness.js";
+import { type Settings, settingsSchema } from "../../src/settings/settings.js";
+import { freePorts } from "../../standin/free-ports.js";
+import { sampleConfiguration } from "../../standin/sample-configuration.js";
+import type { MemoryLedger } from "./memory-ledger.js";
+import type { MemoryPeers } from "./memory-peers.js";
+import { ScriptedUpstream } from "./scripted-upstream.js";
+
+const HOST = "127.0.0.1";
+const OPERATOR_DIGEST = "0".repeat(64);
+
+/** What several hosts of a test share. */
+export interface Surroundings {
+  readonly peers: MemoryPeers;
+  readonly ledger: MemoryLedger;
+}
+
+/** The callers' API of one instance in the process of the test, over a scripted upstream. */
+export class CallerHost {
+  private constructor(
+    readonly url: string,
+    readonly port: number,
+    readonly parts: Cradle,
+    readonly upstream: ScriptedUpstream,
+    /** Lines that the instance logged. */
+    readonly logged: readonly string[],
+  ) {}
+
+  static async create(
+    id: string,
+    { peers, ledger }: Surroundings,
+    limits: Partial<Settings["limits"]> = {},
+  ): Promise<CallerHost> {
+    const [port = 0] = await freePorts(1);
+    const container = createDaemonContainer(settingsOf(id, port, limits));
+    const upstream = new ScriptedUpstream();
+    const logged: string[] = [];
+    const lines = new Writable({
+      write: (chunk: Buffer, _encoding, done) => {
+        logged.push(chunk.toString());
+        done();
+      },
+    }) as unknown as NodeJS.WriteStream;
+    container.register({
+      log: asValue(createConsola({ level: 5, stdout: lines, stderr: lines })),
+      clients: asValue(upstream),
+      peerCalls: asValue(peers),
+      peerMethods: asValue(peers.methodsOf(id)),
+      ledger: asValue(ledger),
+    });
+    const parts = container.cradle;
+    parts.configurationView.adopt(Configuration.create(1, configuration()));
+    parts.readiness.clear(UnreadyReason.Starting);
+    parts.answerReads.start();
+    await parts.callerServer.listen();
+    return new CallerHost(`http://${HOST}:${port}`, port, parts, upstream, logged);
+  }
+
+  async close(): Promise<void> {
+    this.upstream.resume();
+    await this.parts.callerServer.close();
+  }
+}
+
+function configuration(): unknown {
+  const services = ["encoder", "retriever", "reranker", "advice", "booking"];
+  return sampleConfiguration(services.map((service) => ({ id: `${service}-1`, service, port: 1 })));
+}
+
+function settingsOf(id: string, port: number, limits: Partial<Settings["limits"]>): Settings {
+  return settingsSchema.parse({
+    instance: { id, dataCentre: "fes-a" },
+    callers: { host: HOST, port },
+    peers: { host: HOST, port: 1, secret: "a-secret-between-peers" },
+    operators: { host: HOST, port: 1, credentials: [{ name: "amal", digest: OPERATOR_DIGEST }] },
+    table: { endpoint: "http://127.0.0.1:1", accessKeyId: "local", secretAccessKey: "local" },
+    instanceList: { endpoint: "http://127.0.0.1:1" },
+    limits,
+  });
+}
--- a/src/caller/answer-log.ts
+++ b/src/caller/answer-log.ts
@@ -1,4 +1,6 @@
 import { LRUCache } from "lru-cache";
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
 import type { Settings } from "../settings/settings.js";
 import { AnswerRecord } from "./answer-record.js";
 
@@ -42,4 +44,14 @@
   find(request: string): AnswerRecord | undefined {
     return this.running.get(request) ?? this.finished.get(request);
   }
+
+  /**
+   * The answer of a team's own request. Throws the same `UnknownRequest` for an unknown request and
+   * for one of another team, so that ids can't be probed.
+   */
+  owned(request: string, team: string): AnswerRecord {
+    const record = this.find(request);
+    if (record?.team === team) return record;
+    throw ServeError.create(ErrorKind.UnknownRequest, `no request "${request}"`);
+  }
 }
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -3,13 +3,21 @@
 import type { ConsolaInstance } from "consola";
 import { ServicePools } from "../admission/service-pools.js";
 import type { Pools } from "../admission/pools.js";
+import { AnswerFinder } from "../caller/answer-finder.js";
 import { AnswerLog } from "../caller/answer-log.js";
+import { AnswerReads } from "../caller/answer-reads.js";
 import { CallerServer } from "../caller/caller-server.js";
 import { ConfigurationFollower } from "../configuration/configuration-follower.js";
 import { ConfigurationHistory } from "../configuration/configuration-history.js";
+import type { ConfigurationRegistry } from "../configuration/configuration-registry.js";
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
+import type { Ledger } from "../ledger/ledger.js";
+import type { Members } from "../peer/members.js";
+import type { PeerCalls } from "../peer/peer-calls.js";
+import type { PeerMethods } from "../peer/peer-methods.js";
+import { AttemptRegistry } from "../pipeline/attempt-registry.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { DynamoTable } from "../platform/dynamo-table.js";
 import type { Table } from "../platform/table.js";
@@ -19,6 +27,14 @@
 import type { Timers } from "../time/timers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
+import {
+  noConfigurationRegistry,
+  noLedger,
+  noMembers,
+  noPeerCalls,
+  noPeerMethods,
+} from "./absent-parts.js";
+import { Readiness } from "./readiness.js";
 
 const SEED_BOUND = 2 ** 31;
 
@@ -35,7 +51,16 @@
   readonly configurationFollower: ConfigurationFollower;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
+  readonly readiness: Readiness;
+  readonly members: Members;
+  readonly peerCalls: PeerCalls;
+  readonly peerMethods: PeerMethods;
+  readonly ledger: Ledger;
+  readonly configurationRegistry: ConfigurationRegistry;
+  readonly attemptStates: AttemptRegistry;
   readonly answerLog: AnswerLog;
+  readonly answerFinder: AnswerFinder;
+  readonly answerReads: AnswerReads;
   readonly requestIntake: RequestIntake;
   readonly callerServer: CallerServer;
 }
@@ -55,7 +80,16 @@
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
+    readiness: asFunction(() => Readiness.create()).singleton(),
+    members: asFunction((parts: Cradle) => noMembers(parts.settings.instance.id)).singleton(),
+    peerCalls: asValue(noPeerCalls),
+    peerMethods: asValue(noPeerMethods),
+    ledger: asValue(noLedger),
+    configurationRegistry: asValue(noConfigurationRegistry),
+    attemptStates: asFunction(() => AttemptRegistry.create()).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
+    answerFinder: asFunction(AnswerFinder.create).singleton(),
+    answerReads: asFunction(AnswerReads.create).singleton(),
     requestIntake: asFunction(RequestIntake.create).singleton(),
     callerServer: asFunction(CallerServer.create).singleton(),
   });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,8 +1,12 @@
+import type { Subscription } from "../time/subscription.js";
 import type { Settings } from "../settings/settings.js";
 import { type Cradle, createDaemonContainer } from "./container.js";
+import { UnreadyReason } from "./readiness.js";
 
 /** One entry instance of the system. */
 export class Daemon {
+  private adoption: Subscription | undefined;
+
   private constructor(private readonly parts: Cradle) {}
 
   static create(settings: Settings): Daemon {
@@ -11,7 +15,11 @@
 
   /** Resolves when the daemon accepts requests. */
   async start(): Promise<void> {
-    const { configurationFollower, callerServer, log, settings } = this.parts;
+    const { configurationFollower, callerServer, answerReads, log, settings } = this.parts;
+    answerReads.start();
+    this.adoption = this.parts.configurationView.subscribe(() => {
+      this.parts.readiness.clear(UnreadyReason.Starting);
+    });
     await configurationFollower.start();
     await callerServer.listen();
     log.info({ message: "listening", callers: settings.callers });
@@ -19,8 +27,11 @@
 
   /** Finishes requests in progress, then closes everything. */
   async stop(): Promise<void> {
-    const { configurationFollower, callerServer, clients, log } = this.parts;
+    const { configurationFollower, callerServer, requestIntake, clients, log } = this.parts;
     log.info({ message: "stopping" });
+    this.adoption?.cancel();
+    this.parts.readiness.block(UnreadyReason.Draining);
+    requestIntake.refuseNew();
     await callerServer.close();
     configurationFollower.stop();
     await clients.close();
--- a/src/error/answer-table.ts
+++ b/src/error/answer-table.ts
@@ -22,6 +22,8 @@
 export const answerTable: Readonly<Record<ErrorKind, Answer>> = {
   [ErrorKind.MalformedRequest]: final(400, "The request is malformed"),
   [ErrorKind.BodyTooLarge]: final(413, "The request body is too large"),
+  [ErrorKind.HeadersTooLarge]: final(431, "The request headers are too large"),
+  [ErrorKind.RequestTimeout]: retryable(408, "The request was sent too slowly", SHORT_RETRY_MS),
   [ErrorKind.Unauthenticated]: final(401, "The credential is missing or unknown"),
   [ErrorKind.Forbidden]: final(403, "The credential does not permit this"),
   [ErrorKind.UnknownRoute]: final(404, "There is no such resource"),
--- a/src/error/error-kind.ts
+++ b/src/error/error-kind.ts
@@ -2,6 +2,8 @@
 export enum ErrorKind {
   MalformedRequest = "malformed-request",
   BodyTooLarge = "body-too-large",
+  HeadersTooLarge = "headers-too-large",
+  RequestTimeout = "request-timeout",
   Unauthenticated = "unauthenticated",
   Forbidden = "forbidden",
   UnknownRoute = "unknown-route",
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -2,10 +2,11 @@
 import { nanoid } from "nanoid";
 import type { AnswerLog } from "../caller/answer-log.js";
 import type { AnswerRecord } from "../caller/answer-record.js";
+import type { Pipeline } from "../configuration/configuration-document.js";
 import type { Configuration } from "../configuration/configuration.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import { ErrorKind } from "../error/error-kind.js";
-import { problemOf } from "../error/problem.js";
+import { type Problem, problemOf } from "../error/problem.js";
 import { ServeError } from "../error/serve-error.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Settings } from "../settings/settings.js";
@@ -32,14 +33,24 @@
 
 /** Checks requests of callers and starts a task for each. */
 export class RequestIntake {
+  private refusing = false;
+
   private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): RequestIntake {
     return new RequestIntake(parts);
   }
 
+  /** Refuses all requests from now on; those in progress go on. */
+  refuseNew(): void {
+    this.refusing = true;
+  }
+
   /** Starts a request and returns its answer, which fills as it runs. Throws if it is refused. */
   start(incoming: IncomingRequest): AnswerRecord {
+    if (this.refusing) {
+      throw ServeError.create(ErrorKind.Draining, "send the request to another instance");
+    }
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
     const record = this.parts.answerLog.start(request.id, request.team);
@@ -52,7 +63,7 @@
     request: ServeRequest,
     record: AnswerRecord,
   ): Promise<void> {
-    const { timers, random, answerLog } = this.parts;
+    const { timers, answerLog } = this.parts;
     const state = RequestState.create(timers, request.deadline);
     const stop = new AbortController();
     const timeout = timers.after(request.deadline - timers.now(), () => {
@@ -61,15 +72,18 @@
     try {
       await PipelineRun.create(this.parts, configuration, request, state, record).run(stop.signal);
     } catch (error) {
-      const ran = !state.abandon();
-      const failure = ServeError.from(error, ErrorKind.Internal);
-      record.fail(problemOf(ran ? failure.afterDispatch() : failure, random));
+      record.fail(this.problem(error, !state.abandon()));
     } finally {
       timeout.cancel();
       answerLog.retire(record);
     }
   }
 
+  private problem(error: unknown, dispatched: boolean): Problem {
+    const failure = ServeError.from(error, ErrorKind.Internal);
+    return problemOf(dispatched ? failure.afterDispatch() : failure, this.parts.random);
+  }
+
   private checked(configuration: Configuration, incoming: IncomingRequest): ServeRequest {
     const { timers, settings } = this.parts;
     const { body } = incoming;
@@ -88,6 +102,10 @@
         `deadlineMs: ${body.deadlineMs}, ${allowed}`,
       );
     }
+    if (incoming.idempotencyKey === undefined && mustRunOnce(configuration, pipeline)) {
+      const detail = `pipeline "${pipeline.name}" requires the header Idempotency-Key`;
+      throw ServeError.create(ErrorKind.IdempotencyKeyMissing, detail);
+    }
     const arrival = timers.now();
     const content = JSON.stringify([pipeline.name, body.input]);
     return {
@@ -111,3 +129,10 @@
     return configuration;
   }
 }
+
+/** Whether a stage of the pipeline must not be sent twice. */
+function mustRunOnce(configuration: Configuration, pipeline: Pipeline): boolean {
+  return pipeline.stages.some(
+    (stage) => configuration.service(stage.service)?.idempotent === false,
+  );
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -30,6 +30,10 @@
   headersTimeoutMs: milliseconds.default(5_000),
   requestTimeoutMs: milliseconds.default(10_000),
   requestsPerConnection: z.number().int().positive().default(64),
+  /** Requests that one connection may have in progress. */
+  concurrentRequestsPerConnection: z.number().int().positive().default(8),
+  /** Open connections of callers; further ones are closed at once. */
+  connections: z.number().int().positive().default(4_096),
   maxDeadlineMs: milliseconds.default(60_000),
   answerBytes: z.number().int().positive().default(67_108_864),
 });
