Claim the idempotency key before a non-idempotent pipeline dispatches

Cause: a resent deposit or hire payment ran again. Ruled out: releasing the claim in the code that waits for it. A claim can be confirmed in the same turn in which the deadline passes, so it is released by whichever comes second, the confirmation or the abandonment, and `RequestState` alone decides. Forgetting a request when it ends was ruled out as well: the holder must still attest that it was abandoned. Change: `RunOnce` claims, restores a stored answer, joins a running one through its holder or tells when to retry, and stores answers and failures after dispatch. `AttemptRegistry` offers the states of requests. A stored failure carries no retry time, because the same key gets it again.

--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -10,13 +10,16 @@
 import { ServeError } from "../error/serve-error.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Settings } from "../settings/settings.js";
+import type { AttemptRegistry } from "./attempt-registry.js";
 import { PipelineRun } from "./pipeline-run.js";
 import type { RequestBody } from "./request-body.js";
 import { RequestState } from "./request-state.js";
+import { RunOnce, type RunOnceParts } from "./run-once.js";
 import type { ServeRequest } from "./serve-request.js";
 import type { StageParts } from "./stage-run.js";
 
-interface Parts extends StageParts {
+interface Parts extends StageParts, RunOnceParts {
+  readonly attemptStates: AttemptRegistry;
   readonly configurationView: ConfigurationView;
   readonly answerLog: AnswerLog;
   readonly settings: Settings;
@@ -63,22 +66,46 @@
     request: ServeRequest,
     record: AnswerRecord,
   ): Promise<void> {
-    const { timers, answerLog } = this.parts;
+    const { timers, answerLog, attemptStates } = this.parts;
     const state = RequestState.create(timers, request.deadline);
+    const once = this.runOnce(configuration, request, state, record);
     const stop = new AbortController();
     const timeout = timers.after(request.deadline - timers.now(), () => {
       stop.abort(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline has passed"));
     });
     try {
-      await PipelineRun.create(this.parts, configuration, request, state, record).run(stop.signal);
+      if (once === undefined || (await once.claim(stop.signal))) {
+        await PipelineRun.create(this.parts, configuration, request, state, record).run(
+          stop.signal,
+        );
+      }
     } catch (error) {
-      record.fail(this.problem(error, !state.abandon()));
+      const problem = this.problem(error, !state.abandon());
+      record.fail(once !== undefined && state.dispatched ? withoutRetry(problem) : problem);
     } finally {
       timeout.cancel();
+      if (state.abandon()) once?.release();
+      else once?.finish();
+      attemptStates.settle(request.id);
       answerLog.retire(record);
     }
   }
 
+  private runOnce(
+    configuration: Configuration,
+    request: ServeRequest,
+    state: RequestState,
+    record: AnswerRecord,
+  ): RunOnce | undefined {
+    const { id, team, contentDigest, idempotencyKey } = request;
+    if (idempotencyKey === undefined || !mustRunOnce(configuration, request.pipeline)) {
+      return undefined;
+    }
+    this.parts.attemptStates.add(id, state);
+    const entry = { team, idempotencyKey, contentDigest, request: id };
+    return RunOnce.create(this.parts, entry, state, record);
+  }
+
   private problem(error: unknown, dispatched: boolean): Problem {
     const failure = ServeError.from(error, ErrorKind.Internal);
     return problemOf(dispatched ? failure.afterDispatch() : failure, this.parts.random);
@@ -136,3 +163,8 @@
     (stage) => configuration.service(stage.service)?.idempotent === false,
   );
 }
+
+/** A resend with the same key would get the same stored answer. */
+function withoutRetry({ type, title, status, detail, kind, outcome }: Problem): Problem {
+  return { type, title, status, detail, kind, outcome };
+}
--- /dev/null
+++ b/src/pipeline/run-once.ts
@@ -0,0 +1,112 @@
+import type { ConsolaInstance } from "consola";
+import type { AnswerFinder } from "../caller/answer-finder.js";
+import type { AnswerRecord } from "../caller/answer-record.js";
+import { copyEvent, restoreAnswer, storedAnswer } from "../caller/stored-answer.js";
+import { ErrorKind } from "../error/error-kind.js";
+import { Outcome } from "../error/outcome.js";
+import { ServeError } from "../error/serve-error.js";
+import type { Claim } from "../ledger/claim.js";
+import type { ClaimAnswer } from "../ledger/claim-answer.js";
+import type { Ledger } from "../ledger/ledger.js";
+import type { LedgerEntry } from "../ledger/ledger-entry.js";
+import type { RequestState } from "./request-state.js";
+import { untilAborted } from "./until-aborted.js";
+
+/** What a request needs to run at most once. */
+export interface RunOnceParts {
+  readonly ledger: Ledger;
+  readonly answerFinder: AnswerFinder;
+  readonly log: ConsolaInstance;
+}
+
+/** The claim of one non-idempotent request on its idempotency key. */
+export class RunOnce {
+  private held: Claim | undefined;
+
+  private constructor(
+    private readonly parts: RunOnceParts,
+    private readonly entry: LedgerEntry,
+    private readonly state: RequestState,
+    private readonly record: AnswerRecord,
+  ) {}
+
+  static create(
+    parts: RunOnceParts,
+    entry: LedgerEntry,
+    state: RequestState,
+    record: AnswerRecord,
+  ): RunOnce {
+    return new RunOnce(parts, entry, state, record);
+  }
+
+  /**
+   * Resolves with true if the request may dispatch. Resolves with false once the record is filled
+   * with the answer of an earlier request with the same key.
+   */
+  async claim(signal: AbortSignal): Promise<boolean> {
+    const answer = await untilAborted(this.claimed(), signal);
+    switch (answer.kind) {
+      case "claimed":
+        return true;
+      case "finished":
+        this.restore(answer.answer);
+        return false;
+      case "running":
+        await this.join(answer.request, signal);
+        return false;
+    }
+  }
+
+  /** Gives the claim up after `state` was abandoned; a claim that is still to come is given up too. */
+  release(): void {
+    this.held?.release();
+    this.held = undefined;
+  }
+
+  /** Stores the closed answer, so that a resent request gets it. */
+  finish(): void {
+    const { held, record, parts } = this;
+    this.held = undefined;
+    held?.finish(storedAnswer(record)).catch((error: unknown) => {
+      const detail = String(error);
+      parts.log.error({ message: "cannot store an answer", request: record.request, detail });
+    });
+  }
+
+  private async claimed(): Promise<ClaimAnswer> {
+    const answer = await this.parts.ledger.claim(this.entry);
+    if (answer.kind === "claimed") {
+      // The request may have been abandoned while the table confirmed the claim.
+      if (this.state.abandoned) answer.claim.release();
+      else this.held = answer.claim;
+    }
+    return answer;
+  }
+
+  private restore(answer: string): void {
+    try {
+      restoreAnswer(this.record, answer);
+    } catch (error) {
+      const context = { outcome: Outcome.MayHaveRun, cause: error };
+      throw ServeError.create(ErrorKind.Internal, "the stored answer is malformed", context);
+    }
+  }
+
+  private async join(request: string, signal: AbortSignal): Promise<void> {
+    try {
+      await untilAborted(this.copy(request, signal), signal);
+    } catch (error) {
+      const failure = ServeError.from(error, ErrorKind.Internal);
+      if (failure.kind === ErrorKind.DeadlineExceeded) throw failure.afterDispatch();
+      const detail = `request "${request}" with the same key is in progress`;
+      throw ServeError.create(ErrorKind.InProgress, detail, { cause: error });
+    }
+  }
+
+  private async copy(request: string, signal: AbortSignal): Promise<void> {
+    const source = await this.parts.answerFinder.find(request, this.entry.team, 0);
+    for await (const page of source.follow(0, signal)) {
+      for (const { event } of page) copyEvent(this.record, event);
+    }
+  }
+}
