Add the operators' API

Cause: operators had no way to see an instance's state or to change the configuration. Change: a server on `settings.operators` for status, configuration, history, targets, upstreams and requests.

--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -17,6 +17,7 @@
 import type { Members } from "../peer/members.js";
 import type { PeerCalls } from "../peer/peer-calls.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
+import { OperatorServer } from "../operator/operator-server.js";
 import { AttemptRegistry } from "../pipeline/attempt-registry.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { DynamoTable } from "../platform/dynamo-table.js";
@@ -63,6 +64,7 @@
   readonly answerReads: AnswerReads;
   readonly requestIntake: RequestIntake;
   readonly callerServer: CallerServer;
+  readonly operatorServer: OperatorServer;
 }
 
 /** Composes a daemon; tests may replace parts before they are first used. */
@@ -92,6 +94,7 @@
     answerReads: asFunction(AnswerReads.create).singleton(),
     requestIntake: asFunction(RequestIntake.create).singleton(),
     callerServer: asFunction(CallerServer.create).singleton(),
+    operatorServer: asFunction(OperatorServer.create).singleton(),
   });
   return container;
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,6 +22,7 @@
     });
     await configurationFollower.start();
     await callerServer.listen();
+    await this.parts.operatorServer.listen();
     log.info({ message: "listening", callers: settings.callers });
   }
 
@@ -33,6 +34,7 @@
     this.parts.readiness.block(UnreadyReason.Draining);
     requestIntake.refuseNew();
     await callerServer.close();
+    await this.parts.operatorServer.close();
     configurationFollower.stop();
     await clients.close();
   }
--- /dev/null
+++ b/src/operator/operator-status.ts
@@ -0,0 +1,53 @@
+import type { AnswerLog } from "../caller/answer-log.js";
+import type { ConfigurationView } from "../configuration/configuration-view.js";
+import type { UpstreamState } from "../configuration/upstream-state.js";
+import type { Readiness, UnreadyReason } from "../daemon/readiness.js";
+import type { Member } from "../peer/member.js";
+import type { Members } from "../peer/members.js";
+import type { Settings } from "../settings/settings.js";
+
+interface Parts {
+  readonly settings: Settings;
+  readonly readiness: Readiness;
+  readonly configurationView: ConfigurationView;
+  readonly members: Members;
+  readonly answerLog: AnswerLog;
+}
+
+/** What one instance tells operators about itself and about the others. */
+export interface OperatorStatus {
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly ready: boolean;
+  readonly reasons: readonly UnreadyReason[];
+  readonly configurationVersion: number;
+  readonly requestsInProgress: number;
+  readonly upstreams: readonly {
+    readonly id: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly state: UpstreamState;
+  }[];
+  readonly members: readonly Member[];
+}
+
+/** Reads the status of this instance. */
+export function operatorStatus(parts: Parts): OperatorStatus {
+  const { settings, readiness, configurationView, members, answerLog } = parts;
+  const upstreams = configurationView.configuration?.document.upstreams ?? [];
+  return {
+    instance: settings.instance.id,
+    dataCentre: settings.instance.dataCentre,
+    ready: readiness.ready,
+    reasons: readiness.reasons,
+    configurationVersion: configurationView.version,
+    requestsInProgress: answerLog.inProgress,
+    upstreams: upstreams.map(({ id, service, dataCentre, state }) => ({
+      id,
+      service,
+      dataCentre,
+      state,
+    })),
+    members: members.all(),
+  };
+}
--- a/src/peer/member.ts
+++ b/src/peer/member.ts
@@ -8,4 +8,6 @@
   readonly dataCentre: string;
   readonly peerAddress: string;
   readonly state: MemberState;
+  /** Configuration version in its last heartbeat; absent before the first one. */
+  readonly configurationVersion?: number;
 }
