--- a/src/http/limited-server.ts
+++ b/src/http/limited-server.ts
@@ -31,7 +31,8 @@
     routerOptions: { maxParamLength: LONGEST_PATH_PART },
     http: {
       maxHeaderSize: limits.headerBytes,
-      headersTimeout: limits.headersTimeoutMs,
+      // Node refuses a headers timeout above the request timeout.
+      headersTimeout: Math.min(limits.headersTimeoutMs, limits.requestTimeoutMs),
       connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
     },
     clientErrorHandler: (error, socket) => {
--- a/src/operator/operator-server.ts
+++ b/src/operator/operator-server.ts
@@ -11,6 +11,7 @@
 import { ServeError } from "../error/serve-error.js";
 import { createLimitedServer } from "../http/limited-server.js";
 import type { Members } from "../peer/members.js";
+import type { PeerVersions } from "../peer/peer-versions.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Settings } from "../settings/settings.js";
 import {
@@ -32,6 +33,7 @@
   readonly configurationView: ConfigurationView;
   readonly configurationRegistry: ConfigurationRegistry;
   readonly members: Members;
+  readonly peerVersions: PeerVersions;
   readonly answerLog: AnswerLog;
   readonly random: RandomSource;
 }
--- a/src/operator/operator-status.ts
+++ b/src/operator/operator-status.ts
@@ -2,8 +2,9 @@
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import type { UpstreamState } from "../configuration/upstream-state.js";
 import type { Readiness, UnreadyReason } from "../daemon/readiness.js";
-import type { Member } from "../peer/member.js";
+import type { MemberState } from "../peer/member-state.js";
 import type { Members } from "../peer/members.js";
+import type { PeerVersions } from "../peer/peer-versions.js";
 import type { Settings } from "../settings/settings.js";
 
 interface Parts {
@@ -11,6 +12,7 @@
   readonly readiness: Readiness;
   readonly configurationView: ConfigurationView;
   readonly members: Members;
+  readonly peerVersions: PeerVersions;
   readonly answerLog: AnswerLog;
 }
 
@@ -28,12 +30,21 @@
     readonly dataCentre: string;
     readonly state: UpstreamState;
   }[];
-  readonly members: readonly Member[];
+  readonly members: readonly {
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly state: MemberState;
+    /** Version in the last heartbeat; absent before the first one. */
+    readonly configurationVersion?: number;
+  }[];
 }
 
 /** Reads the status of this instance. */
 export function operatorStatus(parts: Parts): OperatorStatus {
   const { settings, readiness, configurationView, members, answerLog } = parts;
+  const versions = new Map(
+    parts.peerVersions.versions().map(({ instance, version }) => [instance, version]),
+  );
   const upstreams = configurationView.configuration?.document.upstreams ?? [];
   return {
     instance: settings.instance.id,
@@ -48,6 +59,11 @@
       dataCentre,
       state,
     })),
-    members: members.all(),
+    members: members.all().map(({ id, dataCentre, state }) => {
+      const configurationVersion = versions.get(id);
+      return configurationVersion === undefined
+        ? { id, dataCentre, state }
+        : { id, dataCentre, state, configurationVersion };
+    }),
   };
 }
