--- a/features/support/memory-registry.ts
+++ b/features/support/memory-registry.ts
@@ -15,7 +15,7 @@
 
   submit({ changeId, operator, baseVersion, updates }: Proposal): Promise<ConfigurationChange> {
     const before = this.accepted.find(({ id }) => id === changeId);
-    if (before !== undefined) return Promise.resolve(before);
+    if (before !== undefined) return this.answer(before);
     const { configuration, version } = this.view;
     if (baseVersion !== version || configuration === undefined) {
       const detail = `version ${version} was accepted`;
@@ -24,10 +24,12 @@
     const next = { id: changeId, version: version + 1, operator, time: 0, updates: [...updates] };
     this.view.adopt(configuration.changedBy(next));
     this.accepted.unshift(next);
-    if (this.uncertain-- > 0) {
-      return Promise.reject(ServeError.create(ErrorKind.TableUncertain, "no answer"));
-    }
-    return Promise.resolve(next);
+    return this.answer(next);
+  }
+
+  private answer(change: ConfigurationChange): Promise<ConfigurationChange> {
+    if (this.uncertain-- <= 0) return Promise.resolve(change);
+    return Promise.reject(ServeError.create(ErrorKind.TableUncertain, "no answer"));
   }
 
   history(limit: number): Promise<ConfigurationChange[]> {
