--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -3,14 +3,16 @@
 import type { ConsolaInstance } from "consola";
 import { ServicePools } from "../admission/service-pools.js";
 import type { Pools } from "../admission/pools.js";
+import { AnswerFinder } from "../caller/answer-finder.js";
 import { AnswerLog } from "../caller/answer-log.js";
+import { AnswerReads } from "../caller/answer-reads.js";
 import { CallerServer } from "../caller/caller-server.js";
 import { ConfigurationFollower } from "../configuration/configuration-follower.js";
 import { ConfigurationHistory } from "../configuration/configuration-history.js";
+import type { ConfigurationRegistry } from "../configuration/configuration-registry.js";
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
-import type { AttemptStates } from "../ledger/attempt-states.js";
 import { ClaimHolders } from "../ledger/claim-holders.js";
 import type { Ledger } from "../ledger/ledger.js";
 import { LedgerExpiry } from "../ledger/ledger-expiry.js";
@@ -18,6 +20,8 @@
 import { TableLedger } from "../ledger/table-ledger.js";
 import { WriteBatcher } from "../ledger/write-batcher.js";
 import type { Members } from "../peer/members.js";
+import { OperatorServer } from "../operator/operator-server.js";
+import { AttemptRegistry } from "../pipeline/attempt-registry.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { HttpInstanceList } from "../platform/http-instance-list.js";
 import type { InstanceList } from "../platform/instance-list.js";
@@ -49,6 +53,8 @@
 import { DroppedAnswers } from "../upstream/dropped-answers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
+import { noConfigurationRegistry } from "./absent-parts.js";
+import { Readiness } from "./readiness.js";
 
 const SEED_BOUND = 2 ** 31;
 
@@ -85,7 +91,7 @@
   readonly membership: Membership;
   /** Start time of this process in ms since the epoch. */
   readonly incarnation: number;
-  readonly attemptStates: AttemptStates;
+  readonly attemptStates: AttemptRegistry;
   readonly tableBreaker: TableBreaker;
   readonly writeBatcher: WriteBatcher;
   readonly claimHolders: ClaimHolders;
@@ -94,9 +100,14 @@
   readonly retryBudget: RetryBudget;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
+  readonly readiness: Readiness;
+  readonly configurationRegistry: ConfigurationRegistry;
   readonly answerLog: AnswerLog;
+  readonly answerFinder: AnswerFinder;
+  readonly answerReads: AnswerReads;
   readonly requestIntake: RequestIntake;
   readonly callerServer: CallerServer;
+  readonly operatorServer: OperatorServer;
 }
 
 /** Composes a daemon; tests may replace parts before they are first used. */
@@ -137,15 +148,21 @@
     listCorrection: asFunction(ListCorrection.create).singleton(),
     membership: asFunction(Membership.create).singleton(),
     incarnation: asFunction((parts: Cradle) => parts.memberTable.own.incarnation).singleton(),
+    attemptStates: asFunction(() => AttemptRegistry.create()).singleton(),
     tableBreaker: asFunction(TableBreaker.create).singleton(),
     writeBatcher: asFunction((parts: Cradle) => WriteBatcher.create(parts)).singleton(),
     claimHolders: asFunction(ClaimHolders.create).singleton(),
     ledger: asFunction(TableLedger.create).singleton(),
     ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
+    readiness: asFunction(() => Readiness.create()).singleton(),
+    configurationRegistry: asValue(noConfigurationRegistry),
     answerLog: asFunction(AnswerLog.create).singleton(),
+    answerFinder: asFunction(AnswerFinder.create).singleton(),
+    answerReads: asFunction(AnswerReads.create).singleton(),
     requestIntake: asFunction(RequestIntake.create).singleton(),
     callerServer: asFunction(CallerServer.create).singleton(),
+    operatorServer: asFunction(OperatorServer.create).singleton(),
   });
   return container;
 }
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -2,20 +2,24 @@
 import { nanoid } from "nanoid";
 import type { AnswerLog } from "../caller/answer-log.js";
 import type { AnswerRecord } from "../caller/answer-record.js";
+import type { Pipeline } from "../configuration/configuration-document.js";
 import type { Configuration } from "../configuration/configuration.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import { ErrorKind } from "../error/error-kind.js";
-import { problemOf } from "../error/problem.js";
+import { type Problem, problemOf } from "../error/problem.js";
 import { ServeError } from "../error/serve-error.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Settings } from "../settings/settings.js";
+import type { AttemptRegistry } from "./attempt-registry.js";
 import { PipelineRun } from "./pipeline-run.js";
 import type { RequestBody } from "./request-body.js";
 import { RequestState } from "./request-state.js";
+import { RunOnce, type RunOnceParts } from "./run-once.js";
 import type { ServeRequest } from "./serve-request.js";
 import type { StageParts } from "./stage-run.js";
 
-interface Parts extends StageParts {
+interface Parts extends StageParts, RunOnceParts {
+  readonly attemptStates: AttemptRegistry;
   readonly configurationView: ConfigurationView;
   readonly answerLog: AnswerLog;
   readonly settings: Settings;
@@ -32,14 +36,24 @@
 
 /** Checks requests of callers and starts a task for each. */
 export class RequestIntake {
+  private refusing = false;
+
   private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): RequestIntake {
     return new RequestIntake(parts);
   }
 
+  /** Refuses all requests from now on; those in progress go on. */
+  refuseNew(): void {
+    this.refusing = true;
+  }
+
   /** Starts a request and returns its answer, which fills as it runs. Throws if it is refused. */
   start(incoming: IncomingRequest): AnswerRecord {
+    if (this.refusing) {
+      throw ServeError.create(ErrorKind.Draining, "send the request to another instance");
+    }
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
     const record = this.parts.answerLog.start(request.id, request.team);
@@ -52,24 +66,51 @@
     request: ServeRequest,
     record: AnswerRecord,
   ): Promise<void> {
-    const { timers, random, answerLog } = this.parts;
+    const { timers, answerLog, attemptStates } = this.parts;
     const state = RequestState.create(timers, request.deadline);
+    const once = this.runOnce(configuration, request, state, record);
     const stop = new AbortController();
     const timeout = timers.after(request.deadline - timers.now(), () => {
       stop.abort(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline has passed"));
     });
     try {
-      await PipelineRun.create(this.parts, configuration, request, state, record).run(stop.signal);
+      if (once === undefined || (await once.claim(stop.signal))) {
+        await PipelineRun.create(this.parts, configuration, request, state, record).run(
+          stop.signal,
+        );
+      }
     } catch (error) {
-      const ran = !state.abandon();
-      const failure = ServeError.from(error, ErrorKind.Internal);
-      record.fail(problemOf(ran ? failure.afterDispatch() : failure, random));
+      const problem = this.problem(error, !state.abandon());
+      record.fail(once !== undefined && state.dispatched ? withoutRetry(problem) : problem);
     } finally {
       timeout.cancel();
+      if (state.abandon()) once?.release();
+      else once?.finish();
+      attemptStates.settle(request.id);
       answerLog.retire(record);
     }
   }
 
+  private runOnce(
+    configuration: Configuration,
+    request: ServeRequest,
+    state: RequestState,
+    record: AnswerRecord,
+  ): RunOnce | undefined {
+    const { id, team, contentDigest, idempotencyKey } = request;
+    if (idempotencyKey === undefined || !mustRunOnce(configuration, request.pipeline)) {
+      return undefined;
+    }
+    this.parts.attemptStates.add(id, state);
+    const entry = { team, idempotencyKey, contentDigest, request: id };
+    return RunOnce.create(this.parts, entry, state, record);
+  }
+
+  private problem(error: unknown, dispatched: boolean): Problem {
+    const failure = ServeError.from(error, ErrorKind.Internal);
+    return problemOf(dispatched ? failure.afterDispatch() : failure, this.parts.random);
+  }
+
   private checked(configuration: Configuration, incoming: IncomingRequest): ServeRequest {
     const { timers, settings } = this.parts;
     const { body } = incoming;
@@ -88,6 +129,10 @@
         `deadlineMs: ${body.deadlineMs}, ${allowed}`,
       );
     }
+    if (incoming.idempotencyKey === undefined && mustRunOnce(configuration, pipeline)) {
+      const detail = `pipeline "${pipeline.name}" requires the header Idempotency-Key`;
+      throw ServeError.create(ErrorKind.IdempotencyKeyMissing, detail);
+    }
     const arrival = timers.now();
     const content = JSON.stringify([pipeline.name, body.input]);
     return {
@@ -111,3 +156,15 @@
     return configuration;
   }
 }
+
+/** Whether a stage of the pipeline must not be sent twice. */
+function mustRunOnce(configuration: Configuration, pipeline: Pipeline): boolean {
+  return pipeline.stages.some(
+    (stage) => configuration.service(stage.service)?.idempotent === false,
+  );
+}
+
+/** A resend with the same key would get the same stored answer. */
+function withoutRetry({ type, title, status, detail, kind, outcome }: Problem): Problem {
+  return { type, title, status, detail, kind, outcome };
+}
--- a/src/pipeline/request-state.ts
+++ b/src/pipeline/request-state.ts
@@ -1,11 +1,12 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import { AttemptState } from "../ledger/attempt-state.js";
 import type { Timers } from "../time/timers.js";
 import type { DispatchGuard } from "./dispatch-guard.js";
 
-/** Whether a request was dispatched or abandoned; it can only become one of them. */
+/** Whether a request was dispatched or abandoned; an abandoned one is never dispatched again. */
 export class RequestState implements DispatchGuard {
-  private abandoned = false;
+  private gaveUp = false;
   private dispatches = 0;
 
   private constructor(
@@ -21,8 +22,18 @@
     return this.dispatches > 0;
   }
 
+  get abandoned(): boolean {
+    return this.gaveUp;
+  }
+
+  /** The state as the ledger names it. */
+  get attempt(): Exclude<AttemptState, AttemptState.Unknown> {
+    if (this.gaveUp) return AttemptState.Abandoned;
+    return this.dispatched ? AttemptState.Dispatched : AttemptState.Waiting;
+  }
+
   beforeDispatch(): void {
-    if (this.abandoned) {
+    if (this.gaveUp) {
       throw ServeError.create(ErrorKind.Cancelled, "the request was abandoned before dispatch");
     }
     if (this.timers.now() >= this.deadline) {
@@ -38,7 +49,7 @@
   /** Prevents any later dispatch; returns false if a stage was dispatched already. */
   abandon(): boolean {
     if (this.dispatched) return false;
-    this.abandoned = true;
+    this.gaveUp = true;
     return true;
   }
 }
