Stop gracefully on SIGTERM

Cause: a stop closed the peer and caller servers at once, and a second SIGTERM ended the process.

Change: the daemon becomes unready, serves for bounds.balancerLagMs, refuses new requests as Draining (NewRequests), finishes those in progress within bounds.graceMs, tells its peers that it is leaving and exits 0. Further signals change nothing; one during the start takes effect after it.

--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -91,7 +91,7 @@
 });
 
 When("member {int} leaves and is killed", async (number: number) => {
-  group.member(number).parts.membership.leave();
+  void group.member(number).parts.membership.leave();
   await group.clock.advance(SECOND_MS);
   assert(allSee(number, "leaving"));
   group.member(number).kill();
--- a/src/caller/caller-server.ts
+++ b/src/caller/caller-server.ts
@@ -1,6 +1,7 @@
 import { Readable } from "node:stream";
 import { type FastifyInstance, type FastifyReply, type FastifyRequest, fastify } from "fastify";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
+import type { Readiness } from "../daemon/readiness.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { problemOf } from "../error/problem.js";
 import { ServeError } from "../error/serve-error.js";
@@ -20,6 +21,7 @@
   readonly answerLog: AnswerLog;
   readonly configurationView: ConfigurationView;
   readonly random: RandomSource;
+  readonly readiness: Readiness;
 }
 
 /** The HTTP API for callers. */
@@ -54,8 +56,10 @@
     const { server } = this;
     server.get("/healthz", () => ({ status: "ok" }));
     server.get("/readyz", () => {
-      if (this.parts.configurationView.configuration !== undefined) return { status: "ready" };
-      throw ServeError.create(ErrorKind.NotReady, "no configuration is in force yet");
+      const { readiness, configurationView } = this.parts;
+      if (readiness.ready && configurationView.configuration !== undefined)
+        return { status: "ready" };
+      throw ServeError.create(ErrorKind.NotReady, readiness.reasons.join(", "));
     });
     server.post("/v1/pipelines/:pipeline/requests", (request, reply) => this.start(request, reply));
     server.get("/v1/requests/:id/events", (request, reply) => this.events(request, reply));
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -47,6 +47,8 @@
 import type { Timers } from "../time/timers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
+import { NewRequests } from "./new-requests.js";
+import { Readiness } from "./readiness.js";
 
 const SEED_BOUND = 2 ** 31;
 
@@ -61,6 +63,8 @@
   readonly configurationView: ConfigurationView;
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
+  readonly readiness: Readiness;
+  readonly newRequests: NewRequests;
   readonly addressBook: AddressBook;
   readonly peerServer: PeerServer;
   readonly peerMethods: PeerMethods;
@@ -108,6 +112,8 @@
     configurationView: asFunction(() => ConfigurationView.create()).singleton(),
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
+    readiness: asFunction(() => Readiness.create()).singleton(),
+    newRequests: asFunction(() => NewRequests.create()).singleton(),
     addressBook: asFunction(() => AddressBook.create()).singleton(),
     peerServer: asFunction(PeerServer.create).singleton(),
     peerMethods: aliasTo("peerServer"),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,8 +1,15 @@
 import type { Settings } from "../settings/settings.js";
 import { type Cradle, createDaemonContainer } from "./container.js";
+import { UnreadyReason } from "./readiness.js";
+
+const PROGRESS_CHECK_MS = 50;
+/** Time for telling the peers; an instance that misses it notices the silence. */
+const LEAVE_MS = 2_000;
 
 /** One entry instance of the system. */
 export class Daemon {
+  private stopping: Promise<void> | undefined;
+
   private constructor(private readonly parts: Cradle) {}
 
   static create(settings: Settings): Daemon {
@@ -12,20 +19,47 @@
   /** Resolves when the daemon accepts requests. */
   async start(): Promise<void> {
     const { configurationFollower, callerServer, peerServer, log, settings } = this.parts;
-    const { membership, pauseDetection } = this.parts;
+    const { membership, pauseDetection, readiness } = this.parts;
     pauseDetection.start();
     await peerServer.listen();
     await membership.start();
     await configurationFollower.start();
     await callerServer.listen();
+    readiness.clear(UnreadyReason.Starting);
     log.info({ message: "listening", callers: settings.callers });
   }
 
-  /** Finishes requests in progress, then closes everything. */
-  async stop(): Promise<void> {
-    const { configurationFollower, callerServer, peerServer, peerCalls, clients, log } = this.parts;
-    const { membership, pauseDetection } = this.parts;
+  /** Finishes requests in progress, then closes everything; calling it again changes nothing. */
+  stop(): Promise<void> {
+    return (this.stopping ??= this.drainAndClose());
+  }
+
+  private async drainAndClose(): Promise<void> {
+    const { timers, settings, log, readiness, newRequests, membership } = this.parts;
+    const { balancerLagMs, graceMs } = settings.bounds;
     log.info({ message: "stopping" });
+    readiness.block(UnreadyReason.Draining);
+    await timers.sleep(balancerLagMs);
+    newRequests.refuse();
+    const end = timers.now() + graceMs;
+    await this.finishRequests(end);
+    await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
+    await Promise.race([this.close(), timers.sleep(Math.max(0, end - timers.now()))]);
+    log.info({ message: "stopped" });
+  }
+
+  private async finishRequests(end: number): Promise<void> {
+    const { timers, answerLog, log } = this.parts;
+    while (answerLog.inProgress > 0 && timers.now() < end) await timers.sleep(PROGRESS_CHECK_MS);
+    if (answerLog.inProgress > 0) {
+      log.warn({ message: "grace period is over", inProgress: answerLog.inProgress });
+    }
+  }
+
+  private async close(): Promise<void> {
+    const { configurationFollower, callerServer, peerServer, peerCalls, clients } = this.parts;
+    const { membership, pauseDetection } = this.parts;
+    // Waits until the answers of finished requests are written.
     await callerServer.close();
     configurationFollower.stop();
     membership.stop();
--- a/src/peer/broadcast.ts
+++ b/src/peer/broadcast.ts
@@ -47,16 +47,16 @@
   }
 
   publish(update: Update): void {
-    this.spread(update);
+    void this.spread(update);
   }
 
-  /** Spreads an item that this instance made. */
-  spread(item: SpreadItem): void {
+  /** Spreads an item that this instance made; resolves when its children have it or are tried. */
+  async spread(item: SpreadItem): Promise<void> {
     const { self, own } = this.parts.memberTable;
     this.sequence += 1;
     const id = [self, own.incarnation.toString(RADIX), this.sequence.toString(RADIX)].join(":");
     this.store.add(id, item);
-    this.pass(id, item, self);
+    await this.pass(id, item, self);
   }
 
   subscribe(handler: (update: Update) => void): Subscription {
@@ -84,17 +84,18 @@
 
   private receive({ id, item, until }: ReturnType<typeof broadcastSchema.parse>): void {
     if (!this.store.add(id, item)) return;
-    if (until !== undefined) this.pass(id, item, until);
+    if (until !== undefined) void this.pass(id, item, until);
     if (item.kind === "members") for (const handler of this.newsHandlers) handler(item);
     else for (const handler of this.handlers) handler(item);
   }
 
-  private pass(id: string, item: SpreadItem, until: string): void {
+  private async pass(id: string, item: SpreadItem, until: string): Promise<void> {
     const { memberTable } = this.parts;
     const reachable = memberTable.ring
       .between(memberTable.self, until)
       .filter((member) => memberTable.find(member)?.state !== MemberState.Suspect);
-    for (const share of this.division(reachable, until)) void this.deliver(id, item, share);
+    const shares = this.division(reachable, until);
+    await Promise.all(shares.map((share) => this.deliver(id, item, share)));
   }
 
   private async deliver(id: string, item: SpreadItem, share: Share): Promise<void> {
--- a/src/peer/member-news.ts
+++ b/src/peer/member-news.ts
@@ -29,13 +29,13 @@
   }
 
   /** Spreads at once what waits. */
-  flush(): void {
+  async flush(): Promise<void> {
     const entries = [...this.waiting.values()];
     this.waiting.clear();
-    for (let start = 0; start < entries.length; start += ENTRIES_PER_NEWS) {
-      const part = entries.slice(start, start + ENTRIES_PER_NEWS);
-      this.parts.broadcast.spread({ kind: "members", entries: part });
-    }
+    const parts: MemberEntry[][] = [];
+    while (entries.length > 0) parts.push(entries.splice(0, ENTRIES_PER_NEWS));
+    const { broadcast } = this.parts;
+    await Promise.all(parts.map((part) => broadcast.spread({ kind: "members", entries: part })));
   }
 
   /** Drops what another instance has spread already. */
@@ -47,7 +47,7 @@
   private wait(): void {
     const { timers, random } = this.parts;
     timers.after(random.fraction() * SPREAD_DELAY_MS, () => {
-      this.flush();
+      void this.flush();
     });
   }
 }
--- a/src/peer/membership.ts
+++ b/src/peer/membership.ts
@@ -60,10 +60,10 @@
   }
 
   /** Tells the other instances that this one is leaving; it still answers them. */
-  leave(): void {
+  async leave(): Promise<void> {
     const { memberTable, memberNews } = this.parts;
     memberNews.add(memberTable.leave());
-    memberNews.flush();
+    await memberNews.flush();
   }
 
   stop(): void {
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -4,6 +4,7 @@
 import type { AnswerRecord } from "../caller/answer-record.js";
 import type { Configuration } from "../configuration/configuration.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
+import type { NewRequests } from "../daemon/new-requests.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { problemOf } from "../error/problem.js";
 import { ServeError } from "../error/serve-error.js";
@@ -20,6 +21,7 @@
   readonly answerLog: AnswerLog;
   readonly settings: Settings;
   readonly random: RandomSource;
+  readonly newRequests: NewRequests;
 }
 
 /** A caller's request as it came in. */
@@ -40,6 +42,7 @@
 
   /** Starts a request and returns its answer, which fills as it runs. Throws if it is refused. */
   start(incoming: IncomingRequest): AnswerRecord {
+    this.parts.newRequests.check();
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
     const record = this.parts.answerLog.start(request.id, request.team);
--- a/src/program/nutmegstaged.ts
+++ b/src/program/nutmegstaged.ts
@@ -14,9 +14,12 @@
   .requiredOption("--settings <file>", "settings file in JSON")
   .action(async (options: { settings: string }) => {
     const daemon = Daemon.create(await loadSettings(options.settings));
-    await daemon.start();
-    process.once("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
-    process.once("SIGINT", () => void daemon.stop().then(() => process.exit(0)));
+    const started = daemon.start();
+    // A signal during the start takes effect after it; a second one must not end the process.
+    const stop = (): void => void started.then(() => daemon.stop()).then(() => process.exit(0));
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+    await started;
   });
 
 program
