Measure the spread of updates and call small ranges directly

Cause: the way to spread updates needs figures, and a broadcast at 8 members waited for dead children.

A range of up to 8 members is called directly. Ids of member news are no longer carried on heartbeats, since whole views are compared. Ring positions are cached and watches are adjusted once per 100 ms, since many members change together when a region is cut.

--- a/src/peer/membership.ts
+++ b/src/peer/membership.ts
@@ -12,6 +12,8 @@
 
 /** Heartbeats between trials of a dead member, which notice the end of a partition. */
 const REVIVAL_BEATS = 3;
+/** Many members change together when a region is cut; the watches are adjusted once for all. */
+const WATCH_DELAY_MS = 100;
 
 interface Parts extends WatchParts {
   readonly peerMethods: PeerMethods;
@@ -26,6 +28,7 @@
   private readonly watches = new Map<string, PeerWatch>();
   private readonly subscriptions: Subscription[] = [];
   private stopped = false;
+  private watchDue = false;
 
   private constructor(private readonly parts: Parts) {}
 
@@ -46,7 +49,7 @@
     const { heartbeatMs } = settings.bounds;
     this.subscriptions.push(
       memberTable.subscribe(() => {
-        this.watch();
+        this.watchSoon();
       }),
       pauses.subscribe(() => {
         memberTable.restartSilence();
@@ -79,7 +82,16 @@
     return ring.successors(self, settings.peers.meshMembers).length < settings.peers.meshMembers;
   }
 
+  private watchSoon(): void {
+    if (this.watchDue) return;
+    this.watchDue = true;
+    this.parts.timers.after(WATCH_DELAY_MS, () => {
+      this.watch();
+    });
+  }
+
   private watch(): void {
+    this.watchDue = false;
     if (this.stopped) return;
     const { memberTable, settings } = this.parts;
     const count = this.meshed ? settings.peers.meshMembers : settings.peers.successors;
--- a/src/peer/ring-division.ts
+++ b/src/peer/ring-division.ts
@@ -2,13 +2,15 @@
 
 /** Calls that each instance makes for one update. */
 const FAN_OUT = 4;
+/** Up to this size all members of a range are called at once; dead ones then delay no other. */
+const DIRECT = 8;
 
 /**
  * Splits a range of the ring into equal parts, so that each member is visited once.
  * M. Castro, M. Costa, A. Rowstron, "Should we build Gnutella on a structured overlay?".
  */
 export function ringDivision(members: readonly string[], until: string): Share[] {
-  const size = Math.ceil(members.length / FAN_OUT);
+  const size = members.length <= DIRECT ? 1 : Math.ceil(members.length / FAN_OUT);
   const shares: Share[] = [];
   for (let start = 0; start < members.length; start += size) {
     const candidates = members.slice(start, start + size);
--- a/src/peer/ring.ts
+++ b/src/peer/ring.ts
@@ -1,10 +1,17 @@
 import { createHash } from "node:crypto";
+import { LRUCache } from "lru-cache";
 
 const POSITION_DIGITS = 16;
+/** Rings are built again at each change of a member; hashing all ids each time dominates it. */
+const positions = new LRUCache<string, string>({ max: 8_192 });
 
 /** Position of an instance on the ring; the same on all instances. */
 export function ringPosition(id: string): string {
-  return createHash("sha256").update(id).digest("hex").slice(0, POSITION_DIGITS);
+  const known = positions.get(id);
+  if (known !== undefined) return known;
+  const position = createHash("sha256").update(id).digest("hex").slice(0, POSITION_DIGITS);
+  positions.set(id, position);
+  return position;
 }
 
 /** Instances in the order of their hashed ids, which spreads each data centre over the ring. */
--- a/src/peer/update-store.ts
+++ b/src/peer/update-store.ts
@@ -30,6 +30,8 @@
     if (this.ids.has(id)) return false;
     this.ids.add(id);
     if (this.ids.size > MAX_IDS) removeFirst(this.ids);
+    // Missed news of members are repaired by comparing whole views.
+    if (item.kind === "members") return true;
     this.kept.set(id, { item, sinceMs: this.timers.now() });
     if (this.kept.size > MAX_KEPT) removeFirst(this.kept);
     return true;
--- a/standin/network-member.ts
+++ b/standin/network-member.ts
@@ -1,5 +1,6 @@
 import { createConsola } from "consola";
 import { asValue } from "awilix";
+import type { DemandDigest } from "../src/admission/demand-digest.js";
 import { createDaemonContainer, type Cradle } from "../src/daemon/container.js";
 import { Broadcast } from "../src/peer/broadcast.js";
 import type { Division } from "../src/peer/division.js";
@@ -20,6 +21,7 @@
   /** What the platform's list says at present. */
   readonly list: () => readonly ListedInstance[];
   readonly division?: Division;
+  readonly demand?: DemandDigest;
 }
 
 /** The peer parts of one daemon on an in-memory network. */
@@ -32,7 +34,7 @@
   ) {}
 
   static create(clock: ManualTimers, network: PeerNetwork, options: MemberOptions): NetworkMember {
-    const { id, region, seed, list, division } = options;
+    const { id, region, seed, list, division, demand } = options;
     const timers = FreezableTimers.create(clock);
     const handlers = new Map<PeerMethod, PeerHandler>();
     const container = createDaemonContainer(settingsOf(id, region));
@@ -46,6 +48,9 @@
       peerCalls: asValue(peerCalls),
       peerMethods: asValue(peerMethods),
     });
+    if (demand !== undefined) {
+      container.register({ demandSource: asValue({ digest: () => demand }) });
+    }
     if (division !== undefined) {
       container.register({
         broadcast: asValue(
@@ -56,7 +61,7 @@
         ),
       });
     }
-    const port = { region, handlers, up: true, sentBytes: 0, calls: 0 };
+    const port = { region, handlers, up: true, sentBytes: 0, broadcasts: 0 };
     network.ports.set(id, port);
     return new NetworkMember(id, container.cradle, port, timers);
   }
--- a/standin/peer-network.ts
+++ b/standin/peer-network.ts
@@ -1,6 +1,6 @@
 import { ErrorKind } from "../src/error/error-kind.js";
 import { ServeError } from "../src/error/serve-error.js";
-import type { PeerMethod } from "../src/peer/peer-method.js";
+import { PeerMethod } from "../src/peer/peer-method.js";
 import type { PeerHandler } from "../src/peer/peer-methods.js";
 import type { RandomSource } from "../src/random/random-source.js";
 import type { ManualTimers } from "../src/time/manual-timers.js";
@@ -18,7 +18,8 @@
   readonly handlers: ReadonlyMap<PeerMethod, PeerHandler>;
   up: boolean;
   sentBytes: number;
-  calls: number;
+  /** Broadcast calls sent. */
+  broadcasts: number;
 }
 
 /** In-memory links between members on a manual clock; counts what each member sends. */
@@ -66,7 +67,7 @@
   ): Promise<unknown> {
     const text = JSON.stringify(params);
     const sender = this.count(from, text.length + CALL_FRAME_BYTES);
-    if (sender !== undefined) sender.calls += 1;
+    if (sender !== undefined && method === PeerMethod.Broadcast) sender.broadcasts += 1;
     await this.passage(from, to);
     const handler = this.ports.get(to)?.handlers.get(method);
     if (handler === undefined) throw ServeError.create(ErrorKind.PeerUnavailable, "unknown");
