--- a/features/steps/caller-api.ts
+++ b/features/steps/caller-api.ts
@@ -166,7 +166,7 @@
     const hosts = CallerHosts.of(this);
     hosts.first.upstream.holdAfter = 1;
     const running = await hosts.begin(hosts.first, "advice");
-    hosts.first.parts.requestIntake.refuseNew();
+    hosts.first.parts.newRequests.refuse();
     const refused = await hosts.post(hosts.first, "advice");
     assertProblem(refused, 503, kind);
     assert.equal((refused.body as { outcome: string }).outcome, "not-run");
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -54,6 +54,7 @@
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
 import { noConfigurationRegistry } from "./absent-parts.js";
+import { NewRequests } from "./new-requests.js";
 import { Readiness } from "./readiness.js";
 
 const SEED_BOUND = 2 ** 31;
@@ -70,6 +71,8 @@
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
   readonly droppedAnswers: DroppedAnswers;
+  readonly readiness: Readiness;
+  readonly newRequests: NewRequests;
   readonly addressBook: AddressBook;
   readonly peerServer: PeerServer;
   readonly peerMethods: PeerMethods;
@@ -100,7 +103,6 @@
   readonly retryBudget: RetryBudget;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
-  readonly readiness: Readiness;
   readonly configurationRegistry: ConfigurationRegistry;
   readonly answerLog: AnswerLog;
   readonly answerFinder: AnswerFinder;
@@ -126,6 +128,8 @@
     droppedAnswers: asFunction(() => DroppedAnswers.create()).singleton(),
     retryBudget: asFunction(RetryBudget.create).singleton(),
     clients: asFunction(HttpUpstreamClients.create).singleton(),
+    readiness: asFunction(() => Readiness.create()).singleton(),
+    newRequests: asFunction(() => NewRequests.create()).singleton(),
     addressBook: asFunction(() => AddressBook.create()).singleton(),
     peerServer: asFunction(PeerServer.create).singleton(),
     peerMethods: aliasTo("peerServer"),
@@ -155,7 +159,6 @@
     ledger: asFunction(TableLedger.create).singleton(),
     ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
-    readiness: asFunction(() => Readiness.create()).singleton(),
     configurationRegistry: asValue(noConfigurationRegistry),
     answerLog: asFunction(AnswerLog.create).singleton(),
     answerFinder: asFunction(AnswerFinder.create).singleton(),
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -5,6 +5,7 @@
 import type { Pipeline } from "../configuration/configuration-document.js";
 import type { Configuration } from "../configuration/configuration.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
+import type { NewRequests } from "../daemon/new-requests.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { type Problem, problemOf } from "../error/problem.js";
 import { ServeError } from "../error/serve-error.js";
@@ -24,6 +25,7 @@
   readonly answerLog: AnswerLog;
   readonly settings: Settings;
   readonly random: RandomSource;
+  readonly newRequests: NewRequests;
 }
 
 /** A caller's request as it came in. */
@@ -36,24 +38,15 @@
 
 /** Checks requests of callers and starts a task for each. */
 export class RequestIntake {
-  private refusing = false;
-
   private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): RequestIntake {
     return new RequestIntake(parts);
   }
 
-  /** Refuses all requests from now on; those in progress go on. */
-  refuseNew(): void {
-    this.refusing = true;
-  }
-
   /** Starts a request and returns its answer, which fills as it runs. Throws if it is refused. */
   start(incoming: IncomingRequest): AnswerRecord {
-    if (this.refusing) {
-      throw ServeError.create(ErrorKind.Draining, "send the request to another instance");
-    }
+    this.parts.newRequests.check();
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
     const record = this.parts.answerLog.start(request.id, request.team);
