--- a/src/ledger/write-batcher.ts
+++ b/src/ledger/write-batcher.ts
@@ -10,8 +10,6 @@
 const LINGER_MS = 5;
 /** Keeps a transaction below the 4 MB that the table service accepts. */
 const BATCH_CHARACTERS = 3_000_000;
-/** Smallest batch after failures, and the growth after each transaction that was answered. */
-const BATCH_STEP = 20;
 /** Transactions in flight at once; further writes gather for the next one. */
 const IN_FLIGHT = 2;
 
@@ -32,14 +30,11 @@
   private waiting: Pending[] = [];
   private inFlight = 0;
   private lingering = false;
-  private limit: number;
 
   private constructor(
     private readonly parts: Parts,
     private readonly batchWrites: number,
-  ) {
-    this.limit = batchWrites;
-  }
+  ) {}
 
   /** `batchWrites` is the largest number of writes in one transaction. */
   static create(parts: Parts, batchWrites = TRANSACTION_WRITES): WriteBatcher {
@@ -75,7 +70,7 @@
     for (const one of this.waiting) {
       const key = JSON.stringify([one.write.key.partition, one.write.key.sort]);
       const size = one.write.kind === "put" ? one.write.value.length : 0;
-      const full = batch.length >= this.limit || characters + size > BATCH_CHARACTERS;
+      const full = batch.length >= this.batchWrites || characters + size > BATCH_CHARACTERS;
       if ((full && batch.length > 0) || keys.has(key)) {
         rest.push(one);
       } else {
@@ -108,7 +103,6 @@
       while (rest.length > 0) {
         const writes = rest.map((one) => one.write);
         const result = await tableBreaker.observe(() => table.transact(writes, nanoid()));
-        this.limit = Math.min(this.batchWrites, this.limit + BATCH_STEP);
         if (result.kind === "committed") {
           for (const one of rest) one.settle(true);
           return;
@@ -118,8 +112,6 @@
         rest = rest.filter((_, at) => !failed.has(at));
       }
     } catch (error) {
-      // A throttled transaction loses all of its writes, so fewer are put at risk for a while.
-      this.limit = Math.max(BATCH_STEP, Math.floor(this.limit / 2));
       const failure = ServeError.from(error, ErrorKind.TableUncertain);
       for (const one of rest) one.fail(failure);
     }
