--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -1,5 +1,5 @@
 import { randomInt } from "node:crypto";
-import { type AwilixContainer, asFunction, asValue, createContainer } from "awilix";
+import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
 import type { ConsolaInstance } from "consola";
 import { ServicePools } from "../admission/service-pools.js";
 import type { Pools } from "../admission/pools.js";
@@ -10,6 +10,7 @@
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
+import { AttemptState } from "../ledger/attempt-state.js";
 import type { AttemptStates } from "../ledger/attempt-states.js";
 import { ClaimHolders } from "../ledger/claim-holders.js";
 import type { Ledger } from "../ledger/ledger.js";
@@ -17,9 +18,28 @@
 import { TableBreaker } from "../ledger/table-breaker.js";
 import { TableLedger } from "../ledger/table-ledger.js";
 import { WriteBatcher } from "../ledger/write-batcher.js";
-import type { Members } from "../peer/members.js";
-import type { PeerCalls } from "../peer/peer-calls.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
+import { HttpInstanceList } from "../platform/http-instance-list.js";
+import type { InstanceList } from "../platform/instance-list.js";
+import { NeutralDemand } from "../admission/neutral-demand.js";
+import type { DemandReports } from "../admission/demand-reports.js";
+import type { DemandSource } from "../admission/demand-source.js";
+import { Broadcast } from "../peer/broadcast.js";
+import { HeartbeatReports } from "../peer/heartbeat-reports.js";
+import { Heartbeats } from "../peer/heartbeats.js";
+import { ListCorrection } from "../peer/list-correction.js";
+import { MemberNews } from "../peer/member-news.js";
+import { MemberTable } from "../peer/member-table.js";
+import type { Members } from "../peer/members.js";
+import { Membership } from "../peer/membership.js";
+import type { PeerVersions } from "../peer/peer-versions.js";
+import type { Updates } from "../peer/updates.js";
+import { PauseDetection } from "../time/pause-detection.js";
+import type { Pauses } from "../time/pauses.js";
+import { AddressBook } from "../peer/address-book.js";
+import { PeerClients } from "../peer/peer-clients.js";
+import type { PeerMethods } from "../peer/peer-methods.js";
+import { PeerServer } from "../peer/peer-server.js";
 import { DynamoTable } from "../platform/dynamo-table.js";
 import type { Table } from "../platform/table.js";
 import { RandomSource } from "../random/random-source.js";
@@ -28,6 +48,7 @@
 import type { Timers } from "../time/timers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
+import { Readiness } from "./readiness.js";
 
 const SEED_BOUND = 2 ** 31;
 
@@ -42,16 +63,34 @@
   readonly configurationView: ConfigurationView;
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
+  readonly readiness: Readiness;
   /** Start time of this process in ms since the epoch. */
   readonly incarnation: number;
-  readonly members: Members;
-  readonly peerCalls: PeerCalls;
   readonly attemptStates: AttemptStates;
   readonly tableBreaker: TableBreaker;
   readonly writeBatcher: WriteBatcher;
   readonly claimHolders: ClaimHolders;
   readonly ledger: Ledger;
   readonly ledgerExpiry: LedgerExpiry;
+  readonly addressBook: AddressBook;
+  readonly peerServer: PeerServer;
+  readonly peerMethods: PeerMethods;
+  readonly peerCalls: PeerClients;
+  readonly instanceList: InstanceList;
+  readonly pauseDetection: PauseDetection;
+  readonly pauses: Pauses;
+  readonly memberTable: MemberTable;
+  readonly members: Members;
+  readonly broadcast: Broadcast;
+  readonly updates: Updates;
+  readonly memberNews: MemberNews;
+  readonly heartbeatReports: HeartbeatReports;
+  readonly demandReports: DemandReports;
+  readonly peerVersions: PeerVersions;
+  readonly demandSource: DemandSource;
+  readonly heartbeats: Heartbeats;
+  readonly listCorrection: ListCorrection;
+  readonly membership: Membership;
   readonly clients: UpstreamClients;
   readonly pools: Pools;
   readonly answerLog: AnswerLog;
@@ -72,12 +111,35 @@
     configurationView: asFunction(() => ConfigurationView.create()).singleton(),
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
-    incarnation: asFunction((parts: Cradle) => parts.timers.wallClock()).singleton(),
+    readiness: asFunction(() => Readiness.create()).singleton(),
+    incarnation: asFunction((parts: Cradle) => parts.memberTable.own.incarnation).singleton(),
+    attemptStates: asValue({ stateOf: () => AttemptState.Unknown }),
     tableBreaker: asFunction(TableBreaker.create).singleton(),
     writeBatcher: asFunction((parts: Cradle) => WriteBatcher.create(parts)).singleton(),
     claimHolders: asFunction(ClaimHolders.create).singleton(),
     ledger: asFunction(TableLedger.create).singleton(),
     ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
+    addressBook: asFunction(() => AddressBook.create()).singleton(),
+    peerServer: asFunction(PeerServer.create).singleton(),
+    peerMethods: aliasTo("peerServer"),
+    peerCalls: asFunction(PeerClients.create).singleton(),
+    instanceList: asFunction((parts: Cradle) =>
+      HttpInstanceList.create(parts.settings.instanceList.endpoint),
+    ).singleton(),
+    pauseDetection: asFunction(PauseDetection.create).singleton(),
+    pauses: aliasTo("pauseDetection"),
+    memberTable: asFunction(MemberTable.create).singleton(),
+    members: aliasTo("memberTable"),
+    broadcast: asFunction((parts: Cradle) => Broadcast.create(parts)).singleton(),
+    updates: aliasTo("broadcast"),
+    memberNews: asFunction(MemberNews.create).singleton(),
+    heartbeatReports: asFunction(HeartbeatReports.create).singleton(),
+    demandReports: aliasTo("heartbeatReports"),
+    peerVersions: aliasTo("heartbeatReports"),
+    demandSource: asFunction(() => NeutralDemand.create()).singleton(),
+    heartbeats: asFunction(Heartbeats.create).singleton(),
+    listCorrection: asFunction(ListCorrection.create).singleton(),
+    membership: asFunction(Membership.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
