Test the deletion of expired ledger rows

Cause: the deletion after the retention of 24 h had no test. Change: a scenario that looks before and after the retention; steps that set faults of the table and move the clock are shared by features on manual timers.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -126,5 +126,14 @@
     Then the puts are "committed, committed, committed, rejected, rejected, committed"
     And 3 transactions were sent
 
+  Scenario: Results are kept for 24 h and then deleted by the instance that the team falls to
+    When 30 keys are requested through a, 0 ms apart
+    And 86000000 ms pass
+    And a deletes expired rows for 10000 ms
+    Then 30 ledger rows are left
+    When 500000 ms pass
+    And a deletes expired rows for 10000 ms
+    Then 0 ledger rows are left
+
   Scenario: Any interleaving of claims, lost answers, late effects, kills and freezes
     Then 400 random histories keep every promise
--- a/features/steps/ledger.ts
+++ b/features/steps/ledger.ts
@@ -1,9 +1,16 @@
 import assert from "node:assert/strict";
-import { Before, Given, Then, When } from "@cucumber/cucumber";
+import { Before, Then, When } from "@cucumber/cucumber";
+import { createConsola } from "consola";
 import fc from "fast-check";
+import { Configuration } from "../../src/configuration/configuration.js";
+import { ConfigurationView } from "../../src/configuration/configuration-view.js";
+import { LedgerExpiry } from "../../src/ledger/ledger-expiry.js";
+import { RandomSource } from "../../src/random/random-source.js";
+import { sampleConfiguration } from "../../standin/sample-configuration.js";
 import { WriteBatcher } from "../../src/ledger/write-batcher.js";
 import { LedgerFleet } from "../support/ledger-fleet.js";
 import { type History, historyOf, runHistory } from "../support/ledger-history.js";
+import type { ScenarioWorld } from "../support/world.js";
 
 const DEADLINE_MS = 10_000;
 const SEED = 20_261;
@@ -11,8 +18,9 @@
 let fleet = LedgerFleet.create();
 let told: string[] = [];
 
-Before({ tags: "not @processes" }, () => {
+Before(function (this: ScenarioWorld) {
   fleet = LedgerFleet.create();
+  this.scene = fleet;
   told = [];
 });
 
@@ -26,24 +34,6 @@
     });
 }
 
-Given("the next transaction takes effect after {int} ms", (ms: number) => {
-  fleet.table.script({ effectDelayMs: ms });
-});
-Given("the next {int} transactions take effect after {int} ms", (count: number, ms: number) => {
-  fleet.table.script(...Array.from({ length: count }, () => ({ effectDelayMs: ms })));
-});
-Given("the answer of the next transaction is lost", () => {
-  fleet.table.script({ loseAnswers: 1 });
-});
-Given(
-  "the next transaction takes effect at once and is answered after {int} ms",
-  (delayMs: number) => {
-    fleet.table.script({ delayMs });
-  },
-);
-Given(/^the table is (down|up)$/, (state: string) => {
-  fleet.table.faults = { ...fleet.table.faults, down: state === "down" };
-});
 When("{string} is requested through {word}", (key: string, id: string) => {
   request(id, key);
 });
@@ -96,9 +86,6 @@
 Then("the puts are {string}", (expected: string) => {
   assert.equal(told.join(", "), expected);
 });
-When("{int} ms pass", async (ms: number) => {
-  await fleet.timers.advance(ms);
-});
 When("{word} is killed", (id: string) => {
   fleet.kill(id);
 });
@@ -112,6 +99,27 @@
   fleet.instance(id).resume();
 });
 
+When("{word} deletes expired rows for {int} ms", async (id: string, ms: number) => {
+  const { timers, table } = fleet;
+  const configurationView = ConfigurationView.create();
+  const team = { name: "t", credentialDigests: ["0".repeat(64)] };
+  const document = { ...sampleConfiguration([]), teams: [team] };
+  configurationView.adopt(Configuration.create(1, document));
+  const expiry = LedgerExpiry.create({
+    ...{ timers, table, configurationView, members: fleet.membersOf(id) },
+    tableBreaker: fleet.instance(id).breaker,
+    random: RandomSource.create(SEED),
+    log: createConsola({ level: -1 }),
+  });
+  expiry.start();
+  await timers.advance(ms);
+  expiry.stop();
+});
+Then("{int} ledger rows are left", async (count: number) => {
+  const rows = fleet.table.query("ledger#t", "", 100);
+  await fleet.timers.advance(0);
+  assert.equal((await rows).length, count);
+});
 Then("the callers are told {string}", (expected: string) => {
   assert.equal(told.join("; "), expected);
   assert.deepEqual(fleet.check(), []);
@@ -134,9 +142,6 @@
   assert.equal(fleet.dispatched.size, count);
   assert.deepEqual(fleet.check(), []);
 });
-Then("{int} transactions were sent", (count: number) => {
-  assert.equal(fleet.table.transactions, count);
-});
 Then("{int} random histories keep every promise", async (runs: number) => {
   const property = fc.asyncProperty(historyOf(), async (history: History) => {
     assert.deepEqual(await runHistory(history), []);
