Accept configuration changes by one transaction and follow them

Cause: changes were only read from the table once a second, and nothing accepted them. Rows of other program versions are read or refused with the row and the field. Ruled out: "certainly not applied" as a reason to skip the tombstone, because an earlier submission with the same id may still land. Not yet shown over processes.

--- a/src/configuration/configuration-history.ts
+++ b/src/configuration/configuration-history.ts
@@ -1,22 +1,26 @@
-import { z } from "zod";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
-import type { Row } from "../platform/row.js";
 import type { RowKey } from "../platform/row-key.js";
 import type { Table } from "../platform/table.js";
 import { Configuration } from "./configuration.js";
 import { type ConfigurationChange, changeSchema } from "./configuration-change.js";
 import type { ConfigurationDocument } from "./configuration-document.js";
+import {
+  CONFIGURATION_PARTITION,
+  type ChangeIdRecord,
+  type Head,
+  changeIdKey,
+  changeIdSchema,
+  changeKey,
+  headKey,
+  headSchema,
+  jsonOf,
+  snapshotKey,
+  valueOf,
+} from "./configuration-rows.js";
 
-const PARTITION = "configuration";
-const VERSION_DIGITS = 10;
 const CHANGES_PER_READ = 100;
 
-const headSchema = z.object({ version: z.number().int().positive(), snapshot: z.number().int() });
-
-/** The newest accepted version and the newest snapshot. */
-export type Head = z.output<typeof headSchema>;
-
 /** The accepted configuration versions in the table service. */
 export class ConfigurationHistory {
   private constructor(private readonly table: Table) {}
@@ -28,13 +32,28 @@
   /** The newest accepted version; undefined before the first. */
   async head(): Promise<Head | undefined> {
     const row = await this.table.get(headKey);
-    return row === undefined ? undefined : headSchema.parse(JSON.parse(row.value));
+    return row === undefined ? undefined : valueOf(headSchema, row);
   }
 
   /** Accepted changes above `version`, in order. */
   async changesAfter(version: number): Promise<ConfigurationChange[]> {
-    const rows = await this.table.query(PARTITION, changeKey(version).sort, CHANGES_PER_READ);
-    return rows.filter(isChange).map((row) => changeSchema.parse(JSON.parse(row.value)));
+    const after = changeKey(version).sort;
+    const rows = await this.table.query(CONFIGURATION_PARTITION, after, CHANGES_PER_READ);
+    return rows
+      .filter((row) => row.key.sort.startsWith("change#"))
+      .map((row) => valueOf(changeSchema, row));
+  }
+
+  /** The change that led to `version`. */
+  async change(version: number): Promise<ConfigurationChange | undefined> {
+    const row = await this.table.get(changeKey(version));
+    return row === undefined ? undefined : valueOf(changeSchema, row);
+  }
+
+  /** What became of a change id; undefined if nothing is stored under it. */
+  async changeId(id: string): Promise<ChangeIdRecord | undefined> {
+    const row = await this.table.get(changeIdKey(id));
+    return row === undefined ? undefined : valueOf(changeIdSchema, row);
   }
 
   /** The newest accepted configuration; undefined before the first. */
@@ -45,7 +64,7 @@
     if (row === undefined) {
       throw ServeError.create(ErrorKind.Internal, `snapshot ${head.snapshot} is missing`);
     }
-    let configuration = Configuration.create(head.snapshot, JSON.parse(row.value));
+    let configuration = Configuration.create(head.snapshot, jsonOf(row));
     while (configuration.version < head.version) {
       const changes = await this.changesAfter(configuration.version);
       if (changes.length === 0) {
@@ -79,21 +98,3 @@
     }
   }
 }
-
-const headKey: RowKey = { partition: PARTITION, sort: "head" };
-
-function changeKey(version: number): RowKey {
-  return { partition: PARTITION, sort: `change#${padded(version)}` };
-}
-
-function snapshotKey(version: number): RowKey {
-  return { partition: PARTITION, sort: `snapshot#${padded(version)}` };
-}
-
-function padded(version: number): string {
-  return String(version).padStart(VERSION_DIGITS, "0");
-}
-
-function isChange(row: Row): boolean {
-  return row.key.sort.startsWith("change#");
-}
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -7,6 +7,9 @@
 import { CallerServer } from "../caller/caller-server.js";
 import { ConfigurationFollower } from "../configuration/configuration-follower.js";
 import { ConfigurationHistory } from "../configuration/configuration-history.js";
+import type { ConfigurationRegistry } from "../configuration/configuration-registry.js";
+import { PeerChanges } from "../configuration/peer-changes.js";
+import { TableConfigurationRegistry } from "../configuration/table-configuration-registry.js";
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
@@ -63,6 +66,8 @@
   readonly configurationView: ConfigurationView;
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
+  readonly configurationRegistry: ConfigurationRegistry;
+  readonly peerChanges: PeerChanges;
   readonly readiness: Readiness;
   /** Start time of this process in ms since the epoch. */
   readonly incarnation: number;
@@ -111,6 +116,8 @@
     configurationView: asFunction(() => ConfigurationView.create()).singleton(),
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
+    configurationRegistry: asFunction(TableConfigurationRegistry.create).singleton(),
+    peerChanges: asFunction(PeerChanges.create).singleton(),
     readiness: asFunction(() => Readiness.create()).singleton(),
     incarnation: asFunction((parts: Cradle) => parts.memberTable.own.incarnation).singleton(),
     attemptStates: asValue({ stateOf: () => AttemptState.Unknown }),
