--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -13,6 +13,8 @@
 import { ConfigurationView } from "../configuration/configuration-view.js";
 import { DecisionLog } from "../decision/decision-log.js";
 import { createLogger } from "../decision/logger.js";
+import { PeerChanges } from "../configuration/peer-changes.js";
+import { TableConfigurationRegistry } from "../configuration/table-configuration-registry.js";
 import { ClaimHolders } from "../ledger/claim-holders.js";
 import type { Ledger } from "../ledger/ledger.js";
 import { LedgerExpiry } from "../ledger/ledger-expiry.js";
@@ -53,7 +55,6 @@
 import { DroppedAnswers } from "../upstream/dropped-answers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
-import { noConfigurationRegistry } from "./absent-parts.js";
 import { NewRequests } from "./new-requests.js";
 import { Readiness } from "./readiness.js";
 
@@ -73,6 +74,7 @@
   readonly droppedAnswers: DroppedAnswers;
   readonly readiness: Readiness;
   readonly newRequests: NewRequests;
+  readonly peerChanges: PeerChanges;
   readonly addressBook: AddressBook;
   readonly peerServer: PeerServer;
   readonly peerMethods: PeerMethods;
@@ -130,6 +132,8 @@
     clients: asFunction(HttpUpstreamClients.create).singleton(),
     readiness: asFunction(() => Readiness.create()).singleton(),
     newRequests: asFunction(() => NewRequests.create()).singleton(),
+    configurationRegistry: asFunction(TableConfigurationRegistry.create).singleton(),
+    peerChanges: asFunction(PeerChanges.create).singleton(),
     addressBook: asFunction(() => AddressBook.create()).singleton(),
     peerServer: asFunction(PeerServer.create).singleton(),
     peerMethods: aliasTo("peerServer"),
@@ -159,7 +163,6 @@
     ledger: asFunction(TableLedger.create).singleton(),
     ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
-    configurationRegistry: asValue(noConfigurationRegistry),
     answerLog: asFunction(AnswerLog.create).singleton(),
     answerFinder: asFunction(AnswerFinder.create).singleton(),
     answerReads: asFunction(AnswerReads.create).singleton(),
