Route by expected completion time

Cause: the pool chose the upstream with the fewest own requests in flight and ignored reported load, distance, service time, cached prefixes and failing upstreams.

--- a/src/admission/work.ts
+++ b/src/admission/work.ts
@@ -17,4 +17,6 @@
   readonly contentDigest: string;
   /** Ids of upstreams that must not be chosen because an earlier attempt failed there. */
   readonly excluded: ReadonlySet<string>;
+  /** Whether the work must run alone on an upstream of this instance. */
+  readonly exclusive?: boolean;
 }
--- /dev/null
+++ b/src/routing/router.ts
@@ -0,0 +1,219 @@
+import type { Work } from "../admission/work.js";
+import type { Configuration } from "../configuration/configuration.js";
+import { Rank } from "../configuration/rank.js";
+import { UpstreamState } from "../configuration/upstream-state.js";
+import type { RandomSource } from "../random/random-source.js";
+import type { Timers } from "../time/timers.js";
+import { OutlierEjection } from "./outlier-ejection.js";
+import { PrefixAffinity } from "./prefix-affinity.js";
+import type { Routed } from "./routed.js";
+import { score } from "./score.js";
+import { UpstreamRecord } from "./upstream-record.js";
+
+const RANDOM_CANDIDATES = 3;
+/** Load of a prefix home, as part of its limit, at which its prefixes spread to the next. */
+const SPREAD_LOAD = 0.8;
+
+/** What a router needs from the daemon. */
+export interface RouterParts {
+  readonly timers: Timers;
+  readonly random: RandomSource;
+  readonly configuration: () => Configuration | undefined;
+  readonly service: string;
+  readonly dataCentre: string;
+}
+
+/** Chooses upstreams of one service by expected completion time. */
+export class Router {
+  private records: UpstreamRecord[] = [];
+  private eligible: UpstreamRecord[] = [];
+  private ids: string[] = [];
+  private version = -1;
+  private meanOthers = 0;
+  private meanTaken = Number.NEGATIVE_INFINITY;
+  private readonly affinity = PrefixAffinity.create();
+  private readonly ejection = OutlierEjection.create(() => this.records);
+
+  private constructor(private readonly parts: RouterParts) {}
+
+  static create(parts: RouterParts): Router {
+    return new Router(parts);
+  }
+
+  /** Records of all active upstreams, ejected ones included. */
+  all(): readonly UpstreamRecord[] {
+    this.refresh();
+    return this.records;
+  }
+
+  /** Requests that the eligible upstreams may run at once, for all instances together. */
+  capacity(): number {
+    this.refresh();
+    const now = this.parts.timers.now();
+    return this.eligible.reduce((sum, record) => sum + record.capacity(now), 0);
+  }
+
+  /**
+   * Chooses an upstream, or undefined if none may take the work now. Upstreams of whose limit this
+   * instance fills less than `ownPart` come first.
+   */
+  choose(work: Work, costMs: number, ownPart: number): Routed | undefined {
+    this.refresh();
+    const probe = this.probe(work);
+    if (probe !== undefined) return { record: probe, reason: "probe", candidates: [] };
+    const now = this.parts.timers.now();
+    const key = PrefixAffinity.key(work.prompt);
+    const homes = this.homes(key, now);
+    const candidates = this.candidates(work, homes, ownPart).map((record) => {
+      const cached = key === undefined ? 0 : this.affinity.confidence(key, record.upstream.id, now);
+      return { record, scoreMs: this.score(record, costMs, cached, now) };
+    });
+    let best = candidates[0];
+    for (const candidate of candidates) {
+      if (best === undefined || candidate.scoreMs < best.scoreMs) best = candidate;
+    }
+    if (best === undefined) return undefined;
+    const { record } = best;
+    if (key !== undefined) this.affinity.dispatched(key, record.upstream.id, now);
+    return {
+      record,
+      reason: record === homes[0] ? "prefix-home" : "best-score",
+      candidates: candidates.map((candidate) => ({
+        upstream: candidate.record.upstream.id,
+        scoreMs: Math.round(candidate.scoreMs),
+      })),
+    };
+  }
+
+  /**
+   * Chooses an upstream that runs nothing of this instance, and keeps it free while it drains.
+   * Returns undefined until one is idle.
+   */
+  chooseAlone(work: Work): Routed | undefined {
+    this.refresh();
+    const usable = this.usable(work, () => true);
+    let record = this.eligible.find((known) => known.reserved);
+    record ??= usable.sort((a, b) => a.inFlight - b.inFlight)[0];
+    if (record === undefined) return undefined;
+    record.reserved = true;
+    return record.inFlight > 0 ? undefined : { record, reason: "exclusive", candidates: [] };
+  }
+
+  /** Whether any upstream is left that the work was not refused by. */
+  possible(work: Work): boolean {
+    this.refresh();
+    return this.records.some(({ upstream }) => !work.excluded.has(upstream.id));
+  }
+
+  /** Takes the result of an attempt; `ratio` is its time as a multiple of the estimate. */
+  finished(record: UpstreamRecord, succeeded: boolean, ratio: number): void {
+    const now = this.parts.timers.now();
+    if (succeeded) {
+      record.succeeded(ratio);
+      record.limit.observe(ratio);
+    } else record.failed();
+    if (this.ejection.judge(record, succeeded, ratio, now)) this.select();
+  }
+
+  /** Ends a probe without a judgement. */
+  cancelled(record: UpstreamRecord): void {
+    if (record.standing.kind !== "probing") return;
+    const { periodMs } = record.standing;
+    record.standing = { kind: "ejected", until: this.parts.timers.now(), periodMs };
+  }
+
+  private probe(work: Work): UpstreamRecord | undefined {
+    if (work.rank === Rank.Urgent) return undefined;
+    if (this.eligible.length === this.records.length) return undefined;
+    const now = this.parts.timers.now();
+    const record = this.ejection.due(now);
+    if (record?.standing.kind !== "ejected" || work.excluded.has(record.upstream.id))
+      return undefined;
+    record.standing = { kind: "probing", since: now, periodMs: record.standing.periodMs };
+    return record;
+  }
+
+  private homes(key: number | undefined, now: number): UpstreamRecord[] {
+    if (key === undefined) return [];
+    const ids = this.affinity.homes(key, this.ids, 2);
+    const [home, next] = ids.map((id) => this.eligible.find(({ upstream }) => upstream.id === id));
+    if (home === undefined) return [];
+    const spread = this.load(home, now) >= SPREAD_LOAD * home.capacity(now);
+    return spread && next !== undefined ? [home, next] : [home];
+  }
+
+  private candidates(
+    work: Work,
+    homes: readonly UpstreamRecord[],
+    ownPart: number,
+  ): UpstreamRecord[] {
+    const now = this.parts.timers.now();
+    const free = (record: UpstreamRecord): boolean =>
+      record.inFlight < Math.max(1, Math.round(ownPart * record.capacity(now)));
+    const usable = this.usable(work, free);
+    const pool = usable.length > 0 ? usable : this.usable(work, () => true);
+    const chosen = this.parts.random.sample(pool, RANDOM_CANDIDATES);
+    for (const home of homes) if (pool.includes(home) && !chosen.includes(home)) chosen.push(home);
+    return chosen;
+  }
+
+  private usable(work: Work, free: (record: UpstreamRecord) => boolean): UpstreamRecord[] {
+    return this.eligible.filter(
+      (record) => !record.reserved && !work.excluded.has(record.upstream.id) && free(record),
+    );
+  }
+
+  private load(record: UpstreamRecord, now: number): number {
+    return record.inFlight + record.reported.expected(this.others(now), now);
+  }
+
+  private score(record: UpstreamRecord, costMs: number, cached: number, now: number): number {
+    const { dataCentre } = this.parts;
+    const link = this.parts.configuration()?.link(dataCentre, record.upstream.dataCentre);
+    return score({
+      costMs,
+      ratio: record.ratio,
+      load: this.load(record, now),
+      capacity: record.capacity(now),
+      delayMs: link?.delayMs ?? 0,
+      linkCost: link?.cost ?? 0,
+      cached,
+      successShare: record.successShare,
+      ramp: record.ramp(now),
+    });
+  }
+
+  private others(now: number): number {
+    if (now > this.meanTaken) {
+      this.meanTaken = now;
+      let sum = 0;
+      for (const { reported } of this.eligible) sum += reported.last ?? 0;
+      this.meanOthers = this.eligible.length === 0 ? 0 : sum / this.eligible.length;
+    }
+    return this.meanOthers;
+  }
+
+  private refresh(): void {
+    const configuration = this.parts.configuration();
+    const version = configuration?.version ?? 0;
+    if (version === this.version) return;
+    // Upstreams of the first configuration are not new to the service, only to this process.
+    const rampStart = this.version < 0 ? Number.NEGATIVE_INFINITY : this.parts.timers.now();
+    this.version = version;
+    const known = new Map(this.records.map((record) => [record.upstream.id, record]));
+    this.records = (configuration?.upstreamsOf(this.parts.service) ?? [])
+      .filter((upstream) => upstream.state === UpstreamState.Active)
+      .map((upstream) => {
+        const record = known.get(upstream.id);
+        return record?.upstream.address === upstream.address
+          ? record
+          : UpstreamRecord.create(upstream, rampStart);
+      });
+    this.select();
+  }
+
+  private select(): void {
+    this.eligible = this.records.filter(({ standing }) => standing.kind === "eligible");
+    this.ids = this.eligible.map(({ upstream }) => upstream.id);
+  }
+}
--- /dev/null
+++ b/src/routing/standing.ts
@@ -0,0 +1,6 @@
+/** Whether an upstream gets work. */
+export type Standing =
+  | { readonly kind: "eligible" }
+  /** `periodMs` is the length of this ejection; it doubles when a probe fails. */
+  | { readonly kind: "ejected"; readonly until: number; readonly periodMs: number }
+  | { readonly kind: "probing"; readonly since: number; readonly periodMs: number };
--- /dev/null
+++ b/src/routing/upstream-record.ts
@@ -0,0 +1,83 @@
+import { ConcurrencyLimit } from "../admission/concurrency-limit.js";
+import type { Upstream } from "../configuration/configuration-document.js";
+import { ReportedLoad } from "./reported-load.js";
+import type { Standing } from "./standing.js";
+
+const WEIGHT = 0.15;
+const SUCCESS_WEIGHT = 0.2;
+const RAMP_MS = 5_000;
+const FIRST_PART = 0.1;
+
+/** What this instance knows of one upstream from its own attempts and from load reports. */
+export class UpstreamRecord {
+  inFlight = 0;
+  standing: Standing = { kind: "eligible" };
+  /** Whether an exclusive attempt runs or waits to run alone here. */
+  reserved = false;
+  readonly limit: ConcurrencyLimit;
+  readonly reported = ReportedLoad.create();
+  private meanRatio = 1;
+  private count = 0;
+  private success = 1;
+  private failuresInRow = 0;
+
+  private constructor(
+    readonly upstream: Upstream,
+    private rampStart: number,
+  ) {
+    this.limit = ConcurrencyLimit.create(upstream.slots);
+  }
+
+  /** `rampStart` is the time at which a slow start begins; minus infinity for none. */
+  static create(upstream: Upstream, rampStart: number): UpstreamRecord {
+    return new UpstreamRecord(upstream, rampStart);
+  }
+
+  /** Service time as a multiple of what the service needs on average. */
+  get ratio(): number {
+    return this.meanRatio;
+  }
+
+  get samples(): number {
+    return this.count;
+  }
+
+  get successShare(): number {
+    return this.success;
+  }
+
+  get consecutiveFailures(): number {
+    return this.failuresInRow;
+  }
+
+  succeeded(ratio: number): void {
+    this.count += 1;
+    this.failuresInRow = 0;
+    this.success += SUCCESS_WEIGHT * (1 - this.success);
+    this.meanRatio += Math.max(WEIGHT, 1 / this.count) * (ratio - this.meanRatio);
+  }
+
+  failed(): void {
+    this.failuresInRow += 1;
+    this.success -= SUCCESS_WEIGHT * this.success;
+  }
+
+  /** Forgets earlier results and starts with little traffic. */
+  restart(now: number): void {
+    this.rampStart = now;
+    this.meanRatio = 1;
+    this.count = 0;
+    this.success = 1;
+    this.failuresInRow = 0;
+  }
+
+  /** Part of its normal traffic that the upstream may get during a slow start, in (0, 1]. */
+  ramp(now: number): number {
+    return Math.min(1, Math.max(FIRST_PART, (now - this.rampStart) / RAMP_MS));
+  }
+
+  /** Requests that the upstream may run at once, for all instances together. */
+  capacity(now: number): number {
+    return this.limit.value * this.ramp(now);
+  }
+}
