Admit work by tier, rank, team and deadline

Cause: a pool sent all work on at once, so upstreams queued without regard to rank or team. Change: pools hold a short queue ordered by floor, tier (target and fair share first), rank, team by start-time fair queueing and deadline; costs are learnt; each instance uses its part of the limits by exchanged demand; PipelineAdmission refuses at intake what cannot pass all stages in time. Ruled out: serving a class by the ratio of served to offered work.

--- /dev/null
+++ b/src/admission/class-share.ts
@@ -0,0 +1,45 @@
+import type { Rank } from "../configuration/rank.js";
+import { DecayedSum } from "./decayed-sum.js";
+import { FairQueue } from "./fair-queue.js";
+import { Tier } from "./tier.js";
+
+/** Long enough to hold several of the longest stages. */
+const WINDOW_MS = 5_000;
+const TIERS = 3;
+
+/** Waiting work of one class by tier, and how much work was offered and served. */
+export class ClassShare {
+  readonly queues = Array.from({ length: TIERS }, () => FairQueue.create());
+  private readonly offeredWork = Array.from({ length: TIERS }, () => DecayedSum.create(WINDOW_MS));
+  private readonly servedWork = DecayedSum.create(WINDOW_MS);
+
+  private constructor(
+    readonly name: string,
+    readonly rank: Rank,
+  ) {}
+
+  static create(name: string, rank: Rank): ClassShare {
+    return new ClassShare(name, rank);
+  }
+
+  get empty(): boolean {
+    return this.queues.every((queue) => queue.empty);
+  }
+
+  offer(tier: Tier, costMs: number, now: number): void {
+    this.offeredWork[tier]?.add(costMs, now);
+  }
+
+  serve(costMs: number, now: number): void {
+    this.servedWork.add(costMs, now);
+  }
+
+  /** Work offered in a tier, in ms of service per ms. */
+  offeredRate(tier: Tier, now: number): number {
+    return (this.offeredWork[tier]?.at(now) ?? 0) / WINDOW_MS;
+  }
+
+  served(now: number): number {
+    return this.servedWork.at(now);
+  }
+}
--- a/src/admission/demand-digest.ts
+++ b/src/admission/demand-digest.ts
@@ -4,7 +4,7 @@
 export const demandDigestSchema = z.object({
   /** Estimated work offered in the last seconds by service, in ms of service time per second. */
   services: z.record(z.string(), z.number().nonnegative()),
-  /** The same by team, the largest teams only. */
+  /** The same by `<service>|<rank>|<team>`, the largest entries only. */
   teams: z.record(z.string(), z.number().nonnegative()),
 });
 
--- /dev/null
+++ b/src/admission/demand-meter.ts
@@ -0,0 +1,60 @@
+import type { Rank } from "../configuration/rank.js";
+import type { Timers } from "../time/timers.js";
+import { DecayedSum } from "./decayed-sum.js";
+import type { DemandDigest } from "./demand-digest.js";
+import type { DemandSource } from "./demand-source.js";
+
+const WINDOW_MS = 3_000;
+const MS_PER_SECOND = 1_000;
+/** Bounds the digest: 32 entries of about 50 bytes each second. */
+const MOST_ENTRIES = 32;
+const LEAST_RATE = 0.01;
+
+/** Measures the work that callers offer to this instance, refused work included. */
+export class DemandMeter implements DemandSource {
+  private readonly services = new Map<string, DecayedSum>();
+  private readonly teams = new Map<string, DecayedSum>();
+
+  private constructor(private readonly timers: Timers) {}
+
+  static create(parts: { timers: Timers }): DemandMeter {
+    return new DemandMeter(parts.timers);
+  }
+
+  /** Key of the entries by team in a digest. */
+  static key(service: string, rank: Rank, team: string): string {
+    return `${service}|${rank}|${team}`;
+  }
+
+  offer(service: string, rank: Rank, team: string, costMs: number): void {
+    add(this.services, service, costMs, this.timers.now());
+    add(this.teams, DemandMeter.key(service, rank, team), costMs, this.timers.now());
+  }
+
+  digest(): DemandDigest {
+    const now = this.timers.now();
+    const largest = rates(this.teams, now)
+      .sort((a, b) => b[1] - a[1])
+      .slice(0, MOST_ENTRIES);
+    return {
+      services: Object.fromEntries(rates(this.services, now)),
+      teams: Object.fromEntries(largest),
+    };
+  }
+}
+
+function add(sums: Map<string, DecayedSum>, key: string, costMs: number, now: number): void {
+  let sum = sums.get(key);
+  if (sum === undefined) sums.set(key, (sum = DecayedSum.create(WINDOW_MS)));
+  sum.add(costMs, now);
+}
+
+function rates(sums: Map<string, DecayedSum>, now: number): [string, number][] {
+  const result: [string, number][] = [];
+  for (const [key, sum] of sums) {
+    const rate = (sum.at(now) / WINDOW_MS) * MS_PER_SECOND;
+    if (rate < LEAST_RATE) sums.delete(key);
+    else result.push([key, rate]);
+  }
+  return result;
+}
--- a/src/admission/service-pools.ts
+++ b/src/admission/service-pools.ts
@@ -2,13 +2,27 @@
 import type { DecisionLog } from "../decision/decision-log.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
-import type { Pool } from "./pool.js";
+import type { RandomSource } from "../random/random-source.js";
+import { LoadPoller } from "../routing/load-poller.js";
+import { Router } from "../routing/router.js";
+import type { Settings } from "../settings/settings.js";
+import type { Timers } from "../time/timers.js";
+import type { UpstreamClients } from "../upstream/upstream-clients.js";
+import type { DemandMeter } from "./demand-meter.js";
+import type { DemandReports } from "./demand-reports.js";
+import { LimitPart } from "./limit-part.js";
 import type { Pools } from "./pools.js";
 import { ServicePool } from "./service-pool.js";
 
 interface Parts {
   readonly configurationView: ConfigurationView;
   readonly decisionLog: DecisionLog;
+  readonly timers: Timers;
+  readonly random: RandomSource;
+  readonly settings: Pick<Settings, "instance">;
+  readonly clients: UpstreamClients;
+  readonly demandSource: DemandMeter;
+  readonly demandReports: DemandReports;
 }
 
 /** One pool per service of the configuration in force. */
@@ -21,18 +35,34 @@
     return new ServicePools(parts);
   }
 
-  of(service: string): Pool {
-    const { configurationView, decisionLog } = this.parts;
+  of(service: string): ServicePool {
+    const { configurationView } = this.parts;
     if (configurationView.configuration?.service(service) === undefined) {
       throw ServeError.create(ErrorKind.NoUpstream, `service "${service}" is not configured`);
     }
-    const known = this.pools.get(service);
-    if (known !== undefined) return known;
-    const pool = ServicePool.create(
-      () => configurationView.configuration?.upstreamsOf(service) ?? [],
-      decisionLog,
-    );
-    this.pools.set(service, pool);
+    let pool = this.pools.get(service);
+    if (pool === undefined) {
+      pool = this.pool(service);
+      this.pools.set(service, pool);
+    }
     return pool;
   }
+
+  private pool(service: string): ServicePool {
+    const { configurationView, decisionLog, timers, random, settings, demandSource } = this.parts;
+    const configuration = () => configurationView.configuration;
+    const { dataCentre } = settings.instance;
+    const router = Router.create({ timers, random, configuration, service, dataCentre });
+    LoadPoller.create(() => router.all(), this.parts);
+    const limitPart = LimitPart.create(service, this.parts);
+    return ServicePool.create({
+      service,
+      timers,
+      configuration,
+      decisionLog,
+      router,
+      limitPart,
+      demandSource,
+    });
+  }
 }
--- /dev/null
+++ b/src/admission/waiting-work.ts
@@ -0,0 +1,15 @@
+import type { Routed } from "../routing/routed.js";
+import type { Tier } from "./tier.js";
+import type { Work } from "./work.js";
+
+/** Work in the queue of a pool. */
+export interface WaitingWork {
+  readonly work: Work;
+  readonly tier: Tier;
+  /** Learnt service time in ms. */
+  readonly costMs: number;
+  /** Set when the caller gave up or the deadline passed. */
+  abandoned: boolean;
+  /** Hands the work to an upstream; called at most once. */
+  readonly start: (routed: Routed) => void;
+}
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -1,8 +1,11 @@
 import { randomInt } from "node:crypto";
 import { type AwilixContainer, asFunction, asValue, createContainer } from "awilix";
 import type { ConsolaInstance } from "consola";
+import { DemandMeter } from "../admission/demand-meter.js";
+import type { DemandReports } from "../admission/demand-reports.js";
+import { PipelineAdmission } from "../admission/pipeline-admission.js";
 import { ServicePools } from "../admission/service-pools.js";
-import type { Pools } from "../admission/pools.js";
+import { SingleInstanceDemand } from "../admission/single-instance-demand.js";
 import { AnswerLog } from "../caller/answer-log.js";
 import { CallerServer } from "../caller/caller-server.js";
 import { ConfigurationFollower } from "../configuration/configuration-follower.js";
@@ -34,7 +37,10 @@
   readonly configurationHistory: ConfigurationHistory;
   readonly configurationFollower: ConfigurationFollower;
   readonly clients: UpstreamClients;
-  readonly pools: Pools;
+  readonly demandSource: DemandMeter;
+  readonly demandReports: DemandReports;
+  readonly pools: ServicePools;
+  readonly pipelineAdmission: PipelineAdmission;
   readonly answerLog: AnswerLog;
   readonly requestIntake: RequestIntake;
   readonly callerServer: CallerServer;
@@ -54,7 +60,10 @@
     configurationHistory: asFunction(ConfigurationHistory.create).singleton(),
     configurationFollower: asFunction(ConfigurationFollower.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
+    demandSource: asFunction(DemandMeter.create).singleton(),
+    demandReports: asFunction(() => SingleInstanceDemand.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
+    pipelineAdmission: asFunction(PipelineAdmission.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
     requestIntake: asFunction(RequestIntake.create).singleton(),
     callerServer: asFunction(CallerServer.create).singleton(),
--- a/src/pipeline/stage-run.ts
+++ b/src/pipeline/stage-run.ts
@@ -1,5 +1,6 @@
 import type { Pools } from "../admission/pools.js";
 import type { Slot } from "../admission/slot.js";
+import { stageCostMs } from "../admission/stage-cost.js";
 import type { Work } from "../admission/work.js";
 import type { Service, Stage } from "../configuration/configuration-document.js";
 import { ErrorKind } from "../error/error-kind.js";
@@ -105,7 +106,7 @@
       className: request.workClass.name,
       rank: request.workClass.rank,
       stage: this.stage.name,
-      costMs: 1,
+      costMs: stageCostMs(this.service.kind, request.input),
       deadline: request.deadline,
       prompt,
       contentDigest: request.contentDigest,
