Eject sooner and prefer the home of a prefix

Cause: eight instances each needed several failures or slow answers to eject an upstream; equal scores went to the first random candidate, so instances did not converge on a prefix's home. Change: two failures or three slow samples eject, a missing load report counts as a failure and stops probes, the home wins among equal scores and counts as caching the prefix.

--- a/src/routing/load-poller.ts
+++ b/src/routing/load-poller.ts
@@ -13,16 +13,18 @@
 
   private constructor(
     private readonly records: () => readonly UpstreamRecord[],
+    private readonly failed: (record: UpstreamRecord) => void,
     private readonly clients: UpstreamClients,
     private readonly timers: Timers,
   ) {}
 
-  /** Starts polling; it goes on for the life of the process. */
+  /** Starts polling and reports each upstream that does not answer to `failed`; it goes on for the life of the process. */
   static create(
     records: () => readonly UpstreamRecord[],
+    failed: (record: UpstreamRecord) => void,
     parts: { clients: UpstreamClients; timers: Timers },
   ): LoadPoller {
-    const poller = new LoadPoller(records, parts.clients, parts.timers);
+    const poller = new LoadPoller(records, failed, parts.clients, parts.timers);
     parts.timers.every(PERIOD_MS, () => {
       poller.poll();
     });
@@ -46,9 +48,12 @@
     });
     try {
       const load = await this.clients.of(record.upstream).load(stop.signal);
+      record.reachable = true;
       record.reported.take(load, record.inFlight, this.timers.now());
     } catch {
-      // A missing report only ages the last one; attempts decide whether the upstream is ejected.
+      // An upstream that does not answer gets no probe; work would only fail there.
+      record.reachable = false;
+      this.failed(record);
     } finally {
       timeout.cancel();
     }
--- a/src/routing/outlier-ejection.ts
+++ b/src/routing/outlier-ejection.ts
@@ -1,8 +1,8 @@
 import type { UpstreamRecord } from "./upstream-record.js";
 
 const MOST_EJECTED = 1 / 3;
-const FAILURES = 3;
-const LEAST_SAMPLES = 5;
+const FAILURES = 2;
+const LEAST_SAMPLES = 3;
 /** Service time, as a multiple of the median, beyond which an upstream is a straggler. */
 const STRAGGLER = 2.5;
 const FIRST_PERIOD_MS = 1_000;
@@ -46,8 +46,8 @@
   /** An ejected upstream whose period is over and that has no probe in flight. */
   due(now: number): UpstreamRecord | undefined {
     return this.records().find(
-      ({ standing, inFlight }) =>
-        standing.kind === "ejected" && standing.until <= now && inFlight === 0,
+      ({ standing, inFlight, reachable }) =>
+        standing.kind === "ejected" && standing.until <= now && inFlight === 0 && reachable,
     );
   }
 
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -13,6 +13,8 @@
 const RANDOM_CANDIDATES = 3;
 /** Load of a prefix home, as part of its limit, at which its prefixes spread to the next. */
 const SPREAD_LOAD = 0.8;
+/** Least probability that the home has a prefix, because all instances send it there. */
+const HOME_CONFIDENCE = 0.8;
 
 /** What a router needs from the daemon. */
 export interface RouterParts {
@@ -65,7 +67,8 @@
     const key = PrefixAffinity.key(work.prompt);
     const homes = this.homes(key, now);
     const candidates = this.candidates(work, homes, ownPart).map((record) => {
-      const cached = key === undefined ? 0 : this.affinity.confidence(key, record.upstream.id, now);
+      const sent = key === undefined ? 0 : this.affinity.confidence(key, record.upstream.id, now);
+      const cached = record === homes[0] ? Math.max(sent, HOME_CONFIDENCE) : sent;
       return { record, scoreMs: this.score(record, costMs, cached, now) };
     });
     let best = candidates[0];
@@ -115,6 +118,11 @@
     if (this.ejection.judge(record, succeeded, ratio, now)) this.select();
   }
 
+  /** Takes a missing load report as a failure, unless a probe already decides. */
+  unreachable(record: UpstreamRecord): void {
+    if (record.standing.kind === "eligible") this.finished(record, false, 0);
+  }
+
   /** Ends a probe without a judgement. */
   cancelled(record: UpstreamRecord): void {
     if (record.standing.kind !== "probing") return;
@@ -152,9 +160,10 @@
       record.inFlight < Math.max(1, Math.round(ownPart * record.capacity(now)));
     const usable = this.usable(work, free);
     const pool = usable.length > 0 ? usable : this.usable(work, () => true);
-    const chosen = this.parts.random.sample(pool, RANDOM_CANDIDATES);
-    for (const home of homes) if (pool.includes(home) && !chosen.includes(home)) chosen.push(home);
-    return chosen;
+    const random = this.parts.random.sample(pool, RANDOM_CANDIDATES);
+    // Homes come first: of equal scores the first wins, on all instances alike.
+    const usableHomes = homes.filter((home) => pool.includes(home));
+    return [...usableHomes, ...random.filter((record) => !usableHomes.includes(record))];
   }
 
   private usable(work: Work, free: (record: UpstreamRecord) => boolean): UpstreamRecord[] {
--- a/src/routing/upstream-record.ts
+++ b/src/routing/upstream-record.ts
@@ -3,8 +3,8 @@
 import { ReportedLoad } from "./reported-load.js";
 import type { Standing } from "./standing.js";
 
-const WEIGHT = 0.15;
-const SUCCESS_WEIGHT = 0.2;
+const WEIGHT = 0.3;
+const SUCCESS_WEIGHT = 0.5;
 const RAMP_MS = 5_000;
 const FIRST_PART = 0.1;
 
@@ -14,6 +14,8 @@
   standing: Standing = { kind: "eligible" };
   /** Whether an exclusive attempt runs or waits to run alone here. */
   reserved = false;
+  /** Whether the last load report arrived. */
+  reachable = true;
   readonly limit: ConcurrencyLimit;
   readonly reported = ReportedLoad.create();
   private meanRatio = 1;
