Keep queues short and count offered work by shares

Cause: at exactly the limit upstreams queue and idle unevenly; long queues let urgent work expire; refused work kept its credit, so a flood was counted wholly as first tier. Change: queue of 600 ms, 15% more slots, refusal of work that would end late, a floor's own wait, offered work by shares, fair shares over 85% of the capacity, repeated attempts are not refused.

--- a/src/admission/demand-meter.ts
+++ b/src/admission/demand-meter.ts
@@ -6,8 +6,8 @@
 
 const WINDOW_MS = 3_000;
 const MS_PER_SECOND = 1_000;
-/** Bounds the digest: 32 entries of about 50 bytes each second. */
-const MOST_ENTRIES = 32;
+/** Bounds the digest to about 3 KB; the current deployments have 75 entries at most. */
+const MOST_ENTRIES = 80;
 const LEAST_RATE = 0.01;
 
 /** Measures the work that callers offer to this instance, refused work included. */
--- a/src/admission/limit-part.ts
+++ b/src/admission/limit-part.ts
@@ -8,6 +8,11 @@
 /** A report older than three heartbeats no longer says what an instance needs. */
 const OLDEST_MS = 3_500;
 const REFRESH_MS = 500;
+/**
+ * Part of the capacity that fair shares add up to. With all of it the tiers before the leftovers
+ * are fully loaded, and the lowest rank of small teams waits too long to be admitted.
+ */
+const SHARED_PART = 0.85;
 /** Part of the limit that is shared evenly, so that an instance without demand can start work. */
 const EVEN_PART = 0.2;
 
@@ -53,11 +58,11 @@
     // Without all digests nobody can tell how much the silent instances use.
     const own = this.meter.digest();
     if (fresh.length < live - 1) {
-      this.fairParts = fairParts(this.service, [own], (capacity * 1_000) / live);
+      this.fairParts = fairParts(this.service, [own], (SHARED_PART * capacity * 1_000) / live);
       return 1 / live;
     }
     const digests = [own, ...fresh.map((report) => report.digest)];
-    this.fairParts = fairParts(this.service, digests, capacity * 1_000);
+    this.fairParts = fairParts(this.service, digests, SHARED_PART * capacity * 1_000);
     const needs = instanceNeeds(this.service, digests, capacity * 1_000);
     const total = needs.reduce((sum, need) => sum + need, 0);
     if (total <= 0) return 1 / live;
--- a/src/admission/refusal.ts
+++ b/src/admission/refusal.ts
@@ -4,7 +4,7 @@
 import type { Work } from "./work.js";
 
 /** Longer queues only add delay: the work in them keeps no upstream busier. */
-const MOST_WAIT_MS = 1_500;
+const MOST_WAIT_MS = 600;
 const LEAST_RETRY_MS = 100;
 
 /**
--- /dev/null
+++ b/src/admission/service-pool-parts.ts
@@ -0,0 +1,17 @@
+import type { Configuration } from "../configuration/configuration.js";
+import type { DecisionLog } from "../decision/decision-log.js";
+import type { Router } from "../routing/router.js";
+import type { Timers } from "../time/timers.js";
+import type { DemandMeter } from "./demand-meter.js";
+import type { LimitPart } from "./limit-part.js";
+
+/** What a pool needs. */
+export interface ServicePoolParts {
+  readonly service: string;
+  readonly timers: Timers;
+  readonly configuration: () => Configuration | undefined;
+  readonly decisionLog: DecisionLog;
+  readonly router: Router;
+  readonly limitPart: LimitPart;
+  readonly demandSource: DemandMeter;
+}
--- a/src/admission/service-pool.ts
+++ b/src/admission/service-pool.ts
@@ -1,18 +1,14 @@
-import type { Configuration } from "../configuration/configuration.js";
-import type { DecisionLog } from "../decision/decision-log.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Routed } from "../routing/routed.js";
-import type { Router } from "../routing/router.js";
-import type { Timers } from "../time/timers.js";
 import type { AttemptResult } from "./attempt-result.js";
 import { Backlog } from "./backlog.js";
-import type { DemandMeter } from "./demand-meter.js";
 import type { Estimate } from "./estimate.js";
 import { LearntCost } from "./learnt-cost.js";
-import type { LimitPart } from "./limit-part.js";
 import type { Pool } from "./pool.js";
+import { refuseLine, routeLine } from "./decision-lines.js";
 import { refusal } from "./refusal.js";
+import type { ServicePoolParts } from "./service-pool-parts.js";
 import type { Slot } from "./slot.js";
 import { Tier } from "./tier.js";
 import { WaitingQueue } from "./waiting-queue.js";
@@ -21,19 +17,15 @@
 
 const RETRY_PUMP_MS = 50;
 const LEAST_SLOTS = 1;
+/** Work with less time than this part of its expected service time would end late. */
+const LEAST_PART = 0.9;
+/**
+ * Slots lent beyond the limits: instances choose without seeing each other's latest choices, so at
+ * exactly the limit some upstreams queue while others idle.
+ */
+const OVERCOMMIT = 1.15;
 const BUSY = 0.6;
 
-/** What a pool needs. */
-export interface ServicePoolParts {
-  readonly service: string;
-  readonly timers: Timers;
-  readonly configuration: () => Configuration | undefined;
-  readonly decisionLog: DecisionLog;
-  readonly router: Router;
-  readonly limitPart: LimitPart;
-  readonly demandSource: DemandMeter;
-}
-
 /** Admission and routing for one service: a short ranked queue in front of the router. */
 export class ServicePool implements Pool {
   private readonly queue: WaitingQueue;
@@ -59,8 +51,13 @@
       // A repeated attempt is not new demand of the caller; its first one was admitted.
       const repeated = work.excluded.size > 0;
       tier = repeated ? Tier.Target : this.offer(work);
-      const refused = refusal(work, this.timeLeft(work), [this.estimate(work, tier)]);
-      if (refused !== undefined) return Promise.reject(this.refused(work, refused));
+      const leftMs = work.deadline - this.parts.timers.now();
+      // Refusing a repeated attempt would waste the stages that ran; the queue drops it if it is late.
+      const refused = repeated ? undefined : refusal(work, leftMs, [this.estimate(work, tier)]);
+      if (refused !== undefined) {
+        this.parts.decisionLog.write(refuseLine(work, refused));
+        return Promise.reject(refused);
+      }
       if (repeated) this.backlog.add(work, tier, costMs);
       else this.reserve(work, tier);
     }
@@ -86,7 +83,10 @@
     const before = this.backlog.before(work, tier, costMs);
     if (ahead + before === 0 && this.inFlight < budget) return { waitMs: 0, serviceMs };
     const available = this.queue.available(work, tier, budget, now);
-    return { waitMs: ahead / budget + before / (budget * available), serviceMs };
+    const inOrder = ahead / budget + before / (budget * available);
+    // A rank below its floor does not wait for the work ahead of it.
+    const byFloor = (before + costMs) / (budget * this.queue.floorOf(work));
+    return { waitMs: Math.min(inOrder, byFloor), serviceMs };
   }
 
   /** Records that a caller asked for work, whether or not it is admitted; returns its tier. */
@@ -121,7 +121,7 @@
     const abort = (): void => {
       leave(signal.reason as Error);
     };
-    const timeout = this.parts.timers.after(this.timeLeft(work), () => {
+    const timeout = this.parts.timers.after(work.deadline - this.parts.timers.now(), () => {
       leave(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline passed in the queue"));
     });
     signal.addEventListener("abort", abort, { once: true });
@@ -130,6 +130,10 @@
       tier,
       costMs,
       abandoned: false,
+      refuse: () => {
+        const detail = `${work.stage}: the time left is shorter than the service time`;
+        leave(ServeError.create(ErrorKind.DeadlineUnreachable, detail));
+      },
       start: (routed) => {
         signal.removeEventListener("abort", abort);
         timeout.cancel();
@@ -147,6 +151,10 @@
     while (this.inFlight < this.budget()) {
       const item = this.queue.pop(now);
       if (item === undefined) return;
+      if (item.work.deadline - now < LEAST_PART * item.costMs) {
+        item.refuse();
+        continue;
+      }
       const routed = this.parts.router.choose(item.work, item.costMs, this.ownPart());
       if (routed === undefined) {
         this.queue.push(item);
@@ -184,7 +192,7 @@
     this.inFlight += 1;
     record.inFlight += 1;
     this.queue.serve(work, costMs, this.parts.timers.now());
-    this.log(work, routed);
+    this.parts.decisionLog.write(routeLine(work, routed));
     return {
       upstream: record.upstream,
       release: (result) => {
@@ -215,7 +223,10 @@
   /** Slots that this instance may use at once. */
   private budget(): number {
     const capacity = this.parts.router.capacity();
-    return Math.max(LEAST_SLOTS, Math.round(capacity * this.parts.limitPart.of(capacity)));
+    return Math.max(
+      LEAST_SLOTS,
+      Math.round(OVERCOMMIT * capacity * this.parts.limitPart.of(capacity)),
+    );
   }
 
   /**
@@ -226,24 +237,4 @@
     const busy = this.inFlight >= BUSY * this.budget();
     return busy ? this.parts.limitPart.of(this.parts.router.capacity()) : 1;
   }
-
-  private timeLeft(work: Work): number {
-    return work.deadline - this.parts.timers.now();
-  }
-
-  private refused(work: Work, error: ServeError): ServeError {
-    const { request, team, className, stage } = work;
-    const retryAfterMs = error.retryAfterMs ?? 0;
-    const head = { request, team, className, stage };
-    this.parts.decisionLog.write({ kind: "refuse", ...head, reason: error.kind, retryAfterMs });
-    return error;
-  }
-
-  private log(work: Work, routed: Routed): void {
-    const { request, team, className, stage } = work;
-    const { candidates, reason, record } = routed;
-    const head = { request, team, className, stage };
-    const choice = record.upstream.id;
-    this.parts.decisionLog.write({ kind: "route", ...head, candidates, choice, reason });
-  }
 }
--- a/src/admission/service-pools.ts
+++ b/src/admission/service-pools.ts
@@ -53,7 +53,13 @@
     const configuration = () => configurationView.configuration;
     const { dataCentre } = settings.instance;
     const router = Router.create({ timers, random, configuration, service, dataCentre });
-    LoadPoller.create(() => router.all(), this.parts);
+    LoadPoller.create(
+      () => router.all(),
+      (record) => {
+        router.unreachable(record);
+      },
+      this.parts,
+    );
     const limitPart = LimitPart.create(service, this.parts);
     return ServicePool.create({
       service,
--- a/src/admission/share-credits.ts
+++ b/src/admission/share-credits.ts
@@ -1,4 +1,4 @@
-const MOST_CREDIT = 20;
+const MOST_CREDIT = 3;
 
 /** Marks a given share of offered work, evenly spread; what is not taken up is saved briefly. */
 export class ShareCredits {
--- a/src/admission/waiting-queue.ts
+++ b/src/admission/waiting-queue.ts
@@ -29,9 +29,12 @@
     const share = this.of(work);
     this.classCredits.offer(work.className, this.aimedShare(share));
     this.teamCredits.offer(teamKey(work), fairPart);
-    const tier = this.tier(work);
-    share.offer(tier, costMs, now);
-    return tier;
+    // The shares count, not the tier: refused work leaves its credit to the next work.
+    const aimed = this.aimedShare(share);
+    share.offer(Tier.Target, costMs * fairPart * aimed, now);
+    share.offer(Tier.FairShare, costMs * fairPart * (1 - aimed), now);
+    share.offer(Tier.Leftover, costMs * (1 - fairPart), now);
+    return this.tier(work);
   }
 
   /** The tier that new work would get. */
@@ -64,6 +67,11 @@
     return undefined;
   }
 
+  /** Share of work that the work's class keeps in a flood of other work. */
+  floorOf(work: Work): number {
+    return this.floor(this.of(work));
+  }
+
   /** Part of the capacity that a tier of a rank may count on while others want what they offer. */
   available(work: Work, tier: Tier, capacity: number, now: number): number {
     const own = ranksInOrder.indexOf(work.rank);
