--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,41 @@
+Feature: Admission
+  A pool orders waiting work by floor, tier, rank, team and deadline, and refuses what it cannot serve.
+
+  Background:
+    Given a pool with 2 slots
+
+  Scenario: Urgent work overtakes waiting work of lower ranks
+    Given 2 attempts of rank "background" of team "agdal" run
+    When work "b" of rank "background" of team "agdal" waits
+    And work "u" of rank "urgent" of team "agdal" waits
+    And an attempt ends
+    Then work "u" runs
+
+  Scenario: A team with many waiting requests does not hold up another team
+    Given 2 attempts of rank "standard" of team "agdal" run
+    When work "a1" of rank "standard" of team "agdal" waits
+    And work "a2" of rank "standard" of team "agdal" waits
+    And work "a3" of rank "standard" of team "agdal" waits
+    And work "s" of rank "standard" of team "erfoud" waits
+    And an attempt ends
+    And an attempt ends
+    Then work "s" runs
+
+  Scenario: Work whose deadline cannot be met is refused at once without having run
+    When work "late" of rank "urgent" of team "agdal" arrives with 10 ms left
+    Then it is refused as "deadline-unreachable" with outcome "not-run"
+
+  Scenario: Waiting work is answered when its deadline passes
+    Given 2 attempts of rank "urgent" of team "agdal" run
+    When work "w" of rank "urgent" of team "agdal" waits
+    And 3000 ms pass
+    Then work "w" failed with "deadline-exceeded"
+
+  Scenario: Exclusive work waits until an upstream is idle and then keeps it to itself
+    Given 1 attempt of rank "urgent" of team "agdal" runs
+    When exclusive work "x" waits
+    And work "n" of rank "urgent" of team "agdal" waits
+    Then work "x" does not run
+    When an attempt ends
+    Then work "x" runs
+    And work "n" does not run
--- /dev/null
+++ b/features/routing.feature
@@ -0,0 +1,24 @@
+Feature: Routing
+  Failing and slow upstreams leave routing, at most a third of a service, and return after a probe.
+
+  Scenario: Not more than a third of the upstreams are ejected
+    Given a router over 6 upstreams
+    When 3 upstreams fail 4 times each
+    Then 2 upstreams are ejected
+
+  Scenario: An ejected upstream returns after a probe succeeds
+    Given a router over 6 upstreams
+    When 1 upstream fails 4 times
+    And the clock moves by 1100 ms
+    And a "standard" probe succeeds
+    Then 0 upstreams are ejected
+
+  Scenario: Urgent work is not used as a probe
+    Given a router over 6 upstreams
+    When 1 upstream fails 4 times
+    And the clock moves by 1100 ms
+    Then "urgent" work is not sent as a probe
+
+  Scenario: All routers agree on the home of a prefix
+    Given a router over 6 upstreams
+    Then two routers send the prefix "kaftan" to the same upstream
--- /dev/null
+++ b/features/steps/routing.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { Rank } from "../../src/configuration/rank.js";
+import { RandomSource } from "../../src/random/random-source.js";
+import { Router } from "../../src/routing/router.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { rankOf, retrievers, retrieval } from "../support/decision-parts.js";
+
+const COST_MS = 100;
+const DEADLINE_MS = 10_000;
+const SLOTS = 4;
+
+interface RouterWorld {
+  timers: ManualTimers;
+  router: Router;
+}
+
+function routerOver(count: number, seed: number, timers: ManualTimers): Router {
+  const configuration = retrievers(count, SLOTS);
+  return Router.create({
+    timers,
+    random: RandomSource.create(seed),
+    configuration: () => configuration,
+    service: "retriever",
+    dataCentre: "fes-a",
+  });
+}
+
+function choice(router: Router, rank: Rank, prompt = "") {
+  const work = { ...retrieval("r", "agdal", rank, DEADLINE_MS), prompt };
+  return router.choose(work, COST_MS, 1);
+}
+
+Given("a router over {int} upstreams", function (this: RouterWorld, count: number) {
+  this.timers = ManualTimers.create();
+  this.router = routerOver(count, 1, this.timers);
+});
+
+When(
+  /^(\d+) upstreams? fails? (\d+) times(?: each)?$/,
+  function (this: RouterWorld, count: string, times: string) {
+    for (const record of this.router.all().slice(0, Number(count))) {
+      for (let at = 0; at < Number(times); at++) this.router.finished(record, false, 0);
+    }
+  },
+);
+
+When("the clock moves by {int} ms", async function (this: RouterWorld, ms: number) {
+  await this.timers.advance(ms);
+});
+
+When("a {string} probe succeeds", function (this: RouterWorld, rank: string) {
+  const routed = choice(this.router, rankOf(rank));
+  assert.equal(routed?.reason, "probe");
+  this.router.finished(routed.record, true, 1);
+});
+
+Then("{int} upstreams are ejected", function (this: RouterWorld, count: number) {
+  const ejected = this.router.all().filter(({ standing }) => standing.kind !== "eligible");
+  assert.equal(ejected.length, count);
+});
+
+Then("{string} work is not sent as a probe", function (this: RouterWorld, rank: string) {
+  assert.notEqual(choice(this.router, rankOf(rank))?.reason, "probe");
+});
+
+Then(
+  "two routers send the prefix {string} to the same upstream",
+  function (this: RouterWorld, prefix: string) {
+    const other = routerOver(6, 2, this.timers);
+    // The first choice only records the prefix; from then on its home has the best score.
+    const homes = [this.router, other].map((router) => {
+      for (let at = 0; at < 20; at++) choice(router, Rank.Standard, prefix);
+      const choices = Array.from({ length: 20 }, () => choice(router, Rank.Standard, prefix));
+      const counted = choices.filter((routed) => routed?.reason === "prefix-home");
+      assert.ok(counted.length > 0);
+      return counted[0]?.record.upstream.id;
+    });
+    assert.equal(homes[0], homes[1]);
+  },
+);
