Remove the placeholder demand source after the merge of peers

Cause: main registered a neutral demand source and its own demand reports; both names were registered twice after the merge, and the types no longer compiled.

--- a/bench/decision-cost.ts
+++ b/bench/decision-cost.ts
@@ -2,7 +2,7 @@
 import { DemandMeter } from "../src/admission/demand-meter.js";
 import { PipelineAdmission } from "../src/admission/pipeline-admission.js";
 import { ServicePools } from "../src/admission/service-pools.js";
-import { SingleInstanceDemand } from "../src/admission/single-instance-demand.js";
+import { SingleInstanceDemand } from "../standin/single-instance-demand.js";
 import { ConfigurationView } from "../src/configuration/configuration-view.js";
 import { Rank } from "../src/configuration/rank.js";
 import { RandomSource } from "../src/random/random-source.js";
--- a/features/steps/admission.ts
+++ b/features/steps/admission.ts
@@ -3,7 +3,7 @@
 import { DemandMeter } from "../../src/admission/demand-meter.js";
 import type { Pool } from "../../src/admission/pool.js";
 import { ServicePools } from "../../src/admission/service-pools.js";
-import { SingleInstanceDemand } from "../../src/admission/single-instance-demand.js";
+import { SingleInstanceDemand } from "../../standin/single-instance-demand.js";
 import type { Slot } from "../../src/admission/slot.js";
 import type { Work } from "../../src/admission/work.js";
 import { ConfigurationView } from "../../src/configuration/configuration-view.js";
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -2,10 +2,8 @@
 import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
 import type { ConsolaInstance } from "consola";
 import { DemandMeter } from "../admission/demand-meter.js";
-import type { DemandReports } from "../admission/demand-reports.js";
 import { PipelineAdmission } from "../admission/pipeline-admission.js";
 import { ServicePools } from "../admission/service-pools.js";
-import { SingleInstanceDemand } from "../admission/single-instance-demand.js";
 import { AnswerLog } from "../caller/answer-log.js";
 import { CallerServer } from "../caller/caller-server.js";
 import { ConfigurationFollower } from "../configuration/configuration-follower.js";
@@ -24,9 +22,7 @@
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { HttpInstanceList } from "../platform/http-instance-list.js";
 import type { InstanceList } from "../platform/instance-list.js";
-import { NeutralDemand } from "../admission/neutral-demand.js";
 import type { DemandReports } from "../admission/demand-reports.js";
-import type { DemandSource } from "../admission/demand-source.js";
 import { Broadcast } from "../peer/broadcast.js";
 import { HeartbeatReports } from "../peer/heartbeat-reports.js";
 import { Heartbeats } from "../peer/heartbeats.js";
@@ -79,7 +75,6 @@
   readonly heartbeatReports: HeartbeatReports;
   readonly demandReports: DemandReports;
   readonly peerVersions: PeerVersions;
-  readonly demandSource: DemandSource;
   readonly heartbeats: Heartbeats;
   readonly listCorrection: ListCorrection;
   readonly membership: Membership;
@@ -93,7 +88,6 @@
   readonly ledgerExpiry: LedgerExpiry;
   readonly clients: UpstreamClients;
   readonly demandSource: DemandMeter;
-  readonly demandReports: DemandReports;
   readonly pools: ServicePools;
   readonly pipelineAdmission: PipelineAdmission;
   readonly answerLog: AnswerLog;
@@ -131,7 +125,6 @@
     heartbeatReports: asFunction(HeartbeatReports.create).singleton(),
     demandReports: aliasTo("heartbeatReports"),
     peerVersions: aliasTo("heartbeatReports"),
-    demandSource: asFunction(() => NeutralDemand.create()).singleton(),
     heartbeats: asFunction(Heartbeats.create).singleton(),
     listCorrection: asFunction(ListCorrection.create).singleton(),
     membership: asFunction(Membership.create).singleton(),
@@ -143,7 +136,6 @@
     ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
     clients: asFunction(() => HttpUpstreamClients.create()).singleton(),
     demandSource: asFunction(DemandMeter.create).singleton(),
-    demandReports: asFunction(() => SingleInstanceDemand.create()).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
     pipelineAdmission: asFunction(PipelineAdmission.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
--- a/src/admission/single-instance-demand.ts
+++ b/standin/single-instance-demand.ts
@@ -1,5 +1,5 @@
-import type { DemandReport } from "./demand-reports.js";
-import type { DemandReports } from "./demand-reports.js";
+import type { DemandReport } from "../src/admission/demand-reports.js";
+import type { DemandReports } from "../src/admission/demand-reports.js";
 
 /** Reports of a daemon that knows no other instance. */
 export class SingleInstanceDemand implements DemandReports {
