--- a/features/admission.feature
+++ b/features/admission.feature
@@ -28,7 +28,7 @@
   Scenario: Waiting work is answered when its deadline passes
     Given 2 attempts of rank "urgent" of team "agdal" run
     When work "w" of rank "urgent" of team "agdal" waits
-    And 3000 ms pass
+    And the pool waits for 3000 ms
     Then work "w" failed with "deadline-exceeded"
 
   Scenario: Exclusive work waits until an upstream is idle and then keeps it to itself
--- a/features/steps/admission.ts
+++ b/features/steps/admission.ts
@@ -85,7 +85,7 @@
   await this.timers.advance(0);
 });
 
-When("{int} ms pass", async function (this: PoolWorld, ms: number) {
+When("the pool waits for {int} ms", async function (this: PoolWorld, ms: number) {
   await this.timers.advance(ms);
 });
 
