--- a/src/admission/service-pool.ts
+++ b/src/admission/service-pool.ts
@@ -23,7 +23,7 @@
  * Slots lent beyond the limits: instances choose without seeing each other's latest choices, so at
  * exactly the limit some upstreams queue while others idle.
  */
-const OVERCOMMIT = 1.15;
+const OVERCOMMIT = 1.05;
 const BUSY = 0.6;
 
 /** Admission and routing for one service: a short ranked queue in front of the router. */
