--- a/src/admission/service-pool.ts
+++ b/src/admission/service-pool.ts
@@ -1,81 +1,240 @@
-import type { Upstream } from "../configuration/configuration-document.js";
-import { UpstreamState } from "../configuration/upstream-state.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
-import type { DecisionLog } from "../decision/decision-log.js";
+import type { Routed } from "../routing/routed.js";
+import type { AttemptResult } from "./attempt-result.js";
+import { Backlog } from "./backlog.js";
 import type { Estimate } from "./estimate.js";
+import { LearntCost } from "./learnt-cost.js";
 import type { Pool } from "./pool.js";
+import { refuseLine, routeLine } from "./decision-lines.js";
+import { refusal } from "./refusal.js";
+import type { ServicePoolParts } from "./service-pool-parts.js";
 import type { Slot } from "./slot.js";
+import { Tier } from "./tier.js";
+import { WaitingQueue } from "./waiting-queue.js";
+import type { WaitingWork } from "./waiting-work.js";
 import type { Work } from "./work.js";
 
-const INITIAL_SERVICE_MS = 100;
+const RETRY_PUMP_MS = 50;
+const LEAST_SLOTS = 1;
+/** Work with less time than this part of its expected service time would end late. */
+const LEAST_PART = 0.9;
+/**
+ * Slots lent beyond the limits: instances choose without seeing each other's latest choices, so at
+ * exactly the limit some upstreams queue while others idle.
+ */
+const OVERCOMMIT = 1.05;
+const BUSY = 0.6;
 
-/** A pool that sends work to the upstream with the fewest requests in flight. */
+/** Admission and routing for one service: a short ranked queue in front of the router. */
 export class ServicePool implements Pool {
-  private readonly inFlight = new Map<string, number>();
+  private readonly queue: WaitingQueue;
+  private readonly exclusive: WaitingWork[] = [];
+  private readonly backlog = Backlog.create();
+  private readonly cost = LearntCost.create();
+  private inFlight = 0;
+  private pumpPending = false;
 
-  private constructor(
-    private readonly upstreams: () => readonly Upstream[],
-    private readonly decisionLog: DecisionLog,
-  ) {}
+  private constructor(private readonly parts: ServicePoolParts) {
+    this.queue = WaitingQueue.create(parts.configuration);
+  }
 
-  static create(upstreams: () => readonly Upstream[], decisionLog: DecisionLog): ServicePool {
-    return new ServicePool(upstreams, decisionLog);
+  static create(parts: ServicePoolParts): ServicePool {
+    return new ServicePool(parts);
   }
 
   acquire(work: Work, signal: AbortSignal): Promise<Slot> {
     if (signal.aborted) return Promise.reject(signal.reason as Error);
-    const candidates = this.upstreams()
-      .filter((upstream) => upstream.state === UpstreamState.Active)
-      .filter((upstream) => !work.excluded.has(upstream.id))
-      .map((upstream) => ({ upstream, load: this.inFlight.get(upstream.id) ?? 0 }))
-      .sort((a, b) => a.load - b.load);
-    const [first] = candidates;
-    if (first === undefined) {
-      return Promise.reject(
-        ServeError.create(ErrorKind.NoUpstream, `no upstream for ${work.stage}`),
-      );
+    const costMs = this.cost.expected(work.costMs);
+    let tier = this.backlog.tier(work);
+    if (tier === undefined) {
+      // A repeated attempt is not new demand of the caller; its first one was admitted.
+      const repeated = work.excluded.size > 0;
+      tier = repeated ? Tier.Target : this.offer(work);
+      const leftMs = work.deadline - this.parts.timers.now();
+      // Refusing a repeated attempt would waste the stages that ran; the queue drops it if it is late.
+      const refused = repeated ? undefined : refusal(work, leftMs, [this.estimate(work, tier)]);
+      if (refused !== undefined) {
+        this.parts.decisionLog.write(refuseLine(work, refused));
+        return Promise.reject(refused);
+      }
+      if (repeated) this.backlog.add(work, tier, costMs);
+      else this.reserve(work, tier);
+    }
+    if (!this.parts.router.possible(work)) {
+      this.backlog.remove(work);
+      const detail = `no upstream for ${work.stage}`;
+      return Promise.reject(ServeError.create(ErrorKind.NoUpstream, detail));
     }
-    this.log(work, candidates, first.upstream.id);
-    return Promise.resolve(this.slot(first.upstream));
+    return new Promise((resolve, reject) => {
+      this.wait(work, tier, costMs, signal, resolve, reject);
+      this.pump();
+    });
   }
 
-  estimate(): Estimate {
-    return { waitMs: 0, serviceMs: INITIAL_SERVICE_MS };
+  estimate(work: Work, tier = this.queue.tier(work)): Estimate {
+    const { timers } = this.parts;
+    const now = timers.now();
+    this.backlog.expire(now);
+    const costMs = this.cost.expected(work.costMs);
+    const serviceMs = this.cost.cautious(work.costMs);
+    const budget = this.budget();
+    const ahead = this.backlog.ahead(work, tier);
+    const before = this.backlog.before(work, tier, costMs);
+    if (ahead + before === 0 && this.inFlight < budget) return { waitMs: 0, serviceMs };
+    const available = this.queue.available(work, tier, budget, now);
+    const inOrder = ahead / budget + before / (budget * available);
+    // A rank below its floor does not wait for the work ahead of it.
+    const byFloor = (before + costMs) / (budget * this.queue.floorOf(work));
+    return { waitMs: Math.min(inOrder, byFloor), serviceMs };
   }
 
-  private slot(upstream: Upstream): Slot {
-    this.add(upstream.id, 1);
-    return {
-      upstream,
-      release: () => {
-        this.add(upstream.id, -1);
-      },
-    };
+  /** Records that a caller asked for work, whether or not it is admitted; returns its tier. */
+  offer(work: Work): Tier {
+    const { demandSource, limitPart, service, timers } = this.parts;
+    const costMs = this.cost.expected(work.costMs);
+    demandSource.offer(service, work.rank, work.team, costMs);
+    return this.queue.offer(work, costMs, limitPart.fairPart(work.rank, work.team), timers.now());
   }
 
-  private add(id: string, change: number): void {
-    this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + change);
+  /** Counts admitted work that will ask for a slot after earlier stages. */
+  reserve(work: Work, tier: Tier): void {
+    this.queue.admit(work);
+    this.backlog.add(work, tier, this.cost.expected(work.costMs));
   }
 
-  private log(
+  private wait(
     work: Work,
-    candidates: readonly { upstream: Upstream; load: number }[],
-    choice: string,
+    tier: Tier,
+    costMs: number,
+    signal: AbortSignal,
+    resolve: (slot: Slot) => void,
+    reject: (error: Error) => void,
   ): void {
-    const { request, team, className, stage } = work;
-    this.decisionLog.write({
-      kind: "route",
-      request,
-      team,
-      className,
-      stage,
-      candidates: candidates.map(({ upstream, load }) => ({
-        upstream: upstream.id,
-        scoreMs: load,
-      })),
-      choice,
-      reason: "fewest-in-flight",
+    const leave = (error: Error): void => {
+      item.abandoned = true;
+      this.backlog.remove(work);
+      signal.removeEventListener("abort", abort);
+      timeout.cancel();
+      reject(error);
+    };
+    const abort = (): void => {
+      leave(signal.reason as Error);
+    };
+    const timeout = this.parts.timers.after(work.deadline - this.parts.timers.now(), () => {
+      leave(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline passed in the queue"));
+    });
+    signal.addEventListener("abort", abort, { once: true });
+    const item: WaitingWork = {
+      work,
+      tier,
+      costMs,
+      abandoned: false,
+      refuse: () => {
+        const detail = `${work.stage}: the time left is shorter than the service time`;
+        leave(ServeError.create(ErrorKind.DeadlineUnreachable, detail));
+      },
+      start: (routed) => {
+        signal.removeEventListener("abort", abort);
+        timeout.cancel();
+        this.backlog.remove(work);
+        resolve(this.slot(work, costMs, routed));
+      },
+    };
+    if (work.exclusive === true) this.exclusive.push(item);
+    else this.queue.push(item);
+  }
+
+  private pump(): void {
+    this.startExclusive();
+    const now = this.parts.timers.now();
+    while (this.inFlight < this.budget()) {
+      const item = this.queue.pop(now);
+      if (item === undefined) return;
+      if (item.work.deadline - now < LEAST_PART * item.costMs) {
+        item.refuse();
+        continue;
+      }
+      const routed = this.parts.router.choose(item.work, item.costMs, this.ownPart());
+      if (routed === undefined) {
+        this.queue.push(item);
+        if (this.inFlight === 0) this.pumpLater();
+        return;
+      }
+      item.start(routed);
+    }
+  }
+
+  private startExclusive(): void {
+    while (this.exclusive[0]?.abandoned === true) this.exclusive.shift();
+    const [item] = this.exclusive;
+    if (item === undefined) return;
+    const routed = this.parts.router.chooseAlone(item.work);
+    if (routed === undefined) {
+      if (this.inFlight === 0) this.pumpLater();
+      return;
+    }
+    this.exclusive.shift();
+    item.start(routed);
+  }
+
+  private pumpLater(): void {
+    if (this.pumpPending) return;
+    this.pumpPending = true;
+    this.parts.timers.after(RETRY_PUMP_MS, () => {
+      this.pumpPending = false;
+      this.pump();
     });
   }
+
+  private slot(work: Work, costMs: number, routed: Routed): Slot {
+    const { record } = routed;
+    this.inFlight += 1;
+    record.inFlight += 1;
+    this.queue.serve(work, costMs, this.parts.timers.now());
+    this.parts.decisionLog.write(routeLine(work, routed));
+    return {
+      upstream: record.upstream,
+      release: (result) => {
+        this.inFlight -= 1;
+        record.inFlight -= 1;
+        if (work.exclusive === true) record.reserved = false;
+        this.learn(work, costMs, routed, result);
+        this.pump();
+      },
+    };
+  }
+
+  private learn(work: Work, costMs: number, routed: Routed, result: AttemptResult): void {
+    const { router } = this.parts;
+    switch (result.kind) {
+      case "succeeded":
+        this.cost.learn(work.costMs, result.durationMs);
+        router.finished(routed.record, true, result.durationMs / costMs);
+        return;
+      case "failed":
+        router.finished(routed.record, false, 0);
+        return;
+      case "cancelled":
+        router.cancelled(routed.record);
+    }
+  }
+
+  /** Slots that this instance may use at once. */
+  private budget(): number {
+    const capacity = this.parts.router.capacity();
+    return Math.max(
+      LEAST_SLOTS,
+      Math.round(OVERCOMMIT * capacity * this.parts.limitPart.of(capacity)),
+    );
+  }
+
+  /**
+   * Part of each upstream's limit that this instance may fill; all of it while the service has
+   * room, because then a short overlap of instances costs less than a lost prefix home.
+   */
+  private ownPart(): number {
+    const busy = this.inFlight >= BUSY * this.budget();
+    return busy ? this.parts.limitPart.of(this.parts.router.capacity()) : 1;
+  }
 }
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -1,8 +1,9 @@
 import { randomInt } from "node:crypto";
 import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
 import type { ConsolaInstance } from "consola";
+import { DemandMeter } from "../admission/demand-meter.js";
+import { PipelineAdmission } from "../admission/pipeline-admission.js";
 import { ServicePools } from "../admission/service-pools.js";
-import type { Pools } from "../admission/pools.js";
 import { AnswerFinder } from "../caller/answer-finder.js";
 import { AnswerLog } from "../caller/answer-log.js";
 import { AnswerReads } from "../caller/answer-reads.js";
@@ -27,9 +28,7 @@
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { HttpInstanceList } from "../platform/http-instance-list.js";
 import type { InstanceList } from "../platform/instance-list.js";
-import { NeutralDemand } from "../admission/neutral-demand.js";
 import type { DemandReports } from "../admission/demand-reports.js";
-import type { DemandSource } from "../admission/demand-source.js";
 import { Broadcast } from "../peer/broadcast.js";
 import { HeartbeatReports } from "../peer/heartbeat-reports.js";
 import { Heartbeats } from "../peer/heartbeats.js";
@@ -90,7 +89,6 @@
   readonly heartbeatReports: HeartbeatReports;
   readonly demandReports: DemandReports;
   readonly peerVersions: PeerVersions;
-  readonly demandSource: DemandSource;
   readonly heartbeats: Heartbeats;
   readonly listCorrection: ListCorrection;
   readonly membership: Membership;
@@ -104,8 +102,10 @@
   readonly ledgerExpiry: LedgerExpiry;
   readonly retryBudget: RetryBudget;
   readonly clients: UpstreamClients;
-  readonly pools: Pools;
   readonly configurationRegistry: ConfigurationRegistry;
+  readonly demandSource: DemandMeter;
+  readonly pools: ServicePools;
+  readonly pipelineAdmission: PipelineAdmission;
   readonly answerLog: AnswerLog;
   readonly answerFinder: AnswerFinder;
   readonly answerReads: AnswerReads;
@@ -151,7 +151,6 @@
     heartbeatReports: asFunction(HeartbeatReports.create).singleton(),
     demandReports: aliasTo("heartbeatReports"),
     peerVersions: aliasTo("heartbeatReports"),
-    demandSource: asFunction(() => NeutralDemand.create()).singleton(),
     heartbeats: asFunction(Heartbeats.create).singleton(),
     listCorrection: asFunction(ListCorrection.create).singleton(),
     membership: asFunction(Membership.create).singleton(),
@@ -162,7 +161,9 @@
     claimHolders: asFunction(ClaimHolders.create).singleton(),
     ledger: asFunction(TableLedger.create).singleton(),
     ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
+    demandSource: asFunction(DemandMeter.create).singleton(),
     pools: asFunction(ServicePools.create).singleton(),
+    pipelineAdmission: asFunction(PipelineAdmission.create).singleton(),
     answerLog: asFunction(AnswerLog.create).singleton(),
     answerFinder: asFunction(AnswerFinder.create).singleton(),
     answerReads: asFunction(AnswerReads.create).singleton(),
