Write every decision line with its fields

Cause: consola moves the fields of an object with a message to the log entry, so lines held the message only; and it drops repeats of a message within a second, so most decisions were lost. Ruled out: a loss in the pipe of the daemon's output; a line reader shows the same lines. Change: the line is built from the entry's fields in both formats, and throttling is off.

--- a/src/decision/logger.ts
+++ b/src/decision/logger.ts
@@ -8,23 +8,42 @@
   debug: 4,
 };
 
-/** The process's log: JSON lines on standard output, or readable lines on a terminal. */
+/** Keys of a consola entry that are not fields of the line. */
+const ENTRY_KEYS: ReadonlySet<string> = new Set(["date", "type", "args", "level", "tag"]);
+
+/** The process's log: JSON lines on standard output, or readable lines for a terminal. */
 export function createLogger(parts: { settings: Settings }): ConsolaInstance {
   const { log, instance } = parts.settings;
-  const level = LEVELS[log.level];
-  if (log.format === "pretty") return createConsola({ level });
+  const line = log.format === "pretty" ? prettyLine : jsonLine;
   return createConsola({
-    level,
-    reporters: [{ log: (entry) => process.stdout.write(`${jsonLine(entry, instance.id)}\n`) }],
+    level: LEVELS[log.level],
+    // Consola would otherwise drop lines that repeat a message within a second.
+    throttle: 0,
+    reporters: [{ log: (entry) => process.stdout.write(`${line(entry, instance.id)}\n`) }],
   });
 }
 
 function jsonLine(entry: LogObject, instance: string): string {
-  const fields = entry.args.map((argument) =>
-    typeof argument === "object" && !(argument instanceof Error)
-      ? (argument as object)
-      : { message: String(argument) },
+  const { date, type } = entry;
+  const head = { time: date.toISOString(), level: type, instance, message: messageOf(entry) };
+  return JSON.stringify({ ...head, ...fieldsOf(entry) });
+}
+
+function prettyLine(entry: LogObject): string {
+  const fields = Object.entries(fieldsOf(entry)).map(
+    ([name, value]) => `${name}=${JSON.stringify(value)}`,
   );
-  const head = { time: entry.date.toISOString(), level: entry.type, instance };
-  return JSON.stringify(Object.assign(head, ...fields));
+  return [entry.date.toISOString(), entry.type, messageOf(entry), ...fields].join(" ");
+}
+
+function messageOf({ args }: LogObject): string {
+  return args.map((argument) => String(argument)).join(" ");
+}
+
+/**
+ * Consola moves the fields of an object with a `message` to the entry itself and leaves only the
+ * message in the arguments.
+ */
+function fieldsOf(entry: LogObject): Record<string, unknown> {
+  return Object.fromEntries(Object.entries(entry).filter(([key]) => !ENTRY_KEYS.has(key)));
 }
--- a/standin/child.ts
+++ b/standin/child.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, fork } from "node:child_process";
 import { once } from "node:events";
+import { createInterface } from "node:readline";
 
 /** A process of a test or of the demo; it is ended with its parent at the latest. */
 export class Child {
@@ -12,16 +13,10 @@
   static async create(program: string, options: readonly string[]): Promise<Child> {
     const started = fork(program, options, { stdio: ["ignore", "pipe", "pipe", "ipc"] });
     const lines: string[] = [];
-    const keep = (data: Buffer): void => {
-      lines.push(
-        ...data
-          .toString()
-          .split("\n")
-          .filter((line) => line !== ""),
-      );
-    };
-    started.stdout?.on("data", keep);
-    started.stderr?.on("data", keep);
+    for (const stream of [started.stdout, started.stderr]) {
+      if (stream !== null)
+        createInterface({ input: stream }).on("line", (line) => lines.push(line));
+    }
     const exited = once(started, "exit").then(() => {
       throw new Error(`${program} ended before it was ready:\n${lines.join("\n")}`);
     });
