Admit requests at the intake, measure them, and let callers mark a resend

Cause: requests that could not meet their deadline were refused only at each pool, and no metric was sent. A resent request that was refused before the ledger was asked was told not-run although an earlier request with its key may have run. Change: the intake asks PipelineAdmission; a request marked as resend asks the ledger first and is told not-run only if its claim stands. Ended requests are counted; status shows classes. Ruled out: asking the ledger first for every request, which costs two of the table's writes for each refused one in a flood. Conclusion: refusals come at once; the resend rule needs its test.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -2,6 +2,7 @@
 // pipeline while an operator changes a target and removes an upstream and one daemon stops, and
 // prints what was served, where and how fast. Exits 1 if an answer is missing or incomplete.
 import { setTimeout as delay } from "node:timers/promises";
+import { z } from "zod";
 import { post } from "../features/support/caller.js";
 import { OperatorClient } from "../src/client/operator-client.js";
 import { SystemTimers } from "../src/time/system-timers.js";
@@ -67,25 +68,28 @@
   return performance.now() - start;
 }
 
+/** The version that a change led to. */
+async function accepted(result: Promise<unknown>): Promise<number> {
+  return z.object({ change: z.object({ version: z.number() }) }).parse(await result).change.version;
+}
+
 /** Changes the configuration, then stops one daemon, which `balanced` no longer holds by then. */
 async function operate(daemons: readonly FleetDaemon[], balanced: FleetDaemon[]): Promise<void> {
   const [first, , last] = daemons;
   if (first === undefined || last === undefined) throw new Error("the demo needs three daemons");
   const operator = operatorOf(first);
   const target = { changeId: "demo-target", timeMs: 2_000, share: 0.95 };
-  const targeted = (await operator.change("PUT", "/v1/classes/chat/target", target)) as {
-    version: number;
-  };
+  const targeted = await accepted(operator.change("PUT", "/v1/classes/chat/target", target));
   print(
-    `target of chat changed: version ${targeted.version}, in force on 3 daemons after ${(
-      await inForce(daemons, targeted.version)
+    `target of chat changed: version ${targeted}, in force on 3 daemons after ${(
+      await inForce(daemons, targeted)
     ).toFixed(0)} ms`,
   );
   const path = "/v1/upstreams/advice-3?changeId=demo-removal";
-  const removed = (await operator.change("DELETE", path)) as { version: number };
+  const removed = await accepted(operator.change("DELETE", path));
   print(
-    `upstream advice-3 leaving: version ${removed.version}, in force on 3 daemons after ${(
-      await inForce(daemons, removed.version)
+    `upstream advice-3 leaving: version ${removed}, in force on 3 daemons after ${(
+      await inForce(daemons, removed)
     ).toFixed(0)} ms`,
   );
   balanced.pop();
@@ -98,12 +102,12 @@
   daemons: 3,
   services: { encoder: 2, retriever: 2, reranker: 2, advice: 3, booking: 2 },
 });
-let served: DemoRequest[] = [];
+const served: DemoRequest[] = [];
 try {
   const balanced = [...fleet.daemons];
   print(`3 daemons and ${fleet.upstreams.size} upstreams run on loopback`);
   const [requests] = await Promise.all([sendAll(balanced), operate(fleet.daemons, balanced)]);
-  served = [...requests, ...(await sendAll(balanced))];
+  served.push(...requests, ...(await sendAll(balanced)));
   print("\nclass     sent  whole  median ms  slowest ms");
   for (const { className, sent, whole, medianMs, slowestMs } of classFigures(served)) {
     const cells = [sent, whole, medianMs.toFixed(0), slowestMs.toFixed(0)];
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,6 +22,7 @@
     const { configurationFollower, callerServer, peerServer, log, settings } = this.parts;
     const { membership, pauseDetection, readiness } = this.parts;
     pauseDetection.start();
+    this.parts.metrics.start();
     this.parts.answerReads.start();
     registerAttemptQuery(this.parts);
     this.parts.ledgerExpiry.start();
@@ -75,5 +76,6 @@
     await peerServer.close();
     await peerCalls.close();
     await clients.close();
+    await this.parts.metrics.stop();
   }
 }
--- a/src/operator/operator-server.ts
+++ b/src/operator/operator-server.ts
@@ -10,6 +10,7 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import { createLimitedServer } from "../http/limited-server.js";
+import type { Metrics } from "../metrics/metrics.js";
 import type { Members } from "../peer/members.js";
 import type { PeerVersions } from "../peer/peer-versions.js";
 import type { RandomSource } from "../random/random-source.js";
@@ -35,6 +36,7 @@
   readonly members: Members;
   readonly peerVersions: PeerVersions;
   readonly answerLog: AnswerLog;
+  readonly metrics: Pick<Metrics, "attainment">;
   readonly random: RandomSource;
 }
 
--- a/src/operator/operator-status.ts
+++ b/src/operator/operator-status.ts
@@ -2,6 +2,10 @@
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import type { UpstreamState } from "../configuration/upstream-state.js";
 import type { Readiness, UnreadyReason } from "../daemon/readiness.js";
+import type { Rank } from "../configuration/rank.js";
+import type { Target } from "../configuration/configuration-document.js";
+import type { ClassAttainment } from "../metrics/attainment-window.js";
+import type { Metrics } from "../metrics/metrics.js";
 import type { MemberState } from "../peer/member-state.js";
 import type { Members } from "../peer/members.js";
 import type { PeerVersions } from "../peer/peer-versions.js";
@@ -14,6 +18,13 @@
   readonly members: Members;
   readonly peerVersions: PeerVersions;
   readonly answerLog: AnswerLog;
+  readonly metrics: Pick<Metrics, "attainment">;
+}
+
+/** Attainment of a class beside its target. */
+export interface ClassStatus extends ClassAttainment {
+  readonly rank: Rank | undefined;
+  readonly target: Target | undefined;
 }
 
 /** What one instance tells operators about itself and about the others. */
@@ -24,6 +35,8 @@
   readonly reasons: readonly UnreadyReason[];
   readonly configurationVersion: number;
   readonly requestsInProgress: number;
+  /** Classes with requests in the last five minutes, beside their targets. */
+  readonly classes: readonly ClassStatus[];
   readonly upstreams: readonly {
     readonly id: string;
     readonly service: string;
@@ -53,6 +66,7 @@
     reasons: readiness.reasons,
     configurationVersion: configurationView.version,
     requestsInProgress: answerLog.inProgress,
+    classes: classStatus(parts),
     upstreams: upstreams.map(({ id, service, dataCentre, state }) => ({
       id,
       service,
@@ -67,3 +81,10 @@
     }),
   };
 }
+
+function classStatus({ metrics, configurationView }: Parts): ClassStatus[] {
+  return metrics.attainment().map((attainment) => {
+    const workClass = configurationView.configuration?.workClass(attainment.className);
+    return { ...attainment, rank: workClass?.rank, target: workClass?.target };
+  });
+}
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import { nanoid } from "nanoid";
+import type { PipelineAdmission } from "../admission/pipeline-admission.js";
 import type { AnswerLog } from "../caller/answer-log.js";
 import type { AnswerRecord } from "../caller/answer-record.js";
 import type { Pipeline } from "../configuration/configuration-document.js";
@@ -9,6 +10,7 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { type Problem, problemOf } from "../error/problem.js";
 import { ServeError } from "../error/serve-error.js";
+import type { Metrics } from "../metrics/metrics.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Settings } from "../settings/settings.js";
 import type { AttemptRegistry } from "./attempt-registry.js";
@@ -26,6 +28,8 @@
   readonly settings: Settings;
   readonly random: RandomSource;
   readonly newRequests: NewRequests;
+  readonly pipelineAdmission: Pick<PipelineAdmission, "admit">;
+  readonly metrics: Pick<Metrics, "requestEnded">;
 }
 
 /** A caller's request as it came in. */
@@ -46,9 +50,20 @@
 
   /** Starts a request and returns its answer, which fills as it runs. Throws if it is refused. */
   start(incoming: IncomingRequest): AnswerRecord {
+    try {
+      return this.admitted(incoming);
+    } catch (error) {
+      throw incoming.body.resend
+        ? ServeError.from(error, ErrorKind.Internal).afterDispatch()
+        : error;
+    }
+  }
+
+  private admitted(incoming: IncomingRequest): AnswerRecord {
     this.parts.newRequests.check();
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
+    if (request.resend !== true) this.parts.pipelineAdmission.admit(request);
     const record = this.parts.answerLog.start(request.id, request.team);
     void this.run(configuration, request, record);
     return record;
@@ -68,12 +83,15 @@
     });
     try {
       if (once === undefined || (await once.claim(stop.signal))) {
+        if (request.resend === true) this.parts.pipelineAdmission.admit(request);
         await PipelineRun.create(this.parts, configuration, request, state, record).run(
           stop.signal,
         );
       }
     } catch (error) {
-      const problem = this.problem(error, !state.abandon());
+      // Without a claim it is not known whether an earlier request with the key ran.
+      const unknown = request.resend === true && once?.claimed !== true;
+      const problem = this.problem(error, !state.abandon() || unknown);
       record.fail(once !== undefined && state.dispatched ? withoutRetry(problem) : problem);
     } finally {
       timeout.cancel();
@@ -81,9 +99,25 @@
       else once?.finish();
       attemptStates.settle(request.id);
       answerLog.retire(record);
+      this.measure(request, record);
     }
   }
 
+  private measure(request: ServeRequest, record: AnswerRecord): void {
+    const { workClass, team, arrival } = request;
+    const durationMs = this.parts.timers.now() - arrival;
+    const last = record.page(record.size - 1)[0]?.event;
+    const error = last?.kind === "error" ? last.problem.kind : undefined;
+    this.parts.metrics.requestEnded({
+      className: workClass.name,
+      rank: workClass.rank,
+      team,
+      durationMs,
+      attained: error === undefined && durationMs <= workClass.target.timeMs,
+      error,
+    });
+  }
+
   private runOnce(
     configuration: Configuration,
     request: ServeRequest,
@@ -138,6 +172,7 @@
       deadline: arrival + body.deadlineMs,
       contentDigest: createHash("sha256").update(content).digest("hex"),
       idempotencyKey: incoming.idempotencyKey,
+      resend: body.resend,
     };
   }
 
--- a/src/pipeline/run-once.ts
+++ b/src/pipeline/run-once.ts
@@ -39,12 +39,17 @@
     return new RunOnce(parts, entry, state, record);
   }
 
+  /** Whether the table confirmed the claim, so that no other request with the key can run. */
+  get claimed(): boolean {
+    return this.held !== undefined;
+  }
+
   /**
    * Resolves with true if the request may dispatch. Resolves with false once the record is filled
    * with the answer of an earlier request with the same key.
    */
   async claim(signal: AbortSignal): Promise<boolean> {
-    const answer = await untilAborted(this.claimed(), signal);
+    const answer = await untilAborted(this.ask(), signal);
     switch (answer.kind) {
       case "claimed":
         return true;
@@ -73,7 +78,7 @@
     });
   }
 
-  private async claimed(): Promise<ClaimAnswer> {
+  private async ask(): Promise<ClaimAnswer> {
     const answer = await this.parts.ledger.claim(this.entry);
     if (answer.kind === "claimed") {
       // The request may have been abandoned while the table confirmed the claim.
--- a/src/pipeline/serve-request.ts
+++ b/src/pipeline/serve-request.ts
@@ -16,4 +16,6 @@
   /** SHA-256 of pipeline and input in hex; the same for each resend. */
   readonly contentDigest: string;
   readonly idempotencyKey: string | undefined;
+  /** Whether the caller says that an earlier request with the key had no final answer. */
+  readonly resend?: boolean;
 }
