Test the outcome that a refused resend is told

Cause: the resend rule of the intake had no scenario. Conclusion: a resend is told not-run only when its claim stands.

--- a/features/run-once.feature
+++ b/features/run-once.feature
@@ -31,3 +31,11 @@
 
   Scenario: A request is dispatched or abandoned, never both
     Then for any order of dispatch and abandonment the request state allows one of them
+
+  Scenario: A resent request that is refused before the ledger was asked isn't told not-run
+    Given 2 instances
+    Then a booking that ran, resent to a draining instance, gets "may-have-run", a new one "not-run"
+
+  Scenario: A resent request whose claim stands is told not-run
+    Given 1 instances
+    Then a booking marked as resent whose key is new and which is refused gets "not-run" and released
--- a/features/steps/run-once.ts
+++ b/features/steps/run-once.ts
@@ -13,6 +13,8 @@
 
 const KEY = "deposit-1";
 const SEED = 20_263;
+/** Less than the first estimate of a call, which is 50 ms. */
+const UNREACHABLE_MS = 40;
 
 interface EndProblem {
   readonly kind: string;
@@ -113,6 +115,32 @@
   },
 );
 
+Then(
+  "a booking that ran, resent to a draining instance, gets {string}, a new one {string}",
+  async function (resent: string, fresh: string) {
+    const hosts = CallerHosts.of(this);
+    await hosts.post(hosts.at(1), "booking", { key: KEY });
+    hosts.at(2).parts.newRequests.refuse();
+    const second = await hosts.post(hosts.at(2), "booking", { key: KEY, resend: true });
+    const other = await hosts.post(hosts.at(2), "booking", { key: "deposit-2" });
+    assert.equal((second.body as EndProblem).outcome, resent);
+    assert.equal((other.body as EndProblem).outcome, fresh);
+    assert.deepEqual(callsOf(hosts), [1, 0]);
+  },
+);
+
+Then(
+  "a booking marked as resent whose key is new and which is refused gets {string} and released",
+  async function (outcome: string) {
+    const hosts = CallerHosts.of(this);
+    const exchange = { key: KEY, resend: true, deadlineMs: UNREACHABLE_MS };
+    const { kind, outcome: told } = endProblem(await hosts.post(hosts.first, "booking", exchange));
+    assert.deepEqual([kind, told], [ErrorKind.DeadlineUnreachable, outcome]);
+    assert.equal(hosts.ledger.released.length, 1);
+    assert.deepEqual(callsOf(hosts), [0]);
+  },
+);
+
 Then("for any order of dispatch and abandonment the request state allows one of them", function () {
   const steps = fc.array(fc.constantFrom("dispatch", "abandon", "wait"), { maxLength: 12 });
   const property = fc.property(steps, (names) => {
--- a/features/support/caller-hosts.ts
+++ b/features/support/caller-hosts.ts
@@ -16,6 +16,7 @@
   readonly stream?: boolean;
   readonly deadlineMs?: number;
   readonly signal?: AbortSignal;
+  readonly resend?: boolean;
 }
 
 /** The instances of a scenario, which share peers and a ledger. */
@@ -51,6 +52,7 @@
   /** Posts to a pipeline without reading the answer. */
   begin(host: CallerHost, pipeline: string, exchange: Exchange = {}): Promise<Response> {
     const { key, text = "hello", stream = true, deadlineMs = 5_000, signal } = exchange;
+    const { resend = false } = exchange;
     return fetch(`${host.url}/v1/pipelines/${pipeline}/requests`, {
       method: "POST",
       headers: {
@@ -58,7 +60,7 @@
         "content-type": "application/json",
         ...(key === undefined ? {} : { "idempotency-key": key }),
       },
-      body: JSON.stringify({ class: "fitting", deadlineMs, input: { text }, stream }),
+      body: JSON.stringify({ class: "fitting", deadlineMs, input: { text }, stream, resend }),
       signal: signal ?? null,
     });
   }
