Accept the first configuration on version 0

Cause: only the test fleet could store version 1; a new deployment answered every change with not-ready, so no daemon would ever serve. Change: version 0 is the empty document; the first change is accepted on it like any other, with the head row required to be absent. Ruled out: a command that writes to the table directly, which would need the table's credential at the operator and a second way to accept a version. Conclusion: a deployment can be started with the operators' client alone.

--- a/features/steps/operator-client.ts
+++ b/features/steps/operator-client.ts
@@ -1,14 +1,8 @@
 import assert from "node:assert/strict";
-import { execFile } from "node:child_process";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { Then, When } from "@cucumber/cucumber";
-import { OPERATOR_CREDENTIAL } from "../../standin/fleet.js";
 import { CallerHosts } from "../support/caller-hosts.js";
+import { runClient } from "../support/client-run.js";
 
-const PROGRAM = fileURLToPath(new URL("../../src/program/nutmegstage.js", import.meta.url));
 const FLOORS = { standard: 0.1, background: 0.02 };
 
 async function assertRun(
@@ -18,22 +12,8 @@
   text: string,
   document?: object,
 ): Promise<void> {
-  const directory = await mkdtemp(join(tmpdir(), "nutmegstage-"));
-  const credential = join(directory, "credential");
-  await writeFile(credential, OPERATOR_CREDENTIAL);
-  await writeFile(join(directory, "document.json"), JSON.stringify(document ?? {}));
-  const env = {
-    ...process.env,
-    NUTMEGSTAGE_SERVER: CallerHosts.of(scenario).first.operators,
-    NUTMEGSTAGE_CREDENTIAL_FILE: credential,
-  };
-  const result = await new Promise<{ code: number; output: string }>((resolve) => {
-    const command = [PROGRAM, ...options];
-    execFile(process.execPath, command, { env, cwd: directory }, (error, out, err) => {
-      resolve({ code: Number(error?.code ?? 0), output: out + err });
-    });
-  });
-  await rm(directory, { recursive: true });
+  const { operators } = CallerHosts.of(scenario).first;
+  const result = await runClient(operators, options, document);
   assert.equal(result.code, code, result.output);
   assert.ok(result.output.includes(text), result.output);
 }
--- a/features/steps/path.ts
+++ b/features/steps/path.ts
@@ -4,6 +4,7 @@
 import { Fleet } from "../../standin/fleet.js";
 import { sampleCredentials } from "../../standin/sample-configuration.js";
 import { post } from "../support/caller.js";
+import { serviceCounts } from "../support/service-counts.js";
 import type { ScenarioWorld } from "../support/world.js";
 
 const DEADLINE_MS = 5_000;
@@ -12,13 +13,9 @@
 Given(
   /^a fleet of (\d+) daemons with (.+)$/,
   async function (this: ScenarioWorld, daemons: string, services: string) {
-    const counts = services.split(", ").map((part) => {
-      const [name = "", count] = part.split(" ");
-      return [name, Number(count)] as const;
-    });
     this.fleet = await Fleet.create({
       daemons: Number(daemons),
-      services: Object.fromEntries(counts),
+      services: serviceCounts(services),
     });
   },
 );
--- a/src/client/configuration-commands.ts
+++ b/src/client/configuration-commands.ts
@@ -1,7 +1,7 @@
 import { Command, InvalidArgumentError } from "commander";
 import { nanoid } from "nanoid";
 import { z } from "zod";
-import { documentSchema } from "../configuration/configuration-document.js";
+import { documentSchema, emptyDocument } from "../configuration/configuration-document.js";
 import { documentDifference } from "../configuration/document-difference.js";
 import { refusalText } from "../operator/refusal-text.js";
 import type { Timers } from "../time/timers.js";
@@ -10,7 +10,7 @@
 import { ExitCode } from "./exit-code.js";
 import { waitForVersion } from "./version-wait.js";
 
-const shownSchema = z.object({ version: z.number(), document: documentSchema });
+const shownSchema = z.object({ version: z.number(), document: z.unknown() });
 const acceptedSchema = z.object({ change: z.object({ version: z.number() }) });
 
 interface ApplyOptions {
@@ -42,7 +42,11 @@
     .command("apply")
     .description("replace the configuration by a document in JSON")
     .argument("<file>", "the document, as `config show --json` prints it under `document`")
-    .requiredOption("--base-version <n>", "version that the document was made from", wholeNumber)
+    .requiredOption(
+      "--base-version <n>",
+      "version that the document was made from, 0 for the first",
+      wholeNumber,
+    )
     .option("--dry-run", "check the change without making it")
     .option("--wait", "wait until all live instances have the new version")
     .addHelpText(
@@ -63,7 +67,8 @@
     const detail = `base version ${baseVersion}; version ${shown.version} is in force`;
     throw ClientError.create(ExitCode.StaleBaseVersion, detail);
   }
-  const updates = documentDifference(shown.document, wanted);
+  const current = baseVersion === 0 ? emptyDocument : documentSchema.parse(shown.document);
+  const updates = documentDifference(current, wanted);
   if (updates.length === 0) {
     context.progress("the document equals the configuration in force");
     return;
--- a/src/configuration/acceptance-writes.ts
+++ b/src/configuration/acceptance-writes.ts
@@ -35,7 +35,7 @@
       key: headKey,
       version,
       value: JSON.stringify(head),
-      expect: { kind: "version", version: version - 1 },
+      expect: version === 1 ? absent : { kind: "version", version: version - 1 },
     },
     changeIdPut(change.id, { state: "accepted", version }),
   ];
--- a/src/configuration/configuration-document.ts
+++ b/src/configuration/configuration-document.ts
@@ -96,6 +96,20 @@
 
 /** A configuration as operators write it. */
 export type ConfigurationDocument = z.output<typeof documentSchema>;
+
+/** The document before the first accepted version; it serves nothing. */
+export const emptyDocument: ConfigurationDocument = {
+  dataCentres: [],
+  links: [],
+  classes: [],
+  teams: [],
+  models: [],
+  services: [],
+  pipelines: [],
+  upstreams: [],
+  floors: { standard: 0, background: 0 },
+};
+
 export type DataCentre = z.output<typeof dataCentre>;
 export type Link = z.output<typeof link>;
 export type Target = z.output<typeof target>;
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -9,6 +9,7 @@
   type Upstream,
   type WorkClass,
   documentSchema,
+  emptyDocument,
 } from "./configuration-document.js";
 import { checkReferences } from "./check-references.js";
 import { updatedDocument } from "./document-difference.js";
@@ -55,6 +56,11 @@
     return new Configuration(version, result.data);
   }
 
+  /** Version 0, on which the first change is made. */
+  static empty(): Configuration {
+    return new Configuration(0, emptyDocument);
+  }
+
   /** The next version; throws `InvalidConfiguration` if the change does not fit this one. */
   changedBy(change: ConfigurationChange): Configuration {
     if (change.version !== this.version + 1) {
--- a/src/configuration/table-configuration-registry.ts
+++ b/src/configuration/table-configuration-registry.ts
@@ -6,7 +6,7 @@
 import type { Updates } from "../peer/updates.js";
 import type { Table } from "../platform/table.js";
 import type { Timers } from "../time/timers.js";
-import type { Configuration } from "./configuration.js";
+import { Configuration } from "./configuration.js";
 import type { ConfigurationChange } from "./configuration-change.js";
 import type { ConfigurationHistory } from "./configuration-history.js";
 import type { ConfigurationRegistry } from "./configuration-registry.js";
@@ -38,14 +38,11 @@
 
   async submit(proposal: Proposal): Promise<ConfigurationChange> {
     const { configurationHistory, log } = this.parts;
-    const [known, newest] = await notAcceptedOnFailure(async () => [
+    const [known, newest = Configuration.empty()] = await notAcceptedOnFailure(async () => [
       await this.acceptedBefore(proposal),
       await configurationHistory.newest(),
     ]);
     if (known !== undefined) return known;
-    if (newest === undefined) {
-      throw ServeError.create(ErrorKind.StaleBaseVersion, "there is no configuration yet");
-    }
     if (newest.version !== proposal.baseVersion) throw await this.stale(proposal.baseVersion + 1);
     const change: ConfigurationChange = {
       id: proposal.changeId,
@@ -159,6 +156,10 @@
 
   private async stale(version: number): Promise<ServeError> {
     const winner = await this.parts.configurationHistory.change(version);
+    if (version > 1 && winner === undefined) {
+      const detail = `version ${version - 1} is not the newest; read the configuration again`;
+      return ServeError.create(ErrorKind.StaleBaseVersion, detail);
+    }
     const by = winner === undefined ? "" : ` by ${winner.operator}, change id ${winner.id}`;
     const detail = `version ${version} is another change${by}`;
     return ServeError.create(ErrorKind.StaleBaseVersion, detail);
--- a/src/operator/operator-server.ts
+++ b/src/operator/operator-server.ts
@@ -4,6 +4,7 @@
 import { credentialDigest } from "../caller/credential.js";
 import { CredentialIndex } from "../caller/credential-index.js";
 import { nestedAtMost } from "../caller/nesting.js";
+import { Configuration } from "../configuration/configuration.js";
 import type { ConfigurationRegistry } from "../configuration/configuration-registry.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import type { Readiness } from "../daemon/readiness.js";
@@ -80,7 +81,8 @@
     });
     server.get("/v1/configuration", (request) => {
       this.operator(request);
-      const { version, document } = changes.configuration;
+      const { configuration = Configuration.empty() } = parts.configurationView;
+      const { version, document } = configuration;
       return { version, document };
     });
     server.get("/v1/configuration/changes", async (request) => {
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -25,6 +25,8 @@
   readonly services: Readonly<Record<string, number>>;
   /** Changes to the settings of the daemons. */
   readonly settings?: (settings: Settings) => Settings;
+  /** True if the table is to hold no configuration yet. */
+  readonly unconfigured?: boolean;
   /** Changes to the initial configuration. */
   readonly configuration?: (document: ConfigurationDocument) => ConfigurationDocument;
 }
@@ -65,7 +67,7 @@
       fleet.standin(StandinKind.InstanceList, "list", listPort),
       ...upstreams.map((upstream) => fleet.startUpstream(upstream)),
     ]);
-    await fleet.initialise(upstreams, size);
+    if (size.unconfigured !== true) await fleet.initialise(upstreams, size);
     await fleet.startDaemons(size);
     return fleet;
   }
