Attribute crashes of upstreams to contents and convict them in a trial

Cause: a request that crashes its upstream was retried on two more, and each resend of its caller started again, so one content took the whole service down.

Ruled out: convicting after two crashes on shared upstreams, because innocent requests that ran beside two copies of the poison request would be convicted with it. Letting each instance run a suspect alone for itself, because copies on n instances cost n upstreams, and the trial of an innocent suspect can share its upstream with the trial of the poison one.

Change: when an attempt fails with `upstream-crashed` after dispatch, the contents in progress there become suspects of that service for 60 s on all instances. A suspect runs alone, under a trial that names instance, content and upstream. A trial is spread 200 ms before the attempt starts; of two for one content or one upstream the lesser instance keeps it. A crash on trial convicts for one hour, an attempt that ends whole acquits. Copies in progress on other upstreams are ended and run again alone if the service is idempotent. After two shared crashes a content is blocked for 60 s and runs alone for one hour. An instance that convicted repeats it when another one that missed it suspects the content. Refused requests get `request-convicted` (final) or `request-suspected` (with a retry time), before any dispatch where the state is known at the intake.

The trial relies on updates that arrive within 200 ms; partitioned instances may each run one.

--- /dev/null
+++ b/features/support/crash-trial.ts
@@ -0,0 +1,154 @@
+import { DemandMeter } from "../../src/admission/demand-meter.js";
+import { ServicePools } from "../../src/admission/service-pools.js";
+import type { AnswerRecord } from "../../src/caller/answer-record.js";
+import { Configuration } from "../../src/configuration/configuration.js";
+import { ConfigurationView } from "../../src/configuration/configuration-view.js";
+import type { Upstream } from "../../src/configuration/configuration-document.js";
+import { ErrorKind } from "../../src/error/error-kind.js";
+import { ServeError } from "../../src/error/serve-error.js";
+import { PipelineRun } from "../../src/pipeline/pipeline-run.js";
+import { RequestState } from "../../src/pipeline/request-state.js";
+import type { StageParts } from "../../src/pipeline/stage-run.js";
+import { RandomSource } from "../../src/random/random-source.js";
+import { CrashSuspects } from "../../src/routing/crash-suspects.js";
+import { RetryBudget } from "../../src/routing/retry-budget.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import type { UpstreamClient } from "../../src/upstream/upstream-client.js";
+import { sampleConfiguration } from "../../standin/sample-configuration.js";
+import { silentLog } from "./decision-parts.js";
+import { FragileUpstream } from "./fragile-upstream.js";
+import { MemoryUpdates } from "./memory-updates.js";
+
+const DEADLINE_MS = 3_000;
+const INNOCENT_MS = 10;
+const WARM_UP_MS = 2_000;
+
+/** Attribution that finds nothing, as before crashes were attributed. */
+const noAttribution = {
+  check: () => undefined,
+  mustRunAlone: () => false,
+  claim: () => Promise.resolve(true),
+  track: () => ({ signal: new AbortController().signal, end: () => undefined }),
+} as unknown as CrashSuspects;
+
+/** Instances with the real pools and crash attribution over fragile upstreams. */
+export class CrashTrial {
+  readonly timers = ManualTimers.create();
+  readonly updates = MemoryUpdates.create(this.timers);
+  readonly upstreams = new Map<string, FragileUpstream>();
+  private readonly configuration: Configuration;
+  private readonly view = ConfigurationView.create();
+  private readonly instances: StageParts[];
+  private sent = 0;
+  /** Kinds of the errors that ended requests; undefined for answers. */
+  readonly innocentEnds: (ErrorKind | undefined)[] = [];
+  readonly poisonEnds: (ErrorKind | undefined)[] = [];
+
+  private constructor(count: number, upstreams: number, crashMs: number, attribute: boolean) {
+    const ids = Array.from({ length: upstreams }, (_, at) => `retriever-${at + 1}`);
+    const names = ids.map((id, at) => ({ id, service: "retriever", port: at + 1 }));
+    this.configuration = Configuration.create(1, {
+      ...sampleConfiguration(names),
+      pipelines: [{ name: "search", stages: [{ name: "retrieve", service: "retriever" }] }],
+    });
+    this.view.adopt(this.configuration);
+    for (const id of ids) this.upstreams.set(id, FragileUpstream.create(this.timers, crashMs));
+    this.instances = Array.from({ length: count }, (_, at) =>
+      this.instance(`i${at}`, count, attribute),
+    );
+  }
+
+  static create(count: number, upstreams: number, crashMs: number, attribute = true): CrashTrial {
+    return new CrashTrial(count, upstreams, crashMs, attribute);
+  }
+
+  get crashes(): number {
+    return [...this.upstreams.values()].reduce((sum, { crashes }) => sum + crashes, 0);
+  }
+
+  /** Sends innocent requests at a constant rate and poison ones through the instances in turn. */
+  async load(contents: number, times: number, everyMs: number): Promise<void> {
+    let innocents = 0;
+    const load = this.timers.every(INNOCENT_MS, () => {
+      const at = innocents++;
+      void this.send(at, `team-${at % 2}`, `silk ${at}`).then((error) => {
+        this.innocentEnds.push(error?.kind);
+      });
+    });
+    await this.timers.advance(WARM_UP_MS);
+    for (let at = 0; at < times; at += 1) {
+      for (let content = 0; content < contents; content += 1) {
+        void this.send(at + content, "team-0", `poison ${content}`).then((error) => {
+          this.poisonEnds.push(error?.kind);
+        });
+      }
+      await this.timers.advance(everyMs);
+    }
+    load.cancel();
+    await this.timers.advance(2 * DEADLINE_MS);
+  }
+
+  /** Sends a request through an instance; returns the error that ended it. */
+  async send(at: number, team: string, text: string): Promise<ServeError | undefined> {
+    const { timers, configuration } = this;
+    const parts = this.instances[at % this.instances.length];
+    const pipeline = configuration.pipeline("search");
+    const workClass = configuration.workClass("chat");
+    if (parts === undefined || pipeline === undefined || workClass === undefined) {
+      throw new Error("not configured");
+    }
+    const deadline = timers.now() + DEADLINE_MS;
+    const request = {
+      id: `r${this.sent++}`,
+      team,
+      pipeline,
+      workClass,
+      input: { text, maxTokens: 1 },
+      arrival: timers.now(),
+      deadline,
+      contentDigest: text,
+      idempotencyKey: undefined,
+    };
+    const stop = new AbortController();
+    const timeout = timers.after(DEADLINE_MS, () => {
+      stop.abort(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline has passed"));
+    });
+    const state = RequestState.create(timers, deadline);
+    const none = () => undefined;
+    const record = { events: [], result: none, end: none } as unknown as AnswerRecord;
+    try {
+      parts.crashSuspects.check(request, ["retriever"]);
+      await PipelineRun.create(parts, configuration, request, state, record).run(stop.signal);
+      return undefined;
+    } catch (error) {
+      return ServeError.from(error, ErrorKind.Internal);
+    } finally {
+      timeout.cancel();
+    }
+  }
+
+  private instance(id: string, count: number, attribute: boolean): StageParts {
+    const { timers, view } = this;
+    const settings = { instance: { id, dataCentre: "fes-a" } };
+    const clients = {
+      of: ({ id: upstream }: Upstream) => this.upstreams.get(upstream) as unknown as UpstreamClient,
+      close: () => Promise.resolve(),
+    };
+    const common = { timers, configurationView: view, clients, settings };
+    const updates = this.updates.of(id);
+    const suspects = CrashSuspects.create({ timers, updates, settings });
+    suspects.start();
+    return {
+      ...common,
+      retryBudget: RetryBudget.create({ timers }),
+      crashSuspects: attribute ? suspects : noAttribution,
+      pools: ServicePools.create({
+        ...common,
+        decisionLog: silentLog,
+        random: RandomSource.create(Number(id.slice(1)) + 1),
+        demandSource: DemandMeter.create({ timers }),
+        demandReports: { reports: () => [], liveInstances: () => count },
+      }),
+    };
+  }
+}
--- a/features/support/stage-trial.ts
+++ b/features/support/stage-trial.ts
@@ -6,12 +6,14 @@
 import type { Upstream } from "../../src/configuration/configuration-document.js";
 import { PipelineRun } from "../../src/pipeline/pipeline-run.js";
 import { RequestState } from "../../src/pipeline/request-state.js";
+import { CrashSuspects } from "../../src/routing/crash-suspects.js";
 import { RetryBudget } from "../../src/routing/retry-budget.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import type { GenerateRequest } from "../../src/upstream/generate-request.js";
 import type { Token } from "../../src/upstream/token.js";
 import type { UpstreamClient } from "../../src/upstream/upstream-client.js";
 import { sampleConfiguration } from "../../standin/sample-configuration.js";
+import { MemoryUpdates } from "./memory-updates.js";
 
 const DEADLINE_MS = 3_000;
 const MOST_TOKENS = 12;
@@ -88,6 +90,11 @@
       timers,
       configurationView: this.view,
       retryBudget: this.budget,
+      crashSuspects: CrashSuspects.create({
+        timers,
+        updates: MemoryUpdates.create(timers).of("a"),
+        settings: { instance: { id: "a" } },
+      }),
     };
     const run = PipelineRun.create(parts, configuration, request, state, record);
     await run.run(new AbortController().signal);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -23,6 +23,7 @@
     const { membership, pauseDetection, readiness } = this.parts;
     pauseDetection.start();
     this.parts.answerReads.start();
+    this.parts.crashSuspects.start();
     registerAttemptQuery(this.parts);
     this.parts.ledgerExpiry.start();
     await peerServer.listen();
--- a/src/daemon/serving-parts.ts
+++ b/src/daemon/serving-parts.ts
@@ -7,6 +7,7 @@
 import { CallerServer } from "../caller/caller-server.js";
 import { OperatorServer } from "../operator/operator-server.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
+import { CrashSuspects } from "../routing/crash-suspects.js";
 import { RetryBudget } from "../routing/retry-budget.js";
 import { DroppedAnswers } from "../upstream/dropped-answers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
@@ -17,6 +18,7 @@
 export interface ServingCradle {
   readonly droppedAnswers: DroppedAnswers;
   readonly retryBudget: RetryBudget;
+  readonly crashSuspects: CrashSuspects;
   readonly clients: UpstreamClients;
   readonly demandSource: DemandMeter;
   readonly pools: ServicePools;
@@ -33,6 +35,7 @@
 export const servingParts = {
   droppedAnswers: asFunction(() => DroppedAnswers.create()).singleton(),
   retryBudget: asFunction(RetryBudget.create).singleton(),
+  crashSuspects: asFunction(CrashSuspects.create).singleton(),
   clients: asFunction(HttpUpstreamClients.create).singleton(),
   demandSource: asFunction(DemandMeter.create).singleton(),
   pools: asFunction(ServicePools.create).singleton(),
--- a/src/error/answer-table.ts
+++ b/src/error/answer-table.ts
@@ -56,6 +56,11 @@
   [ErrorKind.NotReady]: retryable(503, "The instance is not ready", SHORT_RETRY_MS),
   [ErrorKind.Cancelled]: final(499, "The request was cancelled"),
   [ErrorKind.RequestConvicted]: final(422, "The request crashes upstreams"),
+  [ErrorKind.RequestSuspected]: retryable(
+    503,
+    "The request may have crashed an upstream",
+    SHORT_RETRY_MS,
+  ),
   [ErrorKind.UpstreamFailed]: retryable(502, "An upstream failed", SHORT_RETRY_MS),
   [ErrorKind.UpstreamCrashed]: retryable(502, "An upstream crashed", SHORT_RETRY_MS),
   [ErrorKind.ConnectionSilent]: retryable(502, "A connection went silent", SHORT_RETRY_MS),
--- a/src/error/error-kind.ts
+++ b/src/error/error-kind.ts
@@ -23,6 +23,7 @@
   NotReady = "not-ready",
   Cancelled = "cancelled",
   RequestConvicted = "request-convicted",
+  RequestSuspected = "request-suspected",
   UpstreamFailed = "upstream-failed",
   UpstreamCrashed = "upstream-crashed",
   ConnectionSilent = "connection-silent",
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -9,8 +9,17 @@
     kind: z.literal("crash-suspicion"),
     team: z.string(),
     contentDigest: z.string(),
+    /** Service of the upstreams that crashed. */
+    service: z.string(),
+    upstreams: z.array(z.string()),
     /** Remaining time of the suspicion in ms. */
     expiresMs: z.number(),
+    /** Remaining time in ms for which the content does not run at all. */
+    blockedMs: z.number(),
+    /** The instance that runs the content alone; given up if no time remains. */
+    trial: z
+      .object({ instance: z.string(), upstream: z.string(), expiresMs: z.number() })
+      .optional(),
   }),
   /** A request content that crashed an upstream while it ran alone. */
   z.object({
--- a/src/pipeline/pipeline-run.ts
+++ b/src/pipeline/pipeline-run.ts
@@ -60,9 +60,9 @@
     const { path, body, results } = stageCall(kind, this.request.input, this.results);
     this.results = await run.run(
       "",
-      async (client, attempt) => {
+      async (client, attempt, _began, stop) => {
         const identity = this.identity(stage, attempt);
-        return results(await client.call(path, identity, body, signal, service.idempotent));
+        return results(await client.call(path, identity, body, stop, service.idempotent));
       },
       signal,
     );
@@ -79,7 +79,7 @@
     let receivedTokens = 0;
     await run.run(
       prompt,
-      async (client, attempt, began) => {
+      async (client, attempt, began, stop) => {
         // The stream broke between its last token and its end.
         if (receivedTokens >= this.request.input.maxTokens) return;
         const tokens = client.generate(
@@ -92,7 +92,7 @@
             receivedText,
             receivedTokens,
           },
-          signal,
+          stop,
         );
         for await (const token of tokens) {
           began();
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -49,6 +49,10 @@
     this.parts.newRequests.check();
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
+    this.parts.crashSuspects.check(
+      request,
+      request.pipeline.stages.map((stage) => stage.service),
+    );
     const record = this.parts.answerLog.start(request.id, request.team);
     void this.run(configuration, request, record);
     return record;
