--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,6 +22,7 @@
     const { configurationFollower, callerServer, peerServer, log, settings } = this.parts;
     const { membership, pauseDetection, readiness } = this.parts;
     pauseDetection.start();
+    this.parts.metrics.start();
     this.parts.answerReads.start();
     this.parts.crashSuspects.start();
     registerAttemptQuery(this.parts);
@@ -76,5 +77,6 @@
     await peerServer.close();
     await peerCalls.close();
     await clients.close();
+    await this.parts.metrics.stop();
   }
 }
