Recheck an upstream after the claim of a trial was spread

Cause: the claim of a suspect's trial takes 200 ms, and an upstream that left meanwhile still got the attempt.

Change: the upstream is checked again after the claim, and the trial is given up if it has left.

--- a/features/stage-attempts.feature
+++ b/features/stage-attempts.feature
@@ -15,6 +15,11 @@
     When a request runs on a pool that still offers a leaving upstream
     Then the leaving upstream got no work
 
+  # Guards against a dispatch after the upstream left while the trial of a suspect was spread.
+  Scenario: An upstream that leaves during the claim of a trial gets no work
+    When "advice-1" crashes and "advice-2" leaves before the suspect runs there
+    Then the attempts were on "advice-1" and "advice-3"
+
   # Guards against a deposit that runs twice.
   Scenario: A call that must not be sent twice is repeated only if nothing was dispatched
     Then calls that must not be sent twice are repeated only when undispatched
--- a/features/steps/stage-attempts.ts
+++ b/features/steps/stage-attempts.ts
@@ -97,6 +97,31 @@
   assert.deepEqual(ended(this).trial.attempts, ["advice-2"]);
 });
 
+When(
+  "{string} crashes and {string} leaves before the suspect runs there",
+  async function (this: ScenarioWorld, crashed: string, leaving: string) {
+    const trial = StageTrial.create({
+      generate: (request, upstream) => {
+        if (upstream === crashed) throw ServeError.create(ErrorKind.UpstreamCrashed, "ended");
+        return stream(request, Infinity, 0);
+      },
+    });
+    const ends = trial.run("advice");
+    await trial.timers.advance(50);
+    trial.leave(leaving);
+    await trial.timers.advance(1_000);
+    await ends;
+    trials.set(this, { trial, first: 1 });
+  },
+);
+
+Then(
+  "the attempts were on {string} and {string}",
+  function (this: ScenarioWorld, first: string, second: string) {
+    assert.deepEqual(ended(this).trial.attempts, [first, second]);
+  },
+);
+
 Then("calls that must not be sent twice are repeated only when undispatched", async function () {
   await fc.assert(
     fc.asyncProperty(fc.array(fc.boolean(), { maxLength: 2 }), async (undispatched) => {
--- a/features/support/stage-trial.ts
+++ b/features/support/stage-trial.ts
@@ -33,7 +33,7 @@
   readonly attempts: string[] = [];
   private readonly view = ConfigurationView.create();
   private readonly budget = RetryBudget.create({ timers: this.timers });
-  private readonly configuration: Configuration;
+  private configuration: Configuration;
 
   private constructor(private readonly behaviour: Behaviour) {
     const names = ["advice", "booking"].flatMap((service) =>
@@ -58,6 +58,16 @@
     return new StageTrial(behaviour);
   }
 
+  /** Marks an upstream as leaving in the next configuration. */
+  leave(id: string): void {
+    const { document, version } = this.configuration;
+    const upstreams = document.upstreams.map((one) =>
+      one.id === id ? { ...one, state: "leaving" } : one,
+    );
+    this.configuration = Configuration.create(version + 1, { ...document, upstreams });
+    this.view.adopt(this.configuration);
+  }
+
   /** Runs a request and returns its tokens; throws what ended it. */
   async run(pipeline: string): Promise<{ texts: string[]; state: RequestState }> {
     const { timers, configuration } = this;
--- a/src/pipeline/stage-run.ts
+++ b/src/pipeline/stage-run.ts
@@ -120,7 +120,10 @@
         else if (!alone) usable = !crashSuspects.mustRunAlone(request, name);
         else {
           const leftMs = request.deadline - timers.now();
-          usable = await crashSuspects.claim(request, name, id, leftMs, signal);
+          const claimed = await crashSuspects.claim(request, name, id, leftMs, signal);
+          // The configuration may have changed while the claim was spread.
+          usable = claimed && this.isActive(id);
+          if (claimed && !usable) crashSuspects.giveUp(request);
         }
       } finally {
         if (!usable) slot.release({ kind: "cancelled" });
--- a/src/routing/crash-suspects.ts
+++ b/src/routing/crash-suspects.ts
@@ -102,14 +102,14 @@
         (this.suspicions.find(content)?.blockedUntil ?? 0) - this.parts.timers.now();
       if (blockedMs > 0) throw suspected(blockedMs);
     } catch (error) {
-      this.release(content);
+      this.giveUp(content);
       throw error;
     }
     const suspicion = this.suspicions.find(content);
     if (suspicion !== undefined && suspicion.trial !== trial) throw suspected(RETRY_MS);
     const contender = this.suspicions.contender(content, upstream);
     if (contender === undefined || contender > this.own) return true;
-    this.release(content);
+    this.giveUp(content);
     return false;
   }
 
@@ -137,11 +137,21 @@
           for (const other of this.running.on(upstream)) {
             this.suspect(other.content, service, upstream);
           }
-        } else if (alone) this.release(content);
+        } else if (alone) this.giveUp(content);
       },
     };
   }
 
+  /** Ends the trial of this instance, if it has one, without a finding. */
+  giveUp(content: Content): void {
+    const held = this.suspicions.find(content)?.trial;
+    if (held?.instance !== this.own) return;
+    const trial = { ...held, until: this.parts.timers.now() };
+    this.suspicions.startTrial(content, trial);
+    this.publishSuspicion(content);
+    this.suspicions.endTrial(content);
+  }
+
   private checkConviction(content: Content): void {
     const conviction = this.convictions.get(contentKey(content));
     if (conviction === undefined || conviction.until <= this.parts.timers.now()) return;
@@ -174,15 +184,6 @@
     this.parts.updates.publish({ kind: "crash-acquittal", team, contentDigest });
   }
 
-  private release(content: Content): void {
-    const held = this.suspicions.find(content)?.trial;
-    if (held?.instance !== this.own) return;
-    const trial = { ...held, until: this.parts.timers.now() };
-    this.suspicions.startTrial(content, trial);
-    this.publishSuspicion(content);
-    this.suspicions.endTrial(content);
-  }
-
   private publishSuspicion({ team, contentDigest }: Content): void {
     const fields = this.suspicions.fields({ team, contentDigest });
     if (fields === undefined) return;
