Reject cancelled sleeps with the reason of the signal

Cause: `SystemTimers.sleep` rejected with Node's AbortError although `Timers` promises the signal's reason, so a request whose deadline ends a wait is answered with "internal". `ManualTimers` kept the promise, which hid it. The new scenario fails without the change.

Change: the reason of the signal is thrown.

--- a/features/stage-attempts.feature
+++ b/features/stage-attempts.feature
@@ -20,6 +20,10 @@
     When "advice-1" crashes and "advice-2" leaves before the suspect runs there
     Then the attempts were on "advice-1" and "advice-3"
 
+  # Guards against "internal" in place of "deadline-exceeded" for a wait that the deadline ends.
+  Scenario: A cancelled wait on the system's timers ends with the reason of the cancel
+    Then a sleep that is cancelled with "deadline-exceeded" ends with it
+
   # Guards against a deposit that runs twice.
   Scenario: A call that must not be sent twice is repeated only if nothing was dispatched
     Then calls that must not be sent twice are repeated only when undispatched
--- a/features/steps/stage-attempts.ts
+++ b/features/steps/stage-attempts.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { ErrorKind } from "../../src/error/error-kind.js";
 import { ServeError } from "../../src/error/serve-error.js";
+import { SystemTimers } from "../../src/time/system-timers.js";
 import type { GenerateRequest } from "../../src/upstream/generate-request.js";
 import type { Token } from "../../src/upstream/token.js";
 import { StageTrial } from "../support/stage-trial.js";
@@ -122,6 +123,16 @@
   },
 );
 
+Then(
+  "a sleep that is cancelled with {string} ends with it",
+  async function (this: ScenarioWorld, kind: string) {
+    const stop = new AbortController();
+    const sleep = SystemTimers.create().sleep(10_000, stop.signal);
+    stop.abort(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline has passed"));
+    await assert.rejects(sleep, { name: "ServeError", kind });
+  },
+);
+
 Then("calls that must not be sent twice are repeated only when undispatched", async function () {
   await fc.assert(
     fc.asyncProperty(fc.array(fc.boolean(), { maxLength: 2 }), async (undispatched) => {
--- a/src/time/system-timers.ts
+++ b/src/time/system-timers.ts
@@ -21,7 +21,11 @@
   }
 
   async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    await delay(ms, undefined, signal === undefined ? {} : { signal });
+    try {
+      await delay(ms, undefined, signal === undefined ? {} : { signal });
+    } catch (error) {
+      throw signal?.aborted === true ? (signal.reason as Error) : error;
+    }
   }
 
   after(ms: number, handler: () => void): Subscription {
