Hedge slow attempts of idempotent stages

Cause: one slow upstream or attempt holds its request until it ends; nothing but a failure led to another attempt.

Ruled out: hedging by a fixed delay, because stages differ by two orders of magnitude; hedges from the retry budget, because a full outage would spend what stragglers need and the reverse.

The first answer or first token wins; the other attempt is cancelled, and an answer that still arrives is dropped and counted as `late`. A stream that has begun, a suspect, a call that must not be sent twice and a leaving upstream get no hedge; the deadline is checked at dispatch. If both attempts fail, the usual rules for retries apply. Acquiring slots moves from `StageRun` to `StageSlots`.

--- a/features/support/crash-trial.ts
+++ b/features/support/crash-trial.ts
@@ -8,11 +8,13 @@
 import { ServeError } from "../../src/error/serve-error.js";
 import { PipelineRun } from "../../src/pipeline/pipeline-run.js";
 import { RequestState } from "../../src/pipeline/request-state.js";
-import type { StageParts } from "../../src/pipeline/stage-run.js";
+import type { StageParts } from "../../src/pipeline/stage-parts.js";
 import { RandomSource } from "../../src/random/random-source.js";
 import { CrashSuspects } from "../../src/routing/crash-suspects.js";
+import { Hedges } from "../../src/routing/hedges.js";
 import { RetryBudget } from "../../src/routing/retry-budget.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import { DroppedAnswers } from "../../src/upstream/dropped-answers.js";
 import type { UpstreamClient } from "../../src/upstream/upstream-client.js";
 import { sampleConfiguration } from "../../standin/sample-configuration.js";
 import { silentLog } from "./decision-parts.js";
@@ -140,6 +142,8 @@
     suspects.start();
     return {
       ...common,
+      hedges: Hedges.create({ timers }),
+      droppedAnswers: DroppedAnswers.create(),
       retryBudget: RetryBudget.create({ timers }),
       crashSuspects: attribute ? suspects : noAttribution,
       pools: ServicePools.create({
--- /dev/null
+++ b/features/support/slow-upstreams.ts
@@ -0,0 +1,61 @@
+import type { GenerateRequest } from "../../src/upstream/generate-request.js";
+import type { Token } from "../../src/upstream/token.js";
+import { StageTrial } from "./stage-trial.js";
+
+const LONGEST_MS = 4_000;
+
+/** A trial of stages on upstreams of which one may be slow. */
+export class SlowUpstreams {
+  slow:
+    { readonly upstream: string; readonly ms: number; readonly afterFirst: boolean } | undefined;
+  /** Whether upstreams answer even after a cancel. */
+  deaf = false;
+  /** Time to the answer and upstreams of each request. */
+  ran: { readonly ms: number; readonly attempts: readonly string[] }[] = [];
+  readonly trial: StageTrial = StageTrial.create({
+    call: async (upstream, signal) => {
+      await this.wait(upstream, false, signal);
+      return { documents: [] };
+    },
+    generate: (request, upstream, signal) => this.stream(request, upstream, signal),
+  });
+
+  private constructor(public usualMs: number) {}
+
+  static create(usualMs: number): SlowUpstreams {
+    return new SlowUpstreams(usualMs);
+  }
+
+  async run(pipeline: string): Promise<void> {
+    const { timers, attempts } = this.trial;
+    const [start, before] = [timers.now(), attempts.length];
+    let end: number | undefined;
+    const run = this.trial.run(pipeline).then(() => {
+      end = timers.now();
+    });
+    while (end === undefined && timers.now() < start + LONGEST_MS) await timers.advance(1);
+    await run;
+    this.ran.push({ ms: timers.now() - start - 1, attempts: attempts.slice(before) });
+    // A cancelled attempt that goes on reaches its end.
+    if (this.deaf) await timers.advance(LONGEST_MS);
+  }
+
+  private async *stream(
+    request: GenerateRequest,
+    upstream: string,
+    signal: AbortSignal,
+  ): AsyncGenerator<Token> {
+    await this.wait(upstream, false, signal);
+    for (let index = request.receivedTokens; index < request.maxTokens; index += 1) {
+      yield { index, text: ` w${index}` };
+      if (index === 0) await this.wait(upstream, true, signal);
+    }
+  }
+
+  private async wait(upstream: string, began: boolean, signal: AbortSignal): Promise<void> {
+    const { slow } = this;
+    const usual = began ? 0 : this.usualMs;
+    const ms = slow?.upstream === upstream && slow.afterFirst === began ? slow.ms : usual;
+    await this.trial.timers.sleep(ms, this.deaf ? undefined : signal);
+  }
+}
--- a/features/support/stage-trial.ts
+++ b/features/support/stage-trial.ts
@@ -7,8 +7,11 @@
 import { PipelineRun } from "../../src/pipeline/pipeline-run.js";
 import { RequestState } from "../../src/pipeline/request-state.js";
 import { CrashSuspects } from "../../src/routing/crash-suspects.js";
+import { Hedges } from "../../src/routing/hedges.js";
 import { RetryBudget } from "../../src/routing/retry-budget.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import type { CallIdentity } from "../../src/upstream/call-identity.js";
+import { DroppedAnswers } from "../../src/upstream/dropped-answers.js";
 import type { GenerateRequest } from "../../src/upstream/generate-request.js";
 import type { Token } from "../../src/upstream/token.js";
 import type { UpstreamClient } from "../../src/upstream/upstream-client.js";
@@ -20,8 +23,12 @@
 
 /** Behaviour of the fake upstreams of a trial. */
 export interface Behaviour {
-  readonly generate?: (request: GenerateRequest, upstream: string) => AsyncIterable<Token>;
-  readonly call?: (upstream: string) => Promise<unknown>;
+  readonly generate?: (
+    request: GenerateRequest,
+    upstream: string,
+    signal: AbortSignal,
+  ) => AsyncIterable<Token>;
+  readonly call?: (upstream: string, signal: AbortSignal) => Promise<unknown>;
   /** Ids of upstreams that the configuration marks as leaving. */
   readonly leaving?: readonly string[];
 }
@@ -33,10 +40,18 @@
   readonly attempts: string[] = [];
   private readonly view = ConfigurationView.create();
   private readonly budget = RetryBudget.create({ timers: this.timers });
+  readonly hedges = Hedges.create({ timers: this.timers });
+  readonly dropped = DroppedAnswers.create();
+  readonly content = { team: "branches", contentDigest: "digest" };
+  readonly suspects = CrashSuspects.create({
+    timers: this.timers,
+    updates: MemoryUpdates.create(this.timers).of("a"),
+    settings: { instance: { id: "a" } },
+  });
   private configuration: Configuration;
 
   private constructor(private readonly behaviour: Behaviour) {
-    const names = ["advice", "booking"].flatMap((service) =>
+    const names = ["advice", "booking", "retriever"].flatMap((service) =>
       [1, 2, 3, 4].map((at) => ({ id: `${service}-${at}`, service, port: at })),
     );
     const document = sampleConfiguration(names);
@@ -44,6 +59,7 @@
       ...document,
       pipelines: [
         { name: "advice", stages: [{ name: "generate", service: "advice" }] },
+        { name: "search", stages: [{ name: "retrieve", service: "retriever" }] },
         { name: "booking", stages: [{ name: "book", service: "booking" }] },
       ],
       upstreams: document.upstreams.map((one) => ({
@@ -77,13 +93,12 @@
     const deadline = timers.now() + DEADLINE_MS;
     const request = {
       id: "r",
-      team: "branches",
+      ...this.content,
       pipeline: found,
       workClass,
       input: { text: "text", maxTokens: MOST_TOKENS },
       arrival: timers.now(),
       deadline,
-      contentDigest: "digest",
       idempotencyKey: undefined,
     };
     const state = RequestState.create(timers, deadline);
@@ -100,11 +115,9 @@
       timers,
       configurationView: this.view,
       retryBudget: this.budget,
-      crashSuspects: CrashSuspects.create({
-        timers,
-        updates: MemoryUpdates.create(timers).of("a"),
-        settings: { instance: { id: "a" } },
-      }),
+      hedges: this.hedges,
+      droppedAnswers: this.dropped,
+      crashSuspects: this.suspects,
     };
     const run = PipelineRun.create(parts, configuration, request, state, record);
     await run.run(new AbortController().signal);
@@ -124,13 +137,13 @@
   private client(id: string): UpstreamClient {
     const { generate, call } = this.behaviour;
     return {
-      generate: (request: GenerateRequest) => {
+      generate: (request: GenerateRequest, signal: AbortSignal) => {
         this.attempts.push(id);
-        return generate?.(request, id) ?? never();
+        return generate?.(request, id, signal) ?? never();
       },
-      call: () => {
+      call: (_path: string, _identity: CallIdentity, _body: unknown, signal: AbortSignal) => {
         this.attempts.push(id);
-        return call?.(id) ?? never();
+        return call?.(id, signal) ?? never();
       },
       load: never,
       close: never,
--- a/src/daemon/serving-parts.ts
+++ b/src/daemon/serving-parts.ts
@@ -8,6 +8,7 @@
 import { OperatorServer } from "../operator/operator-server.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { CrashSuspects } from "../routing/crash-suspects.js";
+import { Hedges } from "../routing/hedges.js";
 import { RetryBudget } from "../routing/retry-budget.js";
 import { DroppedAnswers } from "../upstream/dropped-answers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
@@ -18,6 +19,7 @@
 export interface ServingCradle {
   readonly droppedAnswers: DroppedAnswers;
   readonly retryBudget: RetryBudget;
+  readonly hedges: Hedges;
   readonly crashSuspects: CrashSuspects;
   readonly clients: UpstreamClients;
   readonly demandSource: DemandMeter;
@@ -35,6 +37,7 @@
 export const servingParts = {
   droppedAnswers: asFunction(() => DroppedAnswers.create()).singleton(),
   retryBudget: asFunction(RetryBudget.create).singleton(),
+  hedges: asFunction(Hedges.create).singleton(),
   crashSuspects: asFunction(CrashSuspects.create).singleton(),
   clients: asFunction(HttpUpstreamClients.create).singleton(),
   demandSource: asFunction(DemandMeter.create).singleton(),
--- /dev/null
+++ b/src/pipeline/attempt-race.ts
@@ -0,0 +1,52 @@
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import { DropReason } from "../upstream/drop-reason.js";
+import type { DroppedAnswers } from "../upstream/dropped-answers.js";
+
+/** One attempt in a race. */
+export interface RaceEntry {
+  /** Aborts when another attempt has won. */
+  readonly signal: AbortSignal;
+  /** Claims the win; throws `Cancelled` and counts a late answer if another attempt has it. */
+  win(): void;
+}
+
+/** Lets the answer of one of several attempts of a stage count and cancels the others. */
+export class AttemptRace {
+  private winner: AbortController | undefined;
+  private readonly entries = new Set<AbortController>();
+  private readonly decision = new AbortController();
+
+  private constructor(private readonly dropped: DroppedAnswers) {}
+
+  static create(dropped: DroppedAnswers): AttemptRace {
+    return new AttemptRace(dropped);
+  }
+
+  /** Aborts when an attempt has won. */
+  get decided(): AbortSignal {
+    return this.decision.signal;
+  }
+
+  enter(): RaceEntry {
+    const entry = new AbortController();
+    this.entries.add(entry);
+    return {
+      signal: entry.signal,
+      win: () => {
+        if (this.winner === entry) return;
+        if (this.winner !== undefined) {
+          this.dropped.add(DropReason.Late);
+          throw lost();
+        }
+        this.winner = entry;
+        this.decision.abort(lost());
+        for (const other of this.entries) if (other !== entry) other.abort(lost());
+      },
+    };
+  }
+}
+
+function lost(): ServeError {
+  return ServeError.create(ErrorKind.Cancelled, "another attempt of the stage has won");
+}
--- a/src/pipeline/pipeline-run.ts
+++ b/src/pipeline/pipeline-run.ts
@@ -9,7 +9,8 @@
 import type { ServeRequest } from "./serve-request.js";
 import { promptOf, stageCall } from "./stage-call.js";
 import type { StageResults } from "./stage-results.js";
-import { type StageParts, StageRun } from "./stage-run.js";
+import type { StageParts } from "./stage-parts.js";
+import { StageRun } from "./stage-run.js";
 
 /** Runs the stages of one request in order and writes its answer. */
 export class PipelineRun {
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -19,7 +19,7 @@
 import { RequestState } from "./request-state.js";
 import { RunOnce, type RunOnceParts } from "./run-once.js";
 import type { ServeRequest } from "./serve-request.js";
-import type { StageParts } from "./stage-run.js";
+import type { StageParts } from "./stage-parts.js";
 
 interface Parts extends StageParts, RunOnceParts {
   readonly attemptStates: AttemptRegistry;
--- /dev/null
+++ b/src/pipeline/stage-parts.ts
@@ -0,0 +1,20 @@
+import type { Pools } from "../admission/pools.js";
+import type { ConfigurationView } from "../configuration/configuration-view.js";
+import type { CrashSuspects } from "../routing/crash-suspects.js";
+import type { Hedges } from "../routing/hedges.js";
+import type { RetryBudget } from "../routing/retry-budget.js";
+import type { Timers } from "../time/timers.js";
+import type { DroppedAnswers } from "../upstream/dropped-answers.js";
+import type { UpstreamClients } from "../upstream/upstream-clients.js";
+
+/** What a stage needs from the daemon. */
+export interface StageParts {
+  readonly pools: Pools;
+  readonly clients: UpstreamClients;
+  readonly timers: Timers;
+  readonly configurationView: ConfigurationView;
+  readonly retryBudget: RetryBudget;
+  readonly crashSuspects: CrashSuspects;
+  readonly hedges: Hedges;
+  readonly droppedAnswers: DroppedAnswers;
+}
--- /dev/null
+++ b/src/pipeline/stage-slots.ts
@@ -0,0 +1,133 @@
+import { stageCostMs } from "../admission/stage-cost.js";
+import type { Work } from "../admission/work.js";
+import type { Service, Stage } from "../configuration/configuration-document.js";
+import { UpstreamState } from "../configuration/upstream-state.js";
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import type { HeldSlot } from "./held-slot.js";
+import type { ServeRequest } from "./serve-request.js";
+import type { StageParts } from "./stage-parts.js";
+
+/** Slots whose upstream left between admission and dispatch are given back this many times. */
+const MOST_STALE_SLOTS = 8;
+/** Wait for another suspect to leave an upstream; about the length of a short stage. */
+const TRIAL_WAIT_MS = 100;
+
+/** Acquires upstreams for the attempts of one stage of one request. */
+export class StageSlots {
+  private readonly excluded = new Set<string>();
+  private staleSlots = 0;
+
+  private constructor(
+    private readonly parts: StageParts,
+    private readonly request: ServeRequest,
+    private readonly stage: Stage,
+    private readonly service: Service,
+  ) {}
+
+  static create(
+    parts: StageParts,
+    request: ServeRequest,
+    stage: Stage,
+    service: Service,
+  ): StageSlots {
+    return new StageSlots(parts, request, stage, service);
+  }
+
+  /** Keeps later attempts away from an upstream. */
+  exclude(upstream: string): void {
+    this.excluded.add(upstream);
+  }
+
+  /**
+   * Gives back slots of upstreams that are leaving under the configuration in force, and shared
+   * slots of a content that became suspect while it waited.
+   */
+  async first(prompt: string, signal: AbortSignal): Promise<HeldSlot> {
+    const { pools, crashSuspects, timers } = this.parts;
+    const { request } = this;
+    const { name } = this.service;
+    for (;;) {
+      const alone = crashSuspects.mustRunAlone(request, name);
+      const slot = await pools.of(name).acquire(this.work(prompt, alone), signal);
+      const { id } = slot.upstream;
+      let usable = false;
+      try {
+        if (!this.isActive(id)) this.excluded.add(id);
+        else if (!alone) usable = !crashSuspects.mustRunAlone(request, name);
+        else {
+          const leftMs = request.deadline - timers.now();
+          const claimed = await crashSuspects.claim(request, name, id, leftMs, signal);
+          // The configuration may have changed while the claim was spread.
+          usable = claimed && this.isActive(id);
+          if (claimed && !usable) crashSuspects.giveUp(request);
+        }
+      } finally {
+        if (!usable) slot.release({ kind: "cancelled" });
+      }
+      if (usable) return { ...slot, alone };
+      this.staleSlots += 1;
+      if (this.staleSlots > MOST_STALE_SLOTS) {
+        const detail = `the upstreams of ${this.stage.name} leave or are in use by suspects`;
+        throw ServeError.create(ErrorKind.NoUpstream, detail);
+      }
+      if (alone) await timers.sleep(TRIAL_WAIT_MS, signal);
+    }
+  }
+
+  /** Waits until the attempt on `slot` is slow; throws if it must not be hedged. */
+  async second(
+    slot: HeldSlot,
+    prompt: string,
+    delayMs: number,
+    stop: AbortSignal,
+  ): Promise<HeldSlot> {
+    const { timers, hedges, pools } = this.parts;
+    const { name } = this.service;
+    await timers.sleep(delayMs, stop);
+    if (this.suspect() || !hedges.take()) throw notHedged();
+    const excluded = new Set([...this.excluded, slot.upstream.id]);
+    const work = { ...this.work(prompt, false), excluded };
+    const second = await pools.of(name).acquire(work, stop);
+    if (this.isActive(second.upstream.id) && !stop.aborted && !this.suspect()) {
+      return { ...second, alone: false };
+    }
+    second.release({ kind: "cancelled" });
+    throw notHedged();
+  }
+
+  private isActive(id: string): boolean {
+    const { configuration } = this.parts.configurationView;
+    const upstreams = configuration?.upstreamsOf(this.service.name) ?? [];
+    return upstreams.some((one) => one.id === id && one.state === UpstreamState.Active);
+  }
+
+  private suspect(): boolean {
+    try {
+      return this.parts.crashSuspects.mustRunAlone(this.request, this.service.name);
+    } catch {
+      return true;
+    }
+  }
+
+  private work(prompt: string, exclusive: boolean): Work {
+    const { request } = this;
+    return {
+      request: request.id,
+      team: request.team,
+      className: request.workClass.name,
+      rank: request.workClass.rank,
+      stage: this.stage.name,
+      costMs: stageCostMs(this.service.kind, request.input),
+      deadline: request.deadline,
+      prompt,
+      contentDigest: request.contentDigest,
+      excluded: this.excluded,
+      exclusive,
+    };
+  }
+}
+
+function notHedged(): ServeError {
+  return ServeError.create(ErrorKind.Cancelled, "the attempt is not hedged");
+}
--- /dev/null
+++ b/src/routing/hedges.ts
@@ -0,0 +1,44 @@
+import type { Timers } from "../time/timers.js";
+import { LatencyWindow } from "./latency-window.js";
+
+/** About as many attempts as lie past the quantile. */
+const SHARE = 0.05;
+const INITIAL = 2;
+const MOST = 10;
+
+/** Decides when a slow attempt gets a second one, within a budget of its own. */
+export class Hedges {
+  private allowance = INITIAL;
+  private readonly latencies = new Map<string, LatencyWindow>();
+
+  private constructor(private readonly timers: Timers) {}
+
+  static create(parts: { readonly timers: Timers }): Hedges {
+    return new Hedges(parts.timers);
+  }
+
+  /** Records a first attempt of a stage, which adds to the budget. */
+  firstAttempt(): void {
+    this.allowance = Math.min(MOST, this.allowance + SHARE);
+  }
+
+  /** Takes one hedge from the budget; returns false if it is spent. */
+  take(): boolean {
+    if (this.allowance < 1) return false;
+    this.allowance -= 1;
+    return true;
+  }
+
+  /** Records the time in ms to the answer of an attempt, or to the first token of a stream. */
+  record(service: string, ms: number): void {
+    const now = this.timers.now();
+    const known = this.latencies.get(service) ?? LatencyWindow.create(now);
+    this.latencies.set(service, known);
+    known.record(ms, now);
+  }
+
+  /** Time in ms after which an attempt is hedged; undefined while too little is known. */
+  delayMs(service: string): number | undefined {
+    return this.latencies.get(service)?.quantile(this.timers.now());
+  }
+}
