Report the cost of stages

Cause: cost by stage is one of the measures, and nothing sent it. Change: each dispatched attempt is counted by stage and service with its duration, the cost of the link to its data centre, and whether it was a retry or a hedge. Ruled out: counting at the pool, which does not know whether an attempt was dispatched. Measured: whole-path, stage-attempts and decision-log features pass. Conclusion: the metrics cover requests and stages; control bytes are not sent yet.

--- a/features/support/crash-trial.ts
+++ b/features/support/crash-trial.ts
@@ -143,6 +143,7 @@
     return {
       ...common,
       hedges: Hedges.create({ timers }),
+      stageCosts: { record: () => undefined },
       droppedAnswers: DroppedAnswers.create(),
       retryBudget: RetryBudget.create({ timers }),
       crashSuspects: attribute ? suspects : noAttribution,
--- a/features/support/stage-trial.ts
+++ b/features/support/stage-trial.ts
@@ -116,6 +116,7 @@
       configurationView: this.view,
       retryBudget: this.budget,
       hedges: this.hedges,
+      stageCosts: { record: () => undefined },
       droppedAnswers: this.dropped,
       crashSuspects: this.suspects,
     };
--- a/src/daemon/serving-parts.ts
+++ b/src/daemon/serving-parts.ts
@@ -5,6 +5,7 @@
 import { AnswerLog } from "../caller/answer-log.js";
 import { AnswerReads } from "../caller/answer-reads.js";
 import { CallerServer } from "../caller/caller-server.js";
+import { StageCosts } from "../metrics/stage-costs.js";
 import { OperatorServer } from "../operator/operator-server.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
 import { CrashSuspects } from "../routing/crash-suspects.js";
@@ -22,6 +23,7 @@
   readonly hedges: Hedges;
   readonly crashSuspects: CrashSuspects;
   readonly clients: UpstreamClients;
+  readonly stageCosts: StageCosts;
   readonly demandSource: DemandMeter;
   readonly pools: ServicePools;
   readonly pipelineAdmission: PipelineAdmission;
@@ -41,6 +43,7 @@
   crashSuspects: asFunction(CrashSuspects.create).singleton(),
   clients: asFunction(HttpUpstreamClients.create).singleton(),
   demandSource: asFunction(DemandMeter.create).singleton(),
+  stageCosts: asFunction(StageCosts.create).singleton(),
   pools: asFunction(ServicePools.create).singleton(),
   pipelineAdmission: asFunction(PipelineAdmission.create).singleton(),
   answerLog: asFunction(AnswerLog.create).singleton(),
--- a/src/pipeline/stage-parts.ts
+++ b/src/pipeline/stage-parts.ts
@@ -1,5 +1,6 @@
 import type { Pools } from "../admission/pools.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
+import type { StageCosts } from "../metrics/stage-costs.js";
 import type { CrashSuspects } from "../routing/crash-suspects.js";
 import type { Hedges } from "../routing/hedges.js";
 import type { RetryBudget } from "../routing/retry-budget.js";
@@ -16,5 +17,6 @@
   readonly retryBudget: RetryBudget;
   readonly crashSuspects: CrashSuspects;
   readonly hedges: Hedges;
+  readonly stageCosts: Pick<StageCosts, "record">;
   readonly droppedAnswers: DroppedAnswers;
 }
--- a/src/pipeline/stage-run.ts
+++ b/src/pipeline/stage-run.ts
@@ -34,7 +34,7 @@
   private constructor(
     private readonly parts: StageParts,
     private readonly request: ServeRequest,
-    stage: Stage,
+    private readonly stage: Stage,
     private readonly service: Service,
     private readonly guard: DispatchGuard,
   ) {
@@ -116,6 +116,7 @@
     const start = timers.now();
     let firstByteMs: number | undefined;
     let guarded = false;
+    const extra = this.sent > 0;
     try {
       const client = clients.of(slot.upstream);
       this.guard.beforeDispatch();
@@ -142,6 +143,10 @@
           : { kind: "failed", error: failure.kind, durationMs: timers.now() - start },
       );
       throw failure;
+    } finally {
+      if (guarded) {
+        this.parts.stageCosts.record(this.stage.name, slot.upstream, timers.now() - start, extra);
+      }
     }
   }
 
