Count refused requests against the attainment of their class

Cause: refused requests never reached the metrics, so a class that was refused altogether looked served in status. Change: a refusal at the intake is counted as not attained; mean times cover attained answers only. Ruled out: a counter of its own, which would leave the attainment wrong. Conclusion: attainment is over all requests offered.

--- a/src/metrics/attainment-window.ts
+++ b/src/metrics/attainment-window.ts
@@ -9,7 +9,7 @@
   readonly requests: number;
   /** Requests answered whole and within the target time. */
   readonly attained: number;
-  /** Mean time to the end of the answer, in ms. */
+  /** Mean time to the end of the attained answers, in ms; 0 if there are none. */
   readonly meanMs: number;
 }
 
@@ -33,7 +33,7 @@
     const count = counts.get(className) ?? { requests: 0, attained: 0, totalMs: 0 };
     count.requests += 1;
     count.attained += attained ? 1 : 0;
-    count.totalMs += durationMs;
+    count.totalMs += attained ? durationMs : 0;
     counts.set(className, count);
   }
 
@@ -52,7 +52,7 @@
       className,
       requests,
       attained,
-      meanMs: totalMs / requests,
+      meanMs: attained === 0 ? 0 : totalMs / attained,
     }));
   }
 
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -53,12 +53,21 @@
     try {
       return this.admitted(incoming);
     } catch (error) {
-      throw incoming.body.resend
-        ? ServeError.from(error, ErrorKind.Internal).afterDispatch()
-        : error;
+      const failure = ServeError.from(error, ErrorKind.Internal);
+      this.measureRefusal(incoming, failure.kind);
+      throw incoming.body.resend ? failure.afterDispatch() : failure;
     }
   }
 
+  /** A refused request counts against the attainment of its class. */
+  private measureRefusal({ team, body }: IncomingRequest, error: ErrorKind): void {
+    const { configurationView, metrics } = this.parts;
+    const workClass = configurationView.configuration?.workClass(body.class);
+    if (workClass === undefined) return;
+    const { name: className, rank } = workClass;
+    metrics.requestEnded({ className, rank, team, durationMs: 0, attained: false, error });
+  }
+
   private admitted(incoming: IncomingRequest): AnswerRecord {
     this.parts.newRequests.check();
     const configuration = this.configuration();
