Send orders to engines under leases

Cause: leases existed, but nothing sent orders under them. Upstreams get the optional fields models and memoryBytes, settings get orders. Stand-ins: models of an engine, weight store. Ruled out: a turn that reserves weights after the unload, which leaves the engine without either model while the store is busy.

--- a/src/configuration/check-references.ts
+++ b/src/configuration/check-references.ts
@@ -35,6 +35,9 @@
     ...document.upstreams.flatMap((upstream, at) => [
       ...check(dataCentres, upstream.dataCentre, `upstreams.${at}.dataCentre`),
       ...check(services, upstream.service, `upstreams.${at}.service`),
+      ...(upstream.models ?? []).flatMap((model, of) =>
+        check(models, model, `upstreams.${at}.models.${of}`),
+      ),
     ]),
     ...document.pipelines.flatMap((pipeline, at) =>
       pipeline.stages.flatMap((stage, of) =>
--- a/src/configuration/configuration-document.ts
+++ b/src/configuration/configuration-document.ts
@@ -64,6 +64,10 @@
   checksFencing: z.boolean().default(false),
   /** Whether the engine checks who gives an order. */
   checksIssuer: z.boolean().default(false),
+  /** Models that the engine may hold; without them it gets no orders. */
+  models: z.array(name).min(1).optional(),
+  /** Memory for weights; without it the engine holds one model at a time. */
+  memoryBytes: z.number().int().positive().optional(),
 });
 
 /** Schemas of the entries of each section. */
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -2,13 +2,20 @@
 import type { Settings } from "../settings/settings.js";
 import { type ConfigurationCradle, configurationParts } from "./configuration-parts.js";
 import { type LedgerCradle, ledgerParts } from "./ledger-parts.js";
+import { type OrderCradle, orderParts } from "./order-parts.js";
 import { type PeerCradle, peerParts } from "./peer-parts.js";
 import { type PlatformCradle, platformParts } from "./platform-parts.js";
 import { type ServingCradle, servingParts } from "./serving-parts.js";
 
 /** The parts of a daemon by name. */
 export interface Cradle
-  extends PlatformCradle, ConfigurationCradle, PeerCradle, LedgerCradle, ServingCradle {
+  extends
+    PlatformCradle,
+    ConfigurationCradle,
+    PeerCradle,
+    LedgerCradle,
+    OrderCradle,
+    ServingCradle {
   readonly settings: Settings;
 }
 
@@ -21,6 +28,7 @@
     ...configurationParts,
     ...peerParts,
     ...ledgerParts,
+    ...orderParts,
     ...servingParts,
   });
   return container;
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -77,6 +77,8 @@
   weightStore: z
     .strictObject({ endpoint: httpUrl, bytesPerSecond: z.number().positive() })
     .optional(),
+  /** Who gives orders to engines that check it. */
+  orders: z.strictObject({ id: identifier, credential: z.string().min(1) }).optional(),
   metrics: z
     .strictObject({
       host: z.string(),
--- /dev/null
+++ b/src/upstream/engine-order.ts
@@ -0,0 +1,5 @@
+/** An instruction to an engine about one model. */
+export interface EngineOrder {
+  readonly kind: "load" | "unload";
+  readonly model: string;
+}
--- /dev/null
+++ b/src/upstream/http-engine-models.ts
@@ -0,0 +1,102 @@
+import { z } from "zod";
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import type { Timers } from "../time/timers.js";
+import { Connection } from "./connection.js";
+import type { EngineModels } from "./engine-models.js";
+import type { EngineOrder } from "./engine-order.js";
+import type { OrderPermit } from "./order-permit.js";
+
+const MOST_BYTES = 262_144;
+const listSchema = z.object({ data: z.array(z.object({ id: z.string() })) });
+const paths = { load: "/v1/load_lora_adapter", unload: "/v1/unload_lora_adapter" } as const;
+
+/**
+ * Reads and changes the models of engines by the usual endpoints of model servers. Each exchange
+ * has a connection of its own, so that an order never waits behind another one.
+ */
+export class HttpEngineModels implements EngineModels {
+  private constructor(private readonly timers: Timers) {}
+
+  static create(parts: { timers: Timers }): HttpEngineModels {
+    return new HttpEngineModels(parts.timers);
+  }
+
+  held(address: string, signal: AbortSignal): Promise<string[]> {
+    return this.exchange(address, signal, async (connection) => {
+      const { statusCode, body } = await connection.request({
+        path: "/v1/models",
+        method: "GET",
+        signal,
+      });
+      const text = await bounded(body);
+      checkStatus(statusCode);
+      return listSchema.parse(JSON.parse(text)).data.map(({ id }) => id);
+    });
+  }
+
+  send(
+    address: string,
+    order: EngineOrder,
+    permit: () => OrderPermit,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const body = JSON.stringify({ lora_name: order.model, lora_path: order.model });
+    return this.exchange(address, signal, async (connection) => {
+      const answer = await connection.request({
+        path: paths[order.kind],
+        method: "POST",
+        headers: { "content-type": "application/json", ...headersOf(permit()) },
+        body,
+        signal,
+      });
+      await bounded(answer.body);
+      checkStatus(answer.statusCode);
+    });
+  }
+
+  private async exchange<Result>(
+    address: string,
+    signal: AbortSignal,
+    work: (connection: Connection) => Promise<Result>,
+  ): Promise<Result> {
+    const connection = await Connection.open(address, this.timers, signal);
+    try {
+      return await work(connection);
+    } catch (error) {
+      throw ServeError.from(signal.aborted ? signal.reason : error, ErrorKind.UpstreamFailed);
+    } finally {
+      connection.destroy();
+    }
+  }
+}
+
+function headersOf({ fencing, issuer }: OrderPermit): Record<string, string> {
+  const number = { "x-fencing-number": String(fencing) };
+  if (issuer === undefined) return number;
+  return {
+    ...number,
+    "x-order-issuer": issuer.id,
+    authorization: `Bearer ${issuer.credential}`,
+  };
+}
+
+async function bounded(body: AsyncIterable<unknown>): Promise<string> {
+  let text = "";
+  for await (const part of body) {
+    text += String(part);
+    if (text.length > MOST_BYTES) throw new Error(`an answer exceeds ${MOST_BYTES} bytes`);
+  }
+  return text;
+}
+
+function checkStatus(status: number): void {
+  if (status < 300) return;
+  throw ServeError.create(kindOf(status), `status ${status}`);
+}
+
+function kindOf(status: number): ErrorKind {
+  if (status === 409) return ErrorKind.OrderRefused;
+  if (status === 401 || status === 403) return ErrorKind.Forbidden;
+  return status < 500 ? ErrorKind.UpstreamRejected : ErrorKind.UpstreamFailed;
+}
--- a/standin/program.ts
+++ b/standin/program.ts
@@ -4,6 +4,7 @@
 import { StandinKind } from "./standin-kind.js";
 import { TableServer } from "./table-server.js";
 import { UpstreamServer } from "./upstream-server.js";
+import { WeightStoreServer } from "./weight-store-server.js";
 
 function serverOf(kind: StandinKind, id: string): FastifyInstance {
   switch (kind) {
@@ -13,6 +14,8 @@
       return InstanceListServer.create().server;
     case StandinKind.Upstream:
       return UpstreamServer.create(id).server;
+    case StandinKind.WeightStore:
+      return WeightStoreServer.create().server;
   }
 }
 
--- a/standin/standin-kind.ts
+++ b/standin/standin-kind.ts
@@ -3,4 +3,5 @@
   Table = "table",
   InstanceList = "instance-list",
   Upstream = "upstream",
+  WeightStore = "weight-store",
 }
--- a/standin/upstream-server.ts
+++ b/standin/upstream-server.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { type FastifyInstance, type FastifyReply, type FastifyRequest, fastify } from "fastify";
 import { type EngineFaults, noEngineFaults } from "./engine-faults.js";
+import { ModelState } from "./model-state.js";
 
 const EMBEDDING_SIZE = 8;
 const DOCUMENTS = 8;
@@ -54,6 +55,7 @@
     );
     server.get("/load", async () => ({ server_load: await upstream.reportedLoad() }));
     server.get("/calls", () => upstream.calls);
+    ModelState.create(server);
     server.post("/control", (request) => {
       upstream.faults = { ...upstream.faults, ...(request.body as Partial<EngineFaults>) };
       return upstream.faults;
