Place models on engines by demand

Cause: engines held the model of their service whatever the demand. Change: the holder of the lease of placement decides loads from the needs by model (Placement) and keeps the plan in the table (PlacementTask, PlacementPlan); holders of engine leases give the orders. Ruled out: a decision by each engine's holder, which would need every other holder's choices. Routing does not read the plan yet, so an engine serves a second service only once it does.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -30,6 +30,7 @@
     await configurationFollower.start();
     await callerServer.listen();
     await this.parts.operatorServer.listen();
+    this.parts.placementTask.start();
     this.parts.orderDispatch.start();
     readiness.clear(UnreadyReason.Starting);
     log.info({ message: "listening", callers: settings.callers });
@@ -49,6 +50,7 @@
     newRequests.refuse();
     const end = timers.now() + graceMs;
     await this.finishRequests(end);
+    this.parts.placementTask.stop();
     this.parts.orderDispatch.stop();
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
     await Promise.race([this.close(), timers.sleep(Math.max(0, end - timers.now()))]);
--- a/src/daemon/order-parts.ts
+++ b/src/daemon/order-parts.ts
@@ -1,12 +1,12 @@
-import { ConfiguredModels } from "../order/configured-models.js";
 import { LeaseKeeper } from "../order/lease-keeper.js";
 import { OrderDispatch } from "../order/order-dispatch.js";
+import { PlacementTask } from "../order/placement-task.js";
 import type { WantedModels } from "../order/wanted-models.js";
 import { HttpWeightStore } from "../platform/http-weight-store.js";
 import type { WeightStore } from "../platform/weight-store.js";
 import type { EngineModels } from "../upstream/engine-models.js";
 import { HttpEngineModels } from "../upstream/http-engine-models.js";
-import { asFunction } from "awilix";
+import { aliasTo, asFunction } from "awilix";
 import type { Cradle } from "./container.js";
 
 /** The parts for orders to engines. */
@@ -15,6 +15,7 @@
   readonly engineModels: EngineModels;
   /** Undefined if the settings name no store; loads are then not paced. */
   readonly weightStore: WeightStore | undefined;
+  readonly placementTask: PlacementTask;
   readonly wantedModels: WantedModels;
   readonly orderDispatch: OrderDispatch;
 }
@@ -28,6 +29,7 @@
       ? undefined
       : HttpWeightStore.create(settings.weightStore.endpoint, timers),
   ).singleton(),
-  wantedModels: asFunction(ConfiguredModels.create).singleton(),
+  placementTask: asFunction(PlacementTask.create).singleton(),
+  wantedModels: aliasTo("placementTask"),
   orderDispatch: asFunction(OrderDispatch.create).singleton(),
 };
--- a/src/order/order-dispatch.ts
+++ b/src/order/order-dispatch.ts
@@ -3,6 +3,7 @@
 import type { Subscription } from "../time/subscription.js";
 import { EngineTask, type EngineTaskParts } from "./engine-task.js";
 import type { LeaseKeeper } from "./lease-keeper.js";
+import { PLACEMENT_GROUP, managedEngines } from "./managed-engines.js";
 import type { WantedModels } from "./wanted-models.js";
 
 const READS_PER_LEASE = 2;
@@ -48,8 +49,9 @@
     const { configurationView, leaseKeeper, wantedModels } = this.parts;
     const { configuration } = configurationView;
     if (configuration === undefined) return;
-    const engines = configuration.document.upstreams.filter(({ models }) => models !== undefined);
-    leaseKeeper.keep(engines.map(OrderDispatch.group));
+    const engines = managedEngines(configuration);
+    const groups = engines.map(OrderDispatch.group);
+    leaseKeeper.keep(groups.length === 0 ? [] : [PLACEMENT_GROUP, ...groups]);
     for (const id of this.tasks.keys()) {
       if (!engines.some((engine) => engine.id === id)) this.tasks.delete(id);
     }
