--- a/features/steps/stage-attempts.ts
+++ b/features/steps/stage-attempts.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { ErrorKind } from "../../src/error/error-kind.js";
 import { ServeError } from "../../src/error/serve-error.js";
+import { SystemTimers } from "../../src/time/system-timers.js";
 import type { GenerateRequest } from "../../src/upstream/generate-request.js";
 import type { Token } from "../../src/upstream/token.js";
 import { StageTrial } from "../support/stage-trial.js";
@@ -97,6 +98,41 @@
   assert.deepEqual(ended(this).trial.attempts, ["advice-2"]);
 });
 
+When(
+  "{string} crashes and {string} leaves before the suspect runs there",
+  async function (this: ScenarioWorld, crashed: string, leaving: string) {
+    const trial = StageTrial.create({
+      generate: (request, upstream) => {
+        if (upstream === crashed) throw ServeError.create(ErrorKind.UpstreamCrashed, "ended");
+        return stream(request, Infinity, 0);
+      },
+    });
+    const ends = trial.run("advice");
+    await trial.timers.advance(50);
+    trial.leave(leaving);
+    await trial.timers.advance(1_000);
+    await ends;
+    trials.set(this, { trial, first: 1 });
+  },
+);
+
+Then(
+  "the attempts were on {string} and {string}",
+  function (this: ScenarioWorld, first: string, second: string) {
+    assert.deepEqual(ended(this).trial.attempts, [first, second]);
+  },
+);
+
+Then(
+  "a sleep that is cancelled with {string} ends with it",
+  async function (this: ScenarioWorld, kind: string) {
+    const stop = new AbortController();
+    const sleep = SystemTimers.create().sleep(10_000, stop.signal);
+    stop.abort(ServeError.create(ErrorKind.DeadlineExceeded, "the deadline has passed"));
+    await assert.rejects(sleep, { name: "ServeError", kind });
+  },
+);
+
 Then("calls that must not be sent twice are repeated only when undispatched", async function () {
   await fc.assert(
     fc.asyncProperty(fc.array(fc.boolean(), { maxLength: 2 }), async (undispatched) => {
--- a/src/operator/operator-server.ts
+++ b/src/operator/operator-server.ts
@@ -4,12 +4,14 @@
 import { credentialDigest } from "../caller/credential.js";
 import { CredentialIndex } from "../caller/credential-index.js";
 import { nestedAtMost } from "../caller/nesting.js";
+import { Configuration } from "../configuration/configuration.js";
 import type { ConfigurationRegistry } from "../configuration/configuration-registry.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import type { Readiness } from "../daemon/readiness.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import { createLimitedServer } from "../http/limited-server.js";
+import type { Metrics } from "../metrics/metrics.js";
 import type { Members } from "../peer/members.js";
 import type { PeerVersions } from "../peer/peer-versions.js";
 import type { RandomSource } from "../random/random-source.js";
@@ -35,6 +37,7 @@
   readonly members: Members;
   readonly peerVersions: PeerVersions;
   readonly answerLog: AnswerLog;
+  readonly metrics: Pick<Metrics, "attainment">;
   readonly random: RandomSource;
 }
 
@@ -78,7 +81,8 @@
     });
     server.get("/v1/configuration", (request) => {
       this.operator(request);
-      const { version, document } = changes.configuration;
+      const { configuration = Configuration.empty() } = parts.configurationView;
+      const { version, document } = configuration;
       return { version, document };
     });
     server.get("/v1/configuration/changes", async (request) => {
