Refuse the first plan in the placement scenario

Cause: the scenario let the table refuse writes after the plan was written, so it tested nothing. Conclusion: a refused plan is retried on the same engine at the next turn.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -39,9 +39,11 @@
 
   Scenario: A plan that the table refused is written at the next turn
     Given the demand is 20% advice and 90% chat
-    When 12000 ms pass
-    And the table refuses the next plan
-    And 18000 ms pass
+    When 4000 ms pass
+    And the table refuses the next renewal and the next plan
+    And 3000 ms pass
+    Then the plan is ""
+    When 10000 ms pass
     Then the plan is "e1 chat"
 
   Scenario: A decider that did not see the last plan does not overwrite it
--- a/features/steps/placement.ts
+++ b/features/steps/placement.ts
@@ -95,8 +95,7 @@
   },
 );
 
-When("the table refuses the next plan", function (this: ScenarioWorld) {
-  // Renewals of the lease are refused as well, which it outlasts.
+When("the table refuses the next renewal and the next plan", function (this: ScenarioWorld) {
   this.scene.table.script({ down: true }, { down: true });
 });
 When("a plan based on the version before is written late", async function (this: ScenarioWorld) {
