--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -166,6 +166,8 @@
         .describe("Rate at which it may be read, in bytes per second."),
     })
     .optional(),
+  /** Who gives orders to engines that check it. */
+  orders: z.strictObject({ id: identifier, credential: z.string().min(1) }).optional(),
   metrics: z
     .strictObject({
       host: z.string().describe("Host that takes StatsD datagrams."),
