Compare stragglers with filled upstreams and bound the work of a choice

Cause: a trace of urgent requests with a straggler showed late ones sent to it 4 s after it had been seen slow (score 1265 ms, no other candidate). A busy instance considers only upstreams below its part of their limit, which is one attempt each; the avoided straggler was the only one left.

Ruled out: probes (urgent work is never one) and prefix homes (the choices were by best score).

--- a/bench/decision-cost.ts
+++ b/bench/decision-cost.ts
@@ -16,10 +16,12 @@
 const ROUTE_COST_MS = 300;
 const DEADLINE_MS = 3_000;
 
-/** Prints the time of decisions at two sizes; the figures vary by run. */
+/** Prints the time of decisions at four sizes; the figures vary by run. */
 export async function measureDecisionCost(): Promise<void> {
   process.stdout.write("Decision cost (timing; varies between runs)\n");
   await measure("today", 8, 5);
+  await measure("100 replicas and 80 teams", 100, 80);
+  await measure("400 replicas and 300 teams", 400, 300);
   await measure("1,400 replicas and 1,200 teams", 1_400, 1_200);
 }
 
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -22,3 +22,14 @@
   Scenario: All routers agree on the home of a prefix
     Given a router over 6 upstreams
     Then two routers send the prefix "kaftan" to the same upstream
+
+  Scenario: A straggler is avoided while its first slow attempt is still in flight
+    Given a router over 2 upstreams
+    When an upstream has an attempt in flight for 1000 ms
+    Then 0 of 20 choices use it
+
+  Scenario: A known straggler is not chosen because the others' parts of the limit are filled
+    Given a router over 2 upstreams
+    When an upstream takes 4 times as long as estimated 2 times
+    And the other upstream has 1 attempt in flight
+    Then 0 of 20 choices with an eighth of the limits use it
--- a/features/steps/routing.ts
+++ b/features/steps/routing.ts
@@ -26,9 +26,15 @@
   });
 }
 
-function choice(router: Router, rank: Rank, prompt = "") {
+function choice(router: Router, rank: Rank, prompt = "", ownPart = 1) {
   const work = { ...retrieval("r", "agdal", rank, DEADLINE_MS), prompt };
-  return router.choose(work, COST_MS, 1);
+  return router.choose(work, COST_MS, ownPart);
+}
+
+function assertUnused(router: Router, times: number, ownPart: number): void {
+  const choices = Array.from({ length: times }, () => choice(router, Rank.Standard, "", ownPart));
+  const used = choices.filter((routed) => routed?.record === router.all()[0]);
+  assert.equal(used.length, 0);
 }
 
 Given("a router over {int} upstreams", function (this: RouterWorld, count: number) {
@@ -60,6 +66,37 @@
   assert.equal(ejected.length, count);
 });
 
+When(
+  "an upstream has an attempt in flight for {int} ms",
+  async function (this: RouterWorld, ms: number) {
+    this.router.all()[0]?.begin(COST_MS, this.timers.now());
+    await this.timers.advance(ms);
+  },
+);
+
+When(
+  "an upstream takes {int} times as long as estimated {int} times",
+  function (this: RouterWorld, ratio: number, times: number) {
+    const [record] = this.router.all();
+    for (let at = 0; at < times; at++) record?.succeeded(ratio);
+  },
+);
+
+When("the other upstream has 1 attempt in flight", function (this: RouterWorld) {
+  this.router.all()[1]?.begin(COST_MS, this.timers.now());
+});
+
+Then("0 of {int} choices use it", function (this: RouterWorld, times: number) {
+  assertUnused(this.router, times, 1);
+});
+
+Then(
+  "0 of {int} choices with an eighth of the limits use it",
+  function (this: RouterWorld, times: number) {
+    assertUnused(this.router, times, 1 / 8);
+  },
+);
+
 Then("{string} work is not sent as a probe", function (this: RouterWorld, rank: string) {
   assert.notEqual(choice(this.router, rankOf(rank))?.reason, "probe");
 });
--- a/src/admission/service-pool.ts
+++ b/src/admission/service-pool.ts
@@ -190,14 +190,15 @@
   private slot(work: Work, costMs: number, routed: Routed): Slot {
     const { record } = routed;
     this.inFlight += 1;
-    record.inFlight += 1;
-    this.queue.serve(work, costMs, this.parts.timers.now());
+    const now = this.parts.timers.now();
+    const end = record.begin(costMs, now);
+    this.queue.serve(work, costMs, now);
     this.parts.decisionLog.write(routeLine(work, routed));
     return {
       upstream: record.upstream,
       release: (result) => {
         this.inFlight -= 1;
-        record.inFlight -= 1;
+        end();
         if (work.exclusive === true) record.reserved = false;
         this.learn(work, costMs, routed, result);
         this.pump();
--- a/src/random/random-source.ts
+++ b/src/random/random-source.ts
@@ -29,10 +29,14 @@
 
   /** Up to `count` distinct items in random order. */
   sample<Item>(items: readonly Item[], count: number): Item[] {
-    const rest = [...items];
+    // Sparse Fisher-Yates shuffle: the work depends on the sample, not on the number of items.
+    const moved = new Map<number, Item | undefined>();
     const chosen: Item[] = [];
-    while (chosen.length < count && rest.length > 0) {
-      chosen.push(...rest.splice(this.below(rest.length), 1));
+    for (let left = items.length; left > 0 && chosen.length < count; left--) {
+      const at = this.below(left);
+      const item = moved.has(at) ? moved.get(at) : items[at];
+      if (item !== undefined) chosen.push(item);
+      moved.set(at, moved.has(left - 1) ? moved.get(left - 1) : items[left - 1]);
     }
     return chosen;
   }
--- a/src/routing/outlier-ejection.ts
+++ b/src/routing/outlier-ejection.ts
@@ -5,6 +5,8 @@
 const LEAST_SAMPLES = 3;
 /** Service time, as a multiple of the median, beyond which an upstream is a straggler. */
 const STRAGGLER = 2.5;
+/** Upstreams that a median is taken over, evenly spread over the service. */
+const MOST_COMPARED = 64;
 const FIRST_PERIOD_MS = 1_000;
 const LONGEST_PERIOD_MS = 16_000;
 
@@ -43,9 +45,9 @@
     }
   }
 
-  /** An ejected upstream whose period is over and that has no probe in flight. */
-  due(now: number): UpstreamRecord | undefined {
-    return this.records().find(
+  /** The first of `out` whose ejection is over and that has no probe in flight. */
+  due(out: readonly UpstreamRecord[], now: number): UpstreamRecord | undefined {
+    return out.find(
       ({ standing, inFlight, reachable }) =>
         standing.kind === "ejected" && standing.until <= now && inFlight === 0 && reachable,
     );
@@ -63,7 +65,10 @@
   }
 
   private median(except: UpstreamRecord): number {
-    const ratios = this.records()
+    const records = this.records();
+    const step = Math.ceil(records.length / MOST_COMPARED);
+    const ratios = records
+      .filter((_, at) => at % step === 0)
       .filter((record) => record !== except && record.samples > 0)
       .map(({ ratio }) => ratio)
       .sort((a, b) => a - b);
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -8,9 +8,17 @@
 import { PrefixAffinity } from "./prefix-affinity.js";
 import type { Routed } from "./routed.js";
 import { score } from "./score.js";
+import { ServiceTotals } from "./service-totals.js";
 import { UpstreamRecord } from "./upstream-record.js";
 
 const RANDOM_CANDIDATES = 3;
+/** Upstreams looked at to find the candidates; bounds the work of a decision in a large fleet. */
+const DRAWN = 8;
+/**
+ * Factor on the score of an upstream whose part of this instance is filled. Without the comparison a
+ * known straggler is chosen when it is the only one with room.
+ */
+const FILLED_PART = 1.5;
 /** Load of a prefix home, as part of its limit, at which its prefixes spread to the next. */
 const SPREAD_LOAD = 0.8;
 /** Least probability that the home has a prefix, because all instances send it there. */
@@ -29,10 +37,11 @@
 export class Router {
   private records: UpstreamRecord[] = [];
   private eligible: UpstreamRecord[] = [];
+  private out: UpstreamRecord[] = [];
+  private byId = new Map<string, UpstreamRecord>();
   private ids: string[] = [];
   private version = -1;
-  private meanOthers = 0;
-  private meanTaken = Number.NEGATIVE_INFINITY;
+  private readonly totals = ServiceTotals.create();
   private readonly affinity = PrefixAffinity.create();
   private readonly ejection = OutlierEjection.create(() => this.records);
 
@@ -51,8 +60,7 @@
   /** Requests that the eligible upstreams may run at once, for all instances together. */
   capacity(): number {
     this.refresh();
-    const now = this.parts.timers.now();
-    return this.eligible.reduce((sum, record) => sum + record.capacity(now), 0);
+    return this.totals.capacity(this.parts.timers.now());
   }
 
   /**
@@ -66,10 +74,11 @@
     const now = this.parts.timers.now();
     const key = PrefixAffinity.key(work.prompt);
     const homes = this.homes(key, now);
-    const candidates = this.candidates(work, homes, ownPart).map((record) => {
+    const candidates = this.candidates(work, homes, ownPart, now).map(({ record, filled }) => {
       const sent = key === undefined ? 0 : this.affinity.confidence(key, record.upstream.id, now);
       const cached = record === homes[0] ? Math.max(sent, HOME_CONFIDENCE) : sent;
-      return { record, scoreMs: this.score(record, costMs, cached, now) };
+      const scoreMs = this.score(record, costMs, cached, now) * (filled ? FILLED_PART : 1);
+      return { record, scoreMs };
     });
     let best = candidates[0];
     for (const candidate of candidates) {
@@ -94,7 +103,7 @@
    */
   chooseAlone(work: Work): Routed | undefined {
     this.refresh();
-    const usable = this.usable(work, () => true);
+    const usable = this.eligible.filter((known) => usableFor(work, known));
     let record = this.eligible.find((known) => known.reserved);
     record ??= usable.sort((a, b) => a.inFlight - b.inFlight)[0];
     if (record === undefined) return undefined;
@@ -134,7 +143,7 @@
     if (work.rank === Rank.Urgent) return undefined;
     if (this.eligible.length === this.records.length) return undefined;
     const now = this.parts.timers.now();
-    const record = this.ejection.due(now);
+    const record = this.ejection.due(this.out, now);
     if (record?.standing.kind !== "ejected" || work.excluded.has(record.upstream.id))
       return undefined;
     record.standing = { kind: "probing", since: now, periodMs: record.standing.periodMs };
@@ -144,36 +153,43 @@
   private homes(key: number | undefined, now: number): UpstreamRecord[] {
     if (key === undefined) return [];
     const ids = this.affinity.homes(key, this.ids, 2);
-    const [home, next] = ids.map((id) => this.eligible.find(({ upstream }) => upstream.id === id));
+    const [home, next] = ids.map((id) => this.byId.get(id));
     if (home === undefined) return [];
     const spread = this.load(home, now) >= SPREAD_LOAD * home.capacity(now);
     return spread && next !== undefined ? [home, next] : [home];
   }
 
+  /** Homes come first: of equal scores the first wins, on all instances alike. */
   private candidates(
     work: Work,
     homes: readonly UpstreamRecord[],
     ownPart: number,
-  ): UpstreamRecord[] {
-    const now = this.parts.timers.now();
-    const free = (record: UpstreamRecord): boolean =>
-      record.inFlight < Math.max(1, Math.round(ownPart * record.capacity(now)));
-    const usable = this.usable(work, free);
-    const pool = usable.length > 0 ? usable : this.usable(work, () => true);
-    const random = this.parts.random.sample(pool, RANDOM_CANDIDATES);
-    // Homes come first: of equal scores the first wins, on all instances alike.
-    const usableHomes = homes.filter((home) => pool.includes(home));
-    return [...usableHomes, ...random.filter((record) => !usableHomes.includes(record))];
+    now: number,
+  ): { record: UpstreamRecord; filled: boolean }[] {
+    const drawn = this.drawn(work).filter((record) => !homes.includes(record));
+    const known = [...homes.filter((home) => usableFor(work, home)), ...drawn].map((record) => ({
+      record,
+      filled: record.inFlight >= Math.max(1, Math.round(ownPart * record.capacity(now))),
+      home: homes.includes(record),
+    }));
+    const free = known.filter(({ filled, home }) => !filled && !home);
+    const filled = known.filter((one) => one.filled && !one.home);
+    return [
+      ...known.filter(({ home }) => home),
+      ...free.slice(0, RANDOM_CANDIDATES),
+      ...filled.slice(0, RANDOM_CANDIDATES),
+    ];
   }
 
-  private usable(work: Work, free: (record: UpstreamRecord) => boolean): UpstreamRecord[] {
-    return this.eligible.filter(
-      (record) => !record.reserved && !work.excluded.has(record.upstream.id) && free(record),
-    );
+  private drawn(work: Work): UpstreamRecord[] {
+    const drawn = this.parts.random
+      .sample(this.eligible, DRAWN)
+      .filter((record) => usableFor(work, record));
+    return drawn.length > 0 ? drawn : this.eligible.filter((record) => usableFor(work, record));
   }
 
   private load(record: UpstreamRecord, now: number): number {
-    return record.inFlight + record.reported.expected(this.others(now), now);
+    return record.inFlight + record.reported.expected(this.totals.meanOthers(now), now);
   }
 
   private score(record: UpstreamRecord, costMs: number, cached: number, now: number): number {
@@ -181,7 +197,8 @@
     const link = this.parts.configuration()?.link(dataCentre, record.upstream.dataCentre);
     return score({
       costMs,
-      ratio: record.ratio,
+      // A straggler shows before its first slow attempt ends.
+      ratio: Math.max(record.ratio, record.overdue(now)),
       load: this.load(record, now),
       capacity: record.capacity(now),
       delayMs: link?.delayMs ?? 0,
@@ -192,16 +209,6 @@
     });
   }
 
-  private others(now: number): number {
-    if (now > this.meanTaken) {
-      this.meanTaken = now;
-      let sum = 0;
-      for (const { reported } of this.eligible) sum += reported.last ?? 0;
-      this.meanOthers = this.eligible.length === 0 ? 0 : sum / this.eligible.length;
-    }
-    return this.meanOthers;
-  }
-
   private refresh(): void {
     const configuration = this.parts.configuration();
     const version = configuration?.version ?? 0;
@@ -223,6 +230,13 @@
 
   private select(): void {
     this.eligible = this.records.filter(({ standing }) => standing.kind === "eligible");
-    this.ids = this.eligible.map(({ upstream }) => upstream.id);
+    this.out = this.records.filter(({ standing }) => standing.kind !== "eligible");
+    this.byId = new Map(this.eligible.map((record) => [record.upstream.id, record]));
+    this.ids = [...this.byId.keys()];
+    this.totals.take(this.eligible);
   }
 }
+
+function usableFor(work: Work, record: UpstreamRecord): boolean {
+  return !record.reserved && !work.excluded.has(record.upstream.id);
+}
--- a/src/routing/upstream-record.ts
+++ b/src/routing/upstream-record.ts
@@ -8,9 +8,13 @@
 const RAMP_MS = 5_000;
 const FIRST_PART = 0.1;
 
+interface RunningAttempt {
+  readonly start: number;
+  readonly costMs: number;
+}
+
 /** What this instance knows of one upstream from its own attempts and from load reports. */
 export class UpstreamRecord {
-  inFlight = 0;
   standing: Standing = { kind: "eligible" };
   /** Whether an exclusive attempt runs or waits to run alone here. */
   reserved = false;
@@ -18,6 +22,8 @@
   reachable = true;
   readonly limit: ConcurrencyLimit;
   readonly reported = ReportedLoad.create();
+  /** Attempts in flight in the order of their start. */
+  private readonly running = new Set<RunningAttempt>();
   private meanRatio = 1;
   private count = 0;
   private success = 1;
@@ -35,6 +41,26 @@
     return new UpstreamRecord(upstream, rampStart);
   }
 
+  /** Attempts of this instance that are in flight. */
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  /** Counts an attempt until the returned function is called. */
+  begin(costMs: number, now: number): () => void {
+    const attempt = { start: now, costMs };
+    this.running.add(attempt);
+    return () => {
+      this.running.delete(attempt);
+    };
+  }
+
+  /** Least service time that the oldest attempt in flight shows, as a multiple of its estimate. */
+  overdue(now: number): number {
+    const [oldest] = this.running;
+    return oldest === undefined || oldest.costMs <= 0 ? 0 : (now - oldest.start) / oldest.costMs;
+  }
+
   /** Service time as a multiple of what the service needs on average. */
   get ratio(): number {
     return this.meanRatio;
