--- a/features/support/stage-trial.ts
+++ b/features/support/stage-trial.ts
@@ -6,20 +6,29 @@
 import type { Upstream } from "../../src/configuration/configuration-document.js";
 import { PipelineRun } from "../../src/pipeline/pipeline-run.js";
 import { RequestState } from "../../src/pipeline/request-state.js";
+import { CrashSuspects } from "../../src/routing/crash-suspects.js";
+import { Hedges } from "../../src/routing/hedges.js";
 import { RetryBudget } from "../../src/routing/retry-budget.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import type { CallIdentity } from "../../src/upstream/call-identity.js";
+import { DroppedAnswers } from "../../src/upstream/dropped-answers.js";
 import type { GenerateRequest } from "../../src/upstream/generate-request.js";
 import type { Token } from "../../src/upstream/token.js";
 import type { UpstreamClient } from "../../src/upstream/upstream-client.js";
 import { sampleConfiguration } from "../../standin/sample-configuration.js";
+import { MemoryUpdates } from "./memory-updates.js";
 
 const DEADLINE_MS = 3_000;
 const MOST_TOKENS = 12;
 
 /** Behaviour of the fake upstreams of a trial. */
 export interface Behaviour {
-  readonly generate?: (request: GenerateRequest, upstream: string) => AsyncIterable<Token>;
-  readonly call?: (upstream: string) => Promise<unknown>;
+  readonly generate?: (
+    request: GenerateRequest,
+    upstream: string,
+    signal: AbortSignal,
+  ) => AsyncIterable<Token>;
+  readonly call?: (upstream: string, signal: AbortSignal) => Promise<unknown>;
   /** Ids of upstreams that the configuration marks as leaving. */
   readonly leaving?: readonly string[];
 }
@@ -31,10 +40,18 @@
   readonly attempts: string[] = [];
   private readonly view = ConfigurationView.create();
   private readonly budget = RetryBudget.create({ timers: this.timers });
-  private readonly configuration: Configuration;
+  readonly hedges = Hedges.create({ timers: this.timers });
+  readonly dropped = DroppedAnswers.create();
+  readonly content = { team: "branches", contentDigest: "digest" };
+  readonly suspects = CrashSuspects.create({
+    timers: this.timers,
+    updates: MemoryUpdates.create(this.timers).of("a"),
+    settings: { instance: { id: "a" } },
+  });
+  private configuration: Configuration;
 
   private constructor(private readonly behaviour: Behaviour) {
-    const names = ["advice", "booking"].flatMap((service) =>
+    const names = ["advice", "booking", "retriever"].flatMap((service) =>
       [1, 2, 3, 4].map((at) => ({ id: `${service}-${at}`, service, port: at })),
     );
     const document = sampleConfiguration(names);
@@ -42,6 +59,7 @@
       ...document,
       pipelines: [
         { name: "advice", stages: [{ name: "generate", service: "advice" }] },
+        { name: "search", stages: [{ name: "retrieve", service: "retriever" }] },
         { name: "booking", stages: [{ name: "book", service: "booking" }] },
       ],
       upstreams: document.upstreams.map((one) => ({
@@ -56,6 +74,16 @@
     return new StageTrial(behaviour);
   }
 
+  /** Marks an upstream as leaving in the next configuration. */
+  leave(id: string): void {
+    const { document, version } = this.configuration;
+    const upstreams = document.upstreams.map((one) =>
+      one.id === id ? { ...one, state: "leaving" } : one,
+    );
+    this.configuration = Configuration.create(version + 1, { ...document, upstreams });
+    this.view.adopt(this.configuration);
+  }
+
   /** Runs a request and returns its tokens; throws what ended it. */
   async run(pipeline: string): Promise<{ texts: string[]; state: RequestState }> {
     const { timers, configuration } = this;
@@ -65,13 +93,12 @@
     const deadline = timers.now() + DEADLINE_MS;
     const request = {
       id: "r",
-      team: "branches",
+      ...this.content,
       pipeline: found,
       workClass,
       input: { text: "text", maxTokens: MOST_TOKENS },
       arrival: timers.now(),
       deadline,
-      contentDigest: "digest",
       idempotencyKey: undefined,
     };
     const state = RequestState.create(timers, deadline);
@@ -88,6 +115,9 @@
       timers,
       configurationView: this.view,
       retryBudget: this.budget,
+      hedges: this.hedges,
+      droppedAnswers: this.dropped,
+      crashSuspects: this.suspects,
     };
     const run = PipelineRun.create(parts, configuration, request, state, record);
     await run.run(new AbortController().signal);
@@ -107,13 +137,13 @@
   private client(id: string): UpstreamClient {
     const { generate, call } = this.behaviour;
     return {
-      generate: (request: GenerateRequest) => {
+      generate: (request: GenerateRequest, signal: AbortSignal) => {
         this.attempts.push(id);
-        return generate?.(request, id) ?? never();
+        return generate?.(request, id, signal) ?? never();
       },
-      call: () => {
+      call: (_path: string, _identity: CallIdentity, _body: unknown, signal: AbortSignal) => {
         this.attempts.push(id);
-        return call?.(id) ?? never();
+        return call?.(id, signal) ?? never();
       },
       load: never,
       close: never,
--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -19,7 +19,7 @@
 import { RequestState } from "./request-state.js";
 import { RunOnce, type RunOnceParts } from "./run-once.js";
 import type { ServeRequest } from "./serve-request.js";
-import type { StageParts } from "./stage-run.js";
+import type { StageParts } from "./stage-parts.js";
 
 interface Parts extends StageParts, RunOnceParts {
   readonly attemptStates: AttemptRegistry;
@@ -63,7 +63,11 @@
     this.parts.newRequests.check();
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
-    if (request.resend !== true) this.parts.pipelineAdmission.admit(request);
+    if (request.resend !== true) {
+      const services = request.pipeline.stages.map((stage) => stage.service);
+      this.parts.crashSuspects.check(request, services);
+      this.parts.pipelineAdmission.admit(request);
+    }
     const record = this.parts.answerLog.start(request.id, request.team);
     void this.run(configuration, request, record);
     return record;
