--- a/features/routing.feature
+++ b/features/routing.feature
@@ -22,3 +22,21 @@
   Scenario: All routers agree on the home of a prefix
     Given a router over 6 upstreams
     Then two routers send the prefix "kaftan" to the same upstream
+
+  Scenario: A straggler is avoided while its first slow attempt is still in flight
+    Given a router over 2 upstreams
+    When an upstream has an attempt in flight for 1000 ms
+    Then 0 of 20 choices use it
+
+  Scenario: A known straggler is not chosen because the others' parts of the limit are filled
+    Given a router over 2 upstreams
+    When an upstream takes 4 times as long as estimated 2 times
+    And the other upstream has 1 attempt in flight
+    Then 0 of 20 choices with an eighth of the limits use it
+
+  Scenario: Polls of a large service follow the upstreams in use, not the size of the service
+    Given a poller over 1400 upstreams of which 8 are used
+    Then it sends at most 13 polls per second
+
+  Scenario: A new upstream gets little traffic at first
+    Then an upstream with a slow start has 10% of its slots at first and all after 5000 ms
--- a/features/steps/routing.ts
+++ b/features/steps/routing.ts
@@ -2,8 +2,11 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { Rank } from "../../src/configuration/rank.js";
 import { RandomSource } from "../../src/random/random-source.js";
+import { LoadPoller } from "../../src/routing/load-poller.js";
 import { Router } from "../../src/routing/router.js";
+import { UpstreamRecord } from "../../src/routing/upstream-record.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import type { UpstreamClients } from "../../src/upstream/upstream-clients.js";
 import { rankOf, retrievers, retrieval } from "../support/decision-parts.js";
 
 const COST_MS = 100;
@@ -13,6 +16,7 @@
 interface RouterWorld {
   timers: ManualTimers;
   router: Router;
+  polls: number;
 }
 
 function routerOver(count: number, seed: number, timers: ManualTimers): Router {
@@ -26,9 +30,15 @@
   });
 }
 
-function choice(router: Router, rank: Rank, prompt = "") {
+function choice(router: Router, rank: Rank, prompt = "", ownPart = 1) {
   const work = { ...retrieval("r", "agdal", rank, DEADLINE_MS), prompt };
-  return router.choose(work, COST_MS, 1);
+  return router.choose(work, COST_MS, ownPart);
+}
+
+function assertUnused(router: Router, times: number, ownPart: number): void {
+  const choices = Array.from({ length: times }, () => choice(router, Rank.Standard, "", ownPart));
+  const used = choices.filter((routed) => routed?.record === router.all()[0]);
+  assert.equal(used.length, 0);
 }
 
 Given("a router over {int} upstreams", function (this: RouterWorld, count: number) {
@@ -60,6 +70,37 @@
   assert.equal(ejected.length, count);
 });
 
+When(
+  "an upstream has an attempt in flight for {int} ms",
+  async function (this: RouterWorld, ms: number) {
+    this.router.all()[0]?.begin(COST_MS, this.timers.now());
+    await this.timers.advance(ms);
+  },
+);
+
+When(
+  "an upstream takes {int} times as long as estimated {int} times",
+  function (this: RouterWorld, ratio: number, times: number) {
+    const [record] = this.router.all();
+    for (let at = 0; at < times; at++) record?.succeeded(ratio);
+  },
+);
+
+When("the other upstream has 1 attempt in flight", function (this: RouterWorld) {
+  this.router.all()[1]?.begin(COST_MS, this.timers.now());
+});
+
+Then("0 of {int} choices use it", function (this: RouterWorld, times: number) {
+  assertUnused(this.router, times, 1);
+});
+
+Then(
+  "0 of {int} choices with an eighth of the limits use it",
+  function (this: RouterWorld, times: number) {
+    assertUnused(this.router, times, 1 / 8);
+  },
+);
+
 Then("{string} work is not sent as a probe", function (this: RouterWorld, rank: string) {
   assert.notEqual(choice(this.router, rankOf(rank))?.reason, "probe");
 });
@@ -79,3 +120,39 @@
     assert.equal(homes[0], homes[1]);
   },
 );
+
+Given(
+  "a poller over {int} upstreams of which {int} are used",
+  function (this: RouterWorld, count: number, used: number) {
+    this.timers = ManualTimers.create();
+    this.router = routerOver(count, 1, this.timers);
+    this.polls = 0;
+    const load = (): Promise<number> => Promise.resolve(++this.polls);
+    const clients = { of: () => ({ load }) } as unknown as UpstreamClients;
+    const records = this.router.all();
+    for (const record of records.slice(0, used)) record.begin(COST_MS, 0);
+    LoadPoller.create(
+      () => records,
+      () => assert.fail("a poll failed"),
+      { clients, timers: this.timers },
+    );
+  },
+);
+
+Then("it sends at most {int} polls per second", async function (this: RouterWorld, most: number) {
+  const seconds = 10;
+  await this.timers.advance(seconds * 1_000);
+  assert.ok(this.polls / seconds <= most, `${this.polls / seconds} polls per second`);
+  assert.ok(this.polls > 0);
+});
+
+Then(
+  "an upstream with a slow start has {int}% of its slots at first and all after {int} ms",
+  function (percent: number, ms: number) {
+    const [upstream] = retrievers(1, SLOTS).upstreamsOf("retriever");
+    assert.ok(upstream);
+    const record = UpstreamRecord.create(upstream, 0);
+    const capacities = [0, ms].map((now) => record.capacity(now));
+    assert.deepEqual(capacities, [(SLOTS * percent) / 100, SLOTS]);
+  },
+);
