Send demand digests in a full mesh only

Limits are divided by demand only when the digests of all live instances are fresh (LimitPart), which cannot be the case when heartbeats go to three successors. It is now left out in a large fleet, and rates are rounded to three digits.

--- a/src/peer/heartbeats.ts
+++ b/src/peer/heartbeats.ts
@@ -1,3 +1,4 @@
+import type { DemandDigest } from "../admission/demand-digest.js";
 import type { DemandSource } from "../admission/demand-source.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import type { Settings } from "../settings/settings.js";
@@ -21,6 +22,8 @@
 
 /** Members in a heartbeat that changed last; most differences of two views are recent. */
 const RECENT_MEMBERS = 4;
+/** Rates are decayed sums, whose further digits say nothing. */
+const DEMAND_DIGITS = 3;
 
 interface Parts {
   readonly settings: Settings;
@@ -54,11 +57,13 @@
 
   /** Exchanges one heartbeat; throws `PeerUnavailable` without an answer in time. */
   async exchange(instance: string): Promise<void> {
-    const { settings, peerCalls, broadcast, demandSource, heartbeatReports } = this.parts;
+    const { settings, peerCalls, broadcast, demandSource, heartbeatReports, memberTable } =
+      this.parts;
     const heartbeat: Heartbeat = {
       ...this.shared(instance, this.differing.has(instance)),
       updates: broadcast.store.digest(IDS_PER_HEARTBEAT),
-      demand: demandSource.digest(),
+      // Limits are divided by demand only where every instance knows the demand of all.
+      ...(memberTable.meshed ? { demand: rounded(demandSource.digest()) } : {}),
     };
     const timeoutMs = settings.bounds.heartbeatMs;
     const result = await peerCalls.call(instance, PeerMethod.Heartbeat, heartbeat, timeoutMs);
@@ -120,6 +125,14 @@
 
 type ParsedHeartbeat = ReturnType<typeof heartbeatSchema.parse>;
 
+function rounded({ services, teams }: DemandDigest): DemandDigest {
+  const round = (rates: DemandDigest["teams"]): DemandDigest["teams"] =>
+    Object.fromEntries(
+      Object.entries(rates).map(([key, rate]) => [key, Number(rate.toPrecision(DEMAND_DIGITS))]),
+    );
+  return { services: round(services), teams: round(teams) };
+}
+
 /** Whether the member must correct what is known of it; `said` is its own present statement. */
 function isWrong(known: MemberEntry, said: MemberEntry | undefined): boolean {
   return known.state === MemberState.Dead || (said !== undefined && supersedes(known, said));
--- a/src/peer/member-table.ts
+++ b/src/peer/member-table.ts
@@ -61,6 +61,11 @@
     return this.liveRing;
   }
 
+  /** Whether the fleet is small enough that each instance sends heartbeats to all others. */
+  get meshed(): boolean {
+    return this.liveRing.size <= this.parts.settings.peers.meshMembers;
+  }
+
   /**
    * Digest of all live members; equal on two instances that believe the same. It is the exclusive
    * or of the digests of the entries, so that a change costs the same in a fleet of any size.
--- a/src/peer/membership.ts
+++ b/src/peer/membership.ts
@@ -76,12 +76,6 @@
     this.watches.clear();
   }
 
-  private get meshed(): boolean {
-    const { memberTable, settings } = this.parts;
-    const { self, ring } = memberTable;
-    return ring.successors(self, settings.peers.meshMembers).length < settings.peers.meshMembers;
-  }
-
   private watchSoon(): void {
     if (this.watchDue) return;
     this.watchDue = true;
@@ -94,7 +88,7 @@
     this.watchDue = false;
     if (this.stopped) return;
     const { memberTable, settings } = this.parts;
-    const count = this.meshed ? settings.peers.meshMembers : settings.peers.successors;
+    const count = memberTable.meshed ? settings.peers.meshMembers : settings.peers.successors;
     const wanted = new Set(memberTable.ring.successors(memberTable.self, count));
     for (const [id, watch] of this.watches) {
       if (wanted.has(id)) continue;
@@ -110,7 +104,7 @@
     memberTable.restartSilenceOf(id);
     const watch = PeerWatch.create(this.parts, id, (entry) => {
       // In a full mesh each instance has its own evidence.
-      if (!this.meshed) this.parts.memberNews.add(entry);
+      if (!memberTable.meshed) this.parts.memberNews.add(entry);
     });
     this.watches.set(id, watch);
     void watch.run();
--- a/src/peer/ring.ts
+++ b/src/peer/ring.ts
@@ -45,6 +45,10 @@
     return new Ring(this.ids.toSpliced(at, 1), this.positions.toSpliced(at, 1));
   }
 
+  get size(): number {
+    return this.ids.length;
+  }
+
   /** The `count` instances that follow `id`. */
   successors(id: string, count: number): string[] {
     return this.between(id, id).slice(0, count);
