Try the next member of a range after 300 ms

A dead member that is not yet known as dead held up its range for 1 s. The next candidate is now tried after 300 ms while the first call is still open; copies are dropped by id.

--- a/src/peer/broadcast.ts
+++ b/src/peer/broadcast.ts
@@ -12,8 +12,10 @@
 import { UpdateStore } from "./update-store.js";
 import type { Updates } from "./updates.js";
 
-/** Time after which the next member of a range is tried; two quiet connections fit into it. */
+/** Time limit of a call; two quiet connections fit into it. */
 const CALL_MS = 1_000;
+/** Time after which the next member of a range is tried as well; above a round trip between regions. */
+const NEXT_MS = 300;
 const RADIX = 36;
 
 interface Parts {
@@ -101,9 +103,16 @@
   private async deliver(id: string, item: SpreadItem, share: Share): Promise<void> {
     const { until } = share;
     const call = { id, item, ...(until === undefined ? {} : { until }) };
+    const { memberTable, timers } = this.parts;
+    const accepted = new Set<string>();
     for (const candidate of share.candidates) {
-      if (this.parts.memberTable.find(candidate)?.state === MemberState.Dead) continue;
-      if (await this.sent(candidate, call)) return;
+      if (accepted.size > 0) return;
+      if (memberTable.find(candidate)?.state === MemberState.Dead) continue;
+      const answered = this.sent(candidate, call).then((sent) => {
+        if (sent) accepted.add(candidate);
+      });
+      // A late member may still accept the item; both then cover the range, and copies are dropped.
+      await Promise.race([answered, timers.sleep(NEXT_MS)]);
     }
   }
 
