--- a/src/peer/membership.ts
+++ b/src/peer/membership.ts
@@ -65,8 +65,7 @@
   /** Tells the other instances that this one is leaving; it still answers them. */
   async leave(): Promise<void> {
     const { memberTable, memberNews } = this.parts;
-    memberNews.add(memberTable.leave());
-    await memberNews.flush();
+    await memberNews.spread(memberTable.leave());
   }
 
   stop(): void {
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -17,6 +17,7 @@
 const repeatable: Readonly<Record<PeerMethod, boolean>> = {
   [PeerMethod.Heartbeat]: true,
   [PeerMethod.Probe]: true,
+  [PeerMethod.MemberNews]: true,
   [PeerMethod.Broadcast]: true,
   [PeerMethod.ConfigurationChangesSince]: true,
   [PeerMethod.ConfigurationAgreement]: true,
