--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,5 @@
 // Runs the decision code of admission and routing on a manual clock and compares it with the stated
-// targets and with named baselines. Arguments: part of a scenario name.
+// targets and with named baselines. Arguments: part of a scenario name, or "spread".
 import { readFile } from "node:fs/promises";
 import { deployments } from "./deployment.js";
 import { measureDecisionCost } from "./decision-cost.js";
@@ -15,6 +15,7 @@
 const ENTRY = "bench: ";
 
 const only = process.argv[2] ?? "";
+if (only === "spread") await import("./spread.js");
 const knownRed = (await readFile("KNOWN-RED.txt", "utf8"))
   .split("\n")
   .filter((line) => line.startsWith(ENTRY))
--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -1,7 +1,10 @@
+// Measures the spread of updates: `npm run bench -- spread [variants] [sizes]`.
 import { SpreadRun } from "./spread/spread-run.js";
 import type { SpreadFigures } from "./spread/spread-figures.js";
 
-const [variants = "ring", sizes = "8,64,370"] = process.argv.slice(2);
+const [variants = "ring", sizes = "8,64,370"] = process.argv
+  .slice(2)
+  .filter((one) => one !== "spread");
 const VARIANTS = variants.split(",");
 const SIZES = sizes.split(",").map(Number);
 /** In force everywhere within 14 s. */
