Pass an update on after a repaired copy

With a tenth of 370 members dead, an update reached the last instance after 12.7 s although calls to dead members take 0.3 s. The arrival times showed a whole range of 65 members reached one after the other: a member that had got the update by heartbeat repair dropped the later copy that assigned it the range. The range is now covered once for each update, whichever copy came first.

The feature fails without the change.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -76,3 +76,8 @@
     Then within 14 s all running members have the update once
     When member 20 is thawed
     Then within 5 s member 20 has the update once
+
+  Scenario: A member that got an update by repair still passes it on
+    Given 40 members on an in-memory network
+    When an update that is repaired at three successors of member 1 is then passed on
+    Then within 1 s all running members have the update once
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { MemberState } from "../../src/peer/member-state.js";
+import { PeerMethod } from "../../src/peer/peer-method.js";
 import type { ListedInstance } from "../../src/platform/listed-instance.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import { MemberGroup } from "../support/member-group.js";
@@ -120,6 +121,20 @@
   },
 );
 
+When(
+  "an update that is repaired at three successors of member {int} is then passed on",
+  async (number: number) => {
+    const { id, parts } = group.member(number);
+    const successors = parts.memberTable.ring.successors(id, 4);
+    const call = { id: "repaired", item: UPDATE };
+    const send = (to: string, params: object): unknown =>
+      group.network.call(id, to, PeerMethod.Broadcast, params, SECOND_MS);
+    for (const to of successors.slice(0, 3)) void send(to, call);
+    await group.clock.advance(100);
+    void send(successors[0] ?? "", { ...call, until: id });
+  },
+);
+
 When("member {int} is thawed", (number: number) => {
   group.member(number).thaw();
 });
--- a/src/peer/broadcast.ts
+++ b/src/peer/broadcast.ts
@@ -85,8 +85,9 @@
   }
 
   private receive({ id, item, until }: ReturnType<typeof broadcastSchema.parse>): void {
+    // A repaired copy may come first; its receiver still has to cover the range.
+    if (until !== undefined && this.store.addPassed(id)) void this.pass(id, item, until);
     if (!this.store.add(id, item)) return;
-    if (until !== undefined) void this.pass(id, item, until);
     if (item.kind === "members") for (const handler of this.newsHandlers) handler(item);
     else for (const handler of this.handlers) handler(item);
   }
--- a/src/peer/update-store.ts
+++ b/src/peer/update-store.ts
@@ -17,6 +17,7 @@
 export class UpdateStore {
   private readonly kept = new Map<string, Kept>();
   private readonly ids = new Set<string>();
+  private readonly passedIds = new Set<string>();
   private next = 0;
 
   private constructor(private readonly timers: Timers) {}
@@ -37,6 +38,14 @@
     return true;
   }
 
+  /** Notes that an update is passed on; returns false if it was passed on before. */
+  addPassed(id: string): boolean {
+    if (this.passedIds.has(id)) return false;
+    this.passedIds.add(id);
+    if (this.passedIds.size > MAX_IDS) removeFirst(this.passedIds);
+    return true;
+  }
+
   find(id: string): SpreadItem | undefined {
     return this.kept.get(id)?.item;
   }
