Offer updates for repair only after 1 s

Heartbeats offered an update while its broadcast was still on its way, so that copies were sent twice.

--- a/src/peer/update-store.ts
+++ b/src/peer/update-store.ts
@@ -3,6 +3,8 @@
 
 /** Time for which an update is offered to heartbeat partners that lack it. */
 const REPAIR_MS = 120_000;
+/** Time left to the broadcast before an update is offered, so that repairs do not race with it. */
+const REPAIR_AFTER_MS = 1_000;
 /** Bounds memory; a burst of more updates is repaired from its newest part only. */
 const MAX_KEPT = 512;
 /** Ids are remembered longer than updates, so that a late copy is not delivered again. */
@@ -57,7 +59,8 @@
       if (sinceMs >= oldest) break;
       this.kept.delete(id);
     }
-    const all = [...this.kept.keys()];
+    const newest = this.timers.now() - REPAIR_AFTER_MS;
+    const all = [...this.kept].flatMap(([id, { sinceMs }]) => (sinceMs <= newest ? [id] : []));
     if (all.length <= count) return all;
     const start = this.next % all.length;
     this.next = start + count;
