Keep answers readable during a graceful stop

A stop closed the servers as soon as nothing was in progress, so that a caller that resumed through another instance lost a finished answer. Answers now stay readable until the grace period ends or nothing was read for 2 s.

In a first try the peers were told after that wait. One scenario failed: with all daemons replaced under load, 2 requests were refused because the queue was 1018 ms long. The stopping instance kept its part of the limits although it took no requests. It now leaves before the wait, and a leaving instance no longer counts among those that share a limit. features/graceful-stop.feature then passes (4 of 4).

--- a/features/graceful-stop.feature
+++ b/features/graceful-stop.feature
@@ -21,3 +21,8 @@
     When team "seamstresses" streams from daemon 1 while it stops
     Then a new request to daemon 1 is refused as "draining" with outcome "not-run"
     And the stream is whole
+
+  Scenario: A finished answer stays readable while it is read
+    When team "seamstresses" has an answer of daemon 1, which then stops
+    Then the answer is read through daemon 2 every 500 ms for 4 s
+    And the stopped daemons exit with 0
--- a/features/steps/graceful-stop.ts
+++ b/features/steps/graceful-stop.ts
@@ -12,6 +12,8 @@
 let load: CallerLoad;
 let exits: (number | null)[] = [];
 let stream: Promise<string | undefined>;
+let kept: string;
+let ended: Promise<number | null>;
 
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -71,6 +73,34 @@
   },
 );
 
+When(
+  "team {string} has an answer of daemon {int}, which then stops",
+  async function (this: ScenarioWorld, _team: string, number: number) {
+    const { url, child } = daemon(this.fleet, number);
+    const answer = await post(url, {
+      credential: sampleCredentials.seamstresses,
+      pipeline: "advice",
+      body: { class: "chat", deadlineMs: 5_000, input: { text: "kept", maxTokens: TOKENS } },
+    });
+    kept = String(answer.headers.get("x-request-id"));
+    ended = child.end("SIGTERM");
+  },
+);
+
+Then(
+  "the answer is read through daemon {int} every {int} ms for {int} s",
+  async function (this: ScenarioWorld, number: number, interval: number, seconds: number) {
+    const { url } = daemon(this.fleet, number);
+    const headers = { authorization: `Bearer ${sampleCredentials.seamstresses}` };
+    for (let passed = 0; passed < seconds * 1_000; passed += interval) {
+      const { status } = await fetch(`${url}/v1/requests/${kept}`, { headers });
+      assert.equal(status, 200, `after ${passed} ms`);
+      await pause(interval);
+    }
+    exits.push(await ended);
+  },
+);
+
 Then("the stopped daemons exit with 0", () => {
   assert(exits.length > 0);
   assert.deepEqual(
--- a/src/caller/answer-log.ts
+++ b/src/caller/answer-log.ts
@@ -11,6 +11,7 @@
 export class AnswerLog {
   private readonly running = new Map<string, AnswerRecord>();
   private readonly finished: LRUCache<string, AnswerRecord>;
+  private readCount = 0;
 
   private constructor(settings: Settings) {
     this.finished = new LRUCache({
@@ -29,6 +30,16 @@
     return this.running.size;
   }
 
+  /** Number of finished answers that can be read. */
+  get readable(): number {
+    return this.finished.size;
+  }
+
+  /** Number of reads so far by callers, directly or through other instances. */
+  get reads(): number {
+    return this.readCount;
+  }
+
   start(request: string, team: string): AnswerRecord {
     const record = AnswerRecord.create(request, team);
     this.running.set(request, record);
@@ -51,7 +62,10 @@
    */
   owned(request: string, team: string): AnswerRecord {
     const record = this.find(request);
-    if (record?.team === team) return record;
+    if (record?.team === team) {
+      this.readCount += 1;
+      return record;
+    }
     throw ServeError.create(ErrorKind.UnknownRequest, `no request "${request}"`);
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,8 @@
 const PROGRESS_CHECK_MS = 50;
 /** Time for telling the peers; an instance that misses it notices the silence. */
 const LEAVE_MS = 2_000;
+/** Time without a read after which a stop no longer waits for callers that resume. */
+const UNREAD_MS = 2_000;
 
 /** One entry instance of the system. */
 export class Daemon {
@@ -49,6 +51,7 @@
     const end = timers.now() + graceMs;
     await this.finishRequests(end);
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
+    await this.keepAnswers(end);
     await Promise.race([this.close(), timers.sleep(Math.max(0, end - timers.now()))]);
     log.info({ message: "stopped" });
   }
@@ -61,6 +64,19 @@
     }
   }
 
+  /** Keeps finished answers readable until `end` or until nobody reads them any more. */
+  private async keepAnswers(end: number): Promise<void> {
+    const { timers, answerLog } = this.parts;
+    let { reads } = answerLog;
+    let quietSince = timers.now();
+    while (answerLog.readable > 0 && timers.now() < Math.min(end, quietSince + UNREAD_MS)) {
+      await timers.sleep(PROGRESS_CHECK_MS);
+      if (answerLog.reads === reads) continue;
+      ({ reads } = answerLog);
+      quietSince = timers.now();
+    }
+  }
+
   private async close(): Promise<void> {
     const { configurationFollower, callerServer, peerServer, peerCalls, clients } = this.parts;
     const { membership, pauseDetection } = this.parts;
--- a/src/peer/heartbeat-reports.ts
+++ b/src/peer/heartbeat-reports.ts
@@ -55,7 +55,8 @@
   }
 
   liveInstances(): number {
-    const { memberTable } = this.parts;
-    return memberTable.ring.between(memberTable.self, memberTable.self).length + 1;
+    // A leaving instance has finished its requests and needs no part of a limit.
+    const serving = [MemberState.Alive, MemberState.Suspect];
+    return this.parts.memberTable.all().filter(({ state }) => serving.includes(state)).length + 1;
   }
 }
