Test indirect probes, the member cap and forgetting

Guards against a member that is buried because one other cannot hear it, against news that fill the memory with members that do not exist, and against dead members that are kept for ever.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -81,3 +81,22 @@
     Given 40 members on an in-memory network
     When an update that is repaired at three successors of member 1 is then passed on
     Then within 1 s all running members have the update once
+
+  Scenario: An instance that only one other cannot hear stays alive by indirect probes
+    Given 8 members on an in-memory network
+    When nothing from member 2 reaches member 3 for 30 s
+    Then member 3 never took member 2 for dead
+
+  Scenario: News of members that do not exist fill no memory
+    Given 8 members on an in-memory network
+    When member 2 tells member 1 of 5000 other members
+    Then member 1 knows 4096 members, and the running ones are among them
+
+  Scenario: A dead instance that is no longer listed is forgotten after an hour
+    Given 3 members on an in-memory network
+    When the list drops member 3
+    And member 3 is killed
+    And 60 s pass
+    Then all see member 3 as "dead"
+    When 3600 s pass
+    Then all see member 3 as "unknown"
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -2,6 +2,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { MemberState } from "../../src/peer/member-state.js";
 import { PeerMethod } from "../../src/peer/peer-method.js";
+import { ENTRIES_PER_NEWS } from "../../src/peer/spread-item.js";
 import type { ListedInstance } from "../../src/platform/listed-instance.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import { MemberGroup } from "../support/member-group.js";
@@ -19,6 +20,7 @@
 let group: MemberGroup;
 let pauses: number[] = [];
 let firstRun = 0;
+let deaths: string[] = [];
 
 function allSee(number: number, state: string): boolean {
   return group.others(number).every((each) => each.stateOf(group.member(number).id) === state);
@@ -135,6 +137,34 @@
   },
 );
 
+When(
+  "nothing from member {int} reaches member {int} for {int} s",
+  async (from: number, to: number, seconds: number) => {
+    deaths = [];
+    group.member(to).parts.members.subscribe(({ id, state }) => {
+      if (state === MemberState.Dead) deaths.push(id);
+    });
+    group.network.cutWay(group.member(from).id, group.member(to).id);
+    await group.clock.advance(seconds * SECOND_MS);
+  },
+);
+
+When(
+  "member {int} tells member {int} of {int} other members",
+  async (from: number, to: number, count: number) => {
+    const { own } = group.member(from).parts.memberTable;
+    for (let at = 0; at < count; at += ENTRIES_PER_NEWS) {
+      const entries = Array.from({ length: ENTRIES_PER_NEWS }, (_, each) => {
+        return { ...own, id: `other-${at + each}` };
+      });
+      const call = { id: `news-${at}`, item: { kind: "members", entries } };
+      const { id } = group.member(to);
+      void group.network.call(own.id, id, PeerMethod.Broadcast, call, SECOND_MS);
+    }
+    await group.clock.advance(SECOND_MS / 10);
+  },
+);
+
 When("member {int} is thawed", (number: number) => {
   group.member(number).thaw();
 });
@@ -186,6 +216,20 @@
   ),
 );
 
+Then("member {int} never took member {int} for dead", (by: number, of: number) => {
+  assert(!deaths.includes(group.member(of).id));
+  assert.equal(group.member(by).stateOf(group.member(of).id), MemberState.Alive);
+});
+
+Then(
+  "member {int} knows {int} members, and the running ones are among them",
+  (number: number, count: number) => {
+    const { parts } = group.member(number);
+    assert.equal(parts.members.all().length, count);
+    assert(group.others(number).every(({ id }) => parts.members.find(id) !== undefined));
+  },
+);
+
 Then("within {int} s all running members have the update once", (seconds: number) =>
   within(seconds, () => group.others(1).every(({ id }) => group.received.get(id)?.length === 1)),
 );
--- a/standin/peer-network.ts
+++ b/standin/peer-network.ts
@@ -26,6 +26,7 @@
 export class PeerNetwork {
   readonly ports = new Map<string, NetworkPort>();
   private readonly cuts = new Set<string>();
+  private readonly cutWays = new Set<string>();
 
   private constructor(
     private readonly clock: ManualTimers,
@@ -41,6 +42,11 @@
     this.cuts.add(name);
   }
 
+  /** Loses everything that one member sends to another. */
+  cutWay(from: string, to: string): void {
+    this.cutWays.add(`${from} ${to}`);
+  }
+
   join(name: string): void {
     this.cuts.delete(name);
   }
@@ -88,7 +94,13 @@
     await this.clock.sleep(base * (0.5 + this.random.fraction()));
     const isCut = (name = ""): boolean => this.cuts.has(name);
     const apart = near?.region !== far?.region && (isCut(near?.region) || isCut(far?.region));
-    const lost = apart || isCut(from) || isCut(to) || near?.up !== true || far?.up !== true;
+    const lost =
+      this.cutWays.has(`${from} ${to}`) ||
+      apart ||
+      isCut(from) ||
+      isCut(to) ||
+      near?.up !== true ||
+      far?.up !== true;
     if (lost) await new Promise(() => undefined);
   }
 
