Wait for the writes of claims in a graceful stop

A finished or released claim is written in the background. A daemon that stopped during a table outage left a claim behind whose request was answered, and a resent request got in-progress with outcome may-have-run. A stop now also waits for these writes within the grace time.

--- a/bench/ledger-rate.ts
+++ b/bench/ledger-rate.ts
@@ -6,6 +6,7 @@
 import { ErrorKind } from "../src/error/error-kind.js";
 import { AttemptState } from "../src/ledger/attempt-state.js";
 import { ClaimHolders } from "../src/ledger/claim-holders.js";
+import { ClaimWrites } from "../src/ledger/claim-writes.js";
 import { TableBreaker } from "../src/ledger/table-breaker.js";
 import { TableLedger } from "../src/ledger/table-ledger.js";
 import { WriteBatcher } from "../src/ledger/write-batcher.js";
@@ -109,6 +110,7 @@
   });
   return TableLedger.create({
     ...{ table, timers, random, log, tableBreaker, writeBatcher },
+    claimWrites: ClaimWrites.create(),
     ...{ members, claimHolders, incarnation: 1 },
   });
 }
--- a/features/graceful-stop.feature
+++ b/features/graceful-stop.feature
@@ -26,3 +26,8 @@
     When team "seamstresses" has an answer of daemon 1, which then stops
     Then the answer is read through daemon 2 every 500 ms for 4 s
     And the stopped daemons exit with 0
+
+  Scenario: A stop waits for the claim of an answered request to be finished
+    When a booking ends at daemon 1 in a table outage of 5 s, and the daemon stops
+    Then the stopped daemons exit with 0
+    And the booking resent to daemon 2 is answered with 200
--- a/features/steps/graceful-stop.ts
+++ b/features/steps/graceful-stop.ts
@@ -9,6 +9,13 @@
 const TOKENS = 8;
 const SETTLE_MS = 500;
 
+const booking = {
+  credential: sampleCredentials.seamstresses,
+  pipeline: "booking",
+  headers: { "idempotency-key": "stop-1" },
+  body: { class: "fitting", deadlineMs: 5_000, input: { text: "book" }, stream: false },
+};
+
 let load: CallerLoad;
 let exits: (number | null)[] = [];
 let stream: Promise<string | undefined>;
@@ -101,6 +108,37 @@
   },
 );
 
+When(
+  "a booking ends at daemon {int} in a table outage of {int} s, and the daemon stops",
+  async function (this: ScenarioWorld, number: number, seconds: number) {
+    const { fleet } = this;
+    const { url, child } = daemon(fleet, number);
+    await fleet.control(fleet.upstreams.get("booking-1")?.url ?? "", { firstMs: SETTLE_MS });
+    const answered = post(url, booking);
+    await pause(SETTLE_MS / 2);
+    await fleet.control(fleet.tableUrl, { down: true });
+    assert.equal((await answered).status, 200);
+    ended = child.end("SIGTERM");
+    await pause(seconds * 1_000);
+    await fleet.control(fleet.tableUrl, { down: false });
+    exits.push(await ended);
+  },
+);
+
+Then(
+  "the booking resent to daemon {int} is answered with {int}",
+  async function (this: ScenarioWorld, number: number, status: number) {
+    const { url } = daemon(this.fleet, number);
+    let answer = await post(url, booking);
+    // The daemon notices the end of the outage by paced probes.
+    for (let tries = 0; answer.status === 503 && tries < 20; tries += 1) {
+      await pause(SETTLE_MS);
+      answer = await post(url, booking);
+    }
+    assert.equal(answer.status, status, JSON.stringify(answer.body));
+  },
+);
+
 Then("the stopped daemons exit with 0", () => {
   assert(exits.length > 0);
   assert.deepEqual(
--- a/features/support/ledger-instance.ts
+++ b/features/support/ledger-instance.ts
@@ -4,6 +4,7 @@
 import { registerAttemptQuery } from "../../src/ledger/attempt-query.js";
 import { AttemptState } from "../../src/ledger/attempt-state.js";
 import { ClaimHolders } from "../../src/ledger/claim-holders.js";
+import { ClaimWrites } from "../../src/ledger/claim-writes.js";
 import { TableBreaker } from "../../src/ledger/table-breaker.js";
 import { TableLedger } from "../../src/ledger/table-ledger.js";
 import { WriteBatcher } from "../../src/ledger/write-batcher.js";
@@ -58,6 +59,7 @@
     this.breaker = tableBreaker;
     this.ledger = TableLedger.create({
       ...{ table, timers, random, log, tableBreaker, writeBatcher },
+      claimWrites: ClaimWrites.create(),
       ...{ members, claimHolders, incarnation },
     });
     const register = (_method: unknown, handler: PeerHandler): void => {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -58,10 +58,13 @@
   }
 
   private async finishRequests(end: number): Promise<void> {
-    const { timers, answerLog, log } = this.parts;
-    while (answerLog.inProgress > 0 && timers.now() < end) await timers.sleep(PROGRESS_CHECK_MS);
-    if (answerLog.inProgress > 0) {
-      log.warn({ message: "grace period is over", inProgress: answerLog.inProgress });
+    const { timers, answerLog, claimWrites, log } = this.parts;
+    const unfinished = (): boolean => answerLog.inProgress > 0 || claimWrites.pending > 0;
+    while (unfinished() && timers.now() < end) await timers.sleep(PROGRESS_CHECK_MS);
+    if (unfinished()) {
+      const { inProgress } = answerLog;
+      const claims = claimWrites.pending;
+      log.warn({ message: "grace period is over", inProgress, claims });
     }
   }
 
--- a/src/daemon/ledger-parts.ts
+++ b/src/daemon/ledger-parts.ts
@@ -1,4 +1,5 @@
 import { ClaimHolders } from "../ledger/claim-holders.js";
+import { ClaimWrites } from "../ledger/claim-writes.js";
 import { LedgerExpiry } from "../ledger/ledger-expiry.js";
 import type { Ledger } from "../ledger/ledger.js";
 import { TableBreaker } from "../ledger/table-breaker.js";
@@ -13,6 +14,7 @@
   readonly attemptStates: AttemptRegistry;
   readonly tableBreaker: TableBreaker;
   readonly writeBatcher: WriteBatcher;
+  readonly claimWrites: ClaimWrites;
   readonly claimHolders: ClaimHolders;
   readonly ledger: Ledger;
   readonly ledgerExpiry: LedgerExpiry;
@@ -23,6 +25,7 @@
   attemptStates: asFunction(() => AttemptRegistry.create()).singleton(),
   tableBreaker: asFunction(TableBreaker.create).singleton(),
   writeBatcher: asFunction((parts: Cradle) => WriteBatcher.create(parts)).singleton(),
+  claimWrites: asFunction(() => ClaimWrites.create()).singleton(),
   claimHolders: asFunction(ClaimHolders.create).singleton(),
   ledger: asFunction(TableLedger.create).singleton(),
   ledgerExpiry: asFunction(LedgerExpiry.create).singleton(),
--- a/src/ledger/claim-release.ts
+++ b/src/ledger/claim-release.ts
@@ -5,6 +5,7 @@
 import type { Table } from "../platform/table.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Timers } from "../time/timers.js";
+import type { ClaimWrites } from "./claim-writes.js";
 import { type LedgerRecord, ledgerPut, ledgerRowOf } from "./ledger-row.js";
 import { LedgerState } from "./ledger-state.js";
 import type { TableBreaker } from "./table-breaker.js";
@@ -22,10 +23,15 @@
   readonly log: ConsolaInstance;
   readonly tableBreaker: TableBreaker;
   readonly writeBatcher: Pick<WriteBatcher, "write">;
+  readonly claimWrites: ClaimWrites;
 }
 
 /** Repeats `step` until it returns true, with growing delays while the table fails. */
-export async function untilDone(parts: ClaimParts, step: () => Promise<boolean>): Promise<void> {
+export function untilDone(parts: ClaimParts, step: () => Promise<boolean>): Promise<void> {
+  return parts.claimWrites.run(() => repeat(parts, step));
+}
+
+async function repeat(parts: ClaimParts, step: () => Promise<boolean>): Promise<void> {
   const { timers, random, tableBreaker } = parts;
   for (let delay = FIRST_RETRY_MS; ; delay = Math.min(LONGEST_RETRY_MS, 2 * delay)) {
     try {
