--- a/features/steps/graceful-stop.ts
+++ b/features/steps/graceful-stop.ts
@@ -9,9 +9,18 @@
 const TOKENS = 8;
 const SETTLE_MS = 500;
 
+const booking = {
+  credential: sampleCredentials.seamstresses,
+  pipeline: "booking",
+  headers: { "idempotency-key": "stop-1" },
+  body: { class: "fitting", deadlineMs: 5_000, input: { text: "book" }, stream: false },
+};
+
 let load: CallerLoad;
 let exits: (number | null)[] = [];
 let stream: Promise<string | undefined>;
+let kept: string;
+let ended: Promise<number | null>;
 
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -71,6 +80,65 @@
   },
 );
 
+When(
+  "team {string} has an answer of daemon {int}, which then stops",
+  async function (this: ScenarioWorld, _team: string, number: number) {
+    const { url, child } = daemon(this.fleet, number);
+    const answer = await post(url, {
+      credential: sampleCredentials.seamstresses,
+      pipeline: "advice",
+      body: { class: "chat", deadlineMs: 5_000, input: { text: "kept", maxTokens: TOKENS } },
+    });
+    kept = String(answer.headers.get("x-request-id"));
+    ended = child.end("SIGTERM");
+  },
+);
+
+Then(
+  "the answer is read through daemon {int} every {int} ms for {int} s",
+  async function (this: ScenarioWorld, number: number, interval: number, seconds: number) {
+    const { url } = daemon(this.fleet, number);
+    const headers = { authorization: `Bearer ${sampleCredentials.seamstresses}` };
+    for (let passed = 0; passed < seconds * 1_000; passed += interval) {
+      const { status } = await fetch(`${url}/v1/requests/${kept}`, { headers });
+      assert.equal(status, 200, `after ${passed} ms`);
+      await pause(interval);
+    }
+    exits.push(await ended);
+  },
+);
+
+When(
+  "a booking ends at daemon {int} in a table outage of {int} s, and the daemon stops",
+  async function (this: ScenarioWorld, number: number, seconds: number) {
+    const { fleet } = this;
+    const { url, child } = daemon(fleet, number);
+    await fleet.control(fleet.upstreams.get("booking-1")?.url ?? "", { firstMs: SETTLE_MS });
+    const answered = post(url, booking);
+    await pause(SETTLE_MS / 2);
+    await fleet.control(fleet.tableUrl, { down: true });
+    assert.equal((await answered).status, 200);
+    ended = child.end("SIGTERM");
+    await pause(seconds * 1_000);
+    await fleet.control(fleet.tableUrl, { down: false });
+    exits.push(await ended);
+  },
+);
+
+Then(
+  "the booking resent to daemon {int} is answered with {int}",
+  async function (this: ScenarioWorld, number: number, status: number) {
+    const { url } = daemon(this.fleet, number);
+    let answer = await post(url, booking);
+    // The daemon notices the end of the outage by paced probes.
+    for (let tries = 0; answer.status === 503 && tries < 20; tries += 1) {
+      await pause(SETTLE_MS);
+      answer = await post(url, booking);
+    }
+    assert.equal(answer.status, status, JSON.stringify(answer.body));
+  },
+);
+
 Then("the stopped daemons exit with 0", () => {
   assert(exits.length > 0);
   assert.deepEqual(
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,8 @@
 const PROGRESS_CHECK_MS = 50;
 /** Time for telling the peers; an instance that misses it notices the silence. */
 const LEAVE_MS = 2_000;
+/** Time without a read after which a stop no longer waits for callers that resume. */
+const UNREAD_MS = 2_000;
 
 /** One entry instance of the system. */
 export class Daemon {
@@ -55,15 +57,32 @@
     this.parts.placementTask.stop();
     this.parts.orderDispatch.stop();
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
+    await this.keepAnswers(end);
     await Promise.race([this.close(), timers.sleep(Math.max(0, end - timers.now()))]);
     log.info({ message: "stopped" });
   }
 
   private async finishRequests(end: number): Promise<void> {
-    const { timers, answerLog, log } = this.parts;
-    while (answerLog.inProgress > 0 && timers.now() < end) await timers.sleep(PROGRESS_CHECK_MS);
-    if (answerLog.inProgress > 0) {
-      log.warn({ message: "grace period is over", inProgress: answerLog.inProgress });
+    const { timers, answerLog, claimWrites, log } = this.parts;
+    const unfinished = (): boolean => answerLog.inProgress > 0 || claimWrites.pending > 0;
+    while (unfinished() && timers.now() < end) await timers.sleep(PROGRESS_CHECK_MS);
+    if (unfinished()) {
+      const { inProgress } = answerLog;
+      const claims = claimWrites.pending;
+      log.warn({ message: "grace period is over", inProgress, claims });
+    }
+  }
+
+  /** Keeps finished answers readable until `end` or until nobody reads them any more. */
+  private async keepAnswers(end: number): Promise<void> {
+    const { timers, answerLog } = this.parts;
+    let { reads } = answerLog;
+    let quietSince = timers.now();
+    while (answerLog.readable > 0 && timers.now() < Math.min(end, quietSince + UNREAD_MS)) {
+      await timers.sleep(PROGRESS_CHECK_MS);
+      if (answerLog.reads === reads) continue;
+      ({ reads } = answerLog);
+      quietSince = timers.now();
     }
   }
 
--- a/src/peer/heartbeats.ts
+++ b/src/peer/heartbeats.ts
@@ -1,3 +1,4 @@
+import type { DemandDigest } from "../admission/demand-digest.js";
 import type { DemandSource } from "../admission/demand-source.js";
 import type { ConfigurationView } from "../configuration/configuration-view.js";
 import type { Settings } from "../settings/settings.js";
@@ -11,7 +12,7 @@
   MEMBERS_PER_HEARTBEAT,
 } from "./heartbeat.js";
 import type { HeartbeatReports } from "./heartbeat-reports.js";
-import { type MemberEntry, supersedes } from "./member-entry.js";
+import { type MemberEntry, packedEntry, supersedes } from "./member-entry.js";
 import type { MemberNews } from "./member-news.js";
 import { MemberState } from "./member-state.js";
 import type { MemberTable } from "./member-table.js";
@@ -19,6 +20,11 @@
 import { PeerMethod } from "./peer-method.js";
 import type { PeerMethods } from "./peer-methods.js";
 
+/** Members in a heartbeat that changed last; most differences of two views are recent. */
+const RECENT_MEMBERS = 4;
+/** Rates are decayed sums, whose further digits say nothing. */
+const DEMAND_DIGITS = 3;
+
 interface Parts {
   readonly settings: Settings;
   readonly peerCalls: PeerCalls;
@@ -51,11 +57,13 @@
 
   /** Exchanges one heartbeat; throws `PeerUnavailable` without an answer in time. */
   async exchange(instance: string): Promise<void> {
-    const { settings, peerCalls, broadcast, demandSource, heartbeatReports } = this.parts;
+    const { settings, peerCalls, broadcast, demandSource, heartbeatReports, memberTable } =
+      this.parts;
     const heartbeat: Heartbeat = {
       ...this.shared(instance, this.differing.has(instance)),
       updates: broadcast.store.digest(IDS_PER_HEARTBEAT),
-      demand: demandSource.digest(),
+      // Limits are divided by demand only where every instance knows the demand of all.
+      ...(memberTable.meshed ? { demand: rounded(demandSource.digest()) } : {}),
     };
     const timeoutMs = settings.bounds.heartbeatMs;
     const result = await peerCalls.call(instance, PeerMethod.Heartbeat, heartbeat, timeoutMs);
@@ -102,18 +110,29 @@
     };
   }
 
-  /** Successive calls go through all members. */
-  private someMembers(): MemberEntry[] {
+  /** The last changes, and others such that successive calls go through all members. */
+  private someMembers(): HeartbeatAnswer["members"] {
     const all = this.parts.memberTable.allRecords();
-    const start = this.nextMember % Math.max(1, all.length);
-    this.nextMember = start + MEMBERS_PER_HEARTBEAT;
-    const ordered = [...all.slice(start), ...all.slice(0, start)];
-    return ordered.slice(0, MEMBERS_PER_HEARTBEAT).map(({ entry }) => entry);
+    const recent = all.slice(-RECENT_MEMBERS);
+    const older = all.slice(0, -RECENT_MEMBERS);
+    const count = MEMBERS_PER_HEARTBEAT - RECENT_MEMBERS;
+    const start = this.nextMember % Math.max(1, older.length);
+    this.nextMember = start + count;
+    const chosen = [...older.slice(start), ...older.slice(0, start)].slice(0, count);
+    return [...recent, ...chosen].map(({ entry }) => packedEntry(entry));
   }
 }
 
 type ParsedHeartbeat = ReturnType<typeof heartbeatSchema.parse>;
 
+function rounded({ services, teams }: DemandDigest): DemandDigest {
+  const round = (rates: DemandDigest["teams"]): DemandDigest["teams"] =>
+    Object.fromEntries(
+      Object.entries(rates).map(([key, rate]) => [key, Number(rate.toPrecision(DEMAND_DIGITS))]),
+    );
+  return { services: round(services), teams: round(teams) };
+}
+
 /** Whether the member must correct what is known of it; `said` is its own present statement. */
 function isWrong(known: MemberEntry, said: MemberEntry | undefined): boolean {
   return known.state === MemberState.Dead || (said !== undefined && supersedes(known, said));
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -17,8 +17,10 @@
 const repeatable: Readonly<Record<PeerMethod, boolean>> = {
   [PeerMethod.Heartbeat]: true,
   [PeerMethod.Probe]: true,
+  [PeerMethod.MemberNews]: true,
   [PeerMethod.Broadcast]: true,
   [PeerMethod.ConfigurationChangesSince]: true,
+  [PeerMethod.ConfigurationAgreement]: true,
   [PeerMethod.LedgerAttempt]: true,
   [PeerMethod.AnswerRead]: true,
 };
--- a/src/peer/peer-method.ts
+++ b/src/peer/peer-method.ts
@@ -2,8 +2,10 @@
 export enum PeerMethod {
   Heartbeat = "heartbeat",
   Probe = "probe",
+  MemberNews = "member.news",
   Broadcast = "broadcast",
   ConfigurationChangesSince = "configuration.changesSince",
+  ConfigurationAgreement = "configuration.agreement",
   LedgerAttempt = "ledger.attempt",
   AnswerRead = "answer.read",
 }
--- a/src/peer/update-store.ts
+++ b/src/peer/update-store.ts
@@ -3,6 +3,8 @@
 
 /** Time for which an update is offered to heartbeat partners that lack it. */
 const REPAIR_MS = 120_000;
+/** Time left to the broadcast before an update is offered, so that repairs do not race with it. */
+const REPAIR_AFTER_MS = 1_000;
 /** Bounds memory; a burst of more updates is repaired from its newest part only. */
 const MAX_KEPT = 512;
 /** Ids are remembered longer than updates, so that a late copy is not delivered again. */
@@ -17,6 +19,7 @@
 export class UpdateStore {
   private readonly kept = new Map<string, Kept>();
   private readonly ids = new Set<string>();
+  private readonly passedIds = new Set<string>();
   private next = 0;
 
   private constructor(private readonly timers: Timers) {}
@@ -37,6 +40,14 @@
     return true;
   }
 
+  /** Notes that an update is passed on; returns false if it was passed on before. */
+  addPassed(id: string): boolean {
+    if (this.passedIds.has(id)) return false;
+    this.passedIds.add(id);
+    if (this.passedIds.size > MAX_IDS) removeFirst(this.passedIds);
+    return true;
+  }
+
   find(id: string): SpreadItem | undefined {
     return this.kept.get(id)?.item;
   }
@@ -48,7 +59,8 @@
       if (sinceMs >= oldest) break;
       this.kept.delete(id);
     }
-    const all = [...this.kept.keys()];
+    const newest = this.timers.now() - REPAIR_AFTER_MS;
+    const all = [...this.kept].flatMap(([id, { sinceMs }]) => (sinceMs <= newest ? [id] : []));
     if (all.length <= count) return all;
     const start = this.next % all.length;
     this.next = start + count;
--- a/standin/peer-network.ts
+++ b/standin/peer-network.ts
@@ -26,6 +26,7 @@
 export class PeerNetwork {
   readonly ports = new Map<string, NetworkPort>();
   private readonly cuts = new Set<string>();
+  private readonly cutWays = new Set<string>();
 
   private constructor(
     private readonly clock: ManualTimers,
@@ -41,22 +42,32 @@
     this.cuts.add(name);
   }
 
+  /** Loses everything that one member sends to another. */
+  cutWay(from: string, to: string): void {
+    this.cutWays.add(`${from} ${to}`);
+  }
+
   join(name: string): void {
     this.cuts.delete(name);
   }
 
-  async call(
+  call(
     from: string,
     to: string,
     method: PeerMethod,
     params: unknown,
     timeoutMs: number,
   ): Promise<unknown> {
-    const answer = this.answer(from, to, method, params);
-    const late = this.clock.sleep(timeoutMs).then(() => {
-      throw ServeError.create(ErrorKind.PeerUnavailable, "no answer in time");
+    return new Promise((resolve, reject) => {
+      const limit = this.clock.after(timeoutMs, () => {
+        reject(ServeError.create(ErrorKind.PeerUnavailable, "no answer in time"));
+      });
+      this.answer(from, to, method, params)
+        .then(resolve, reject)
+        .finally(() => {
+          limit.cancel();
+        });
     });
-    return Promise.race([answer, late]);
   }
 
   private async answer(
@@ -83,7 +94,13 @@
     await this.clock.sleep(base * (0.5 + this.random.fraction()));
     const isCut = (name = ""): boolean => this.cuts.has(name);
     const apart = near?.region !== far?.region && (isCut(near?.region) || isCut(far?.region));
-    const lost = apart || isCut(from) || isCut(to) || near?.up !== true || far?.up !== true;
+    const lost =
+      this.cutWays.has(`${from} ${to}`) ||
+      apart ||
+      isCut(from) ||
+      isCut(to) ||
+      near?.up !== true ||
+      far?.up !== true;
     if (lost) await new Promise(() => undefined);
   }
 
