Replay the model's counterexamples against the code

Cause: the models prove the protocols, but nothing tied their broken variants to the code. Ruled out: a generic interpreter of traces, which would repeat the code under test. The variant "no wait after takeover" has no replay, because the wait belongs to the sender of orders and not to Lease.

--- a/features/steps/configuration.ts
+++ b/features/steps/configuration.ts
@@ -92,7 +92,7 @@
     for (let at = 1; at <= count; at += 1) await submit(operator, `change-${at}`, at, id);
   },
 );
-When("{word} hears of {string} again", async (id: string, changeId: string) => {
+When("{word} hears of {string}( again)", async (id: string, changeId: string) => {
   const changes = fleet.history.changesAfter(1);
   await fleet.timers.advance(0);
   const change = (await changes).find((each) => each.id === changeId);
--- a/features/steps/ledger.ts
+++ b/features/steps/ledger.ts
@@ -5,6 +5,7 @@
 import { Configuration } from "../../src/configuration/configuration.js";
 import { ConfigurationView } from "../../src/configuration/configuration-view.js";
 import { LedgerExpiry } from "../../src/ledger/ledger-expiry.js";
+import { ledgerKey, ledgerRowOf } from "../../src/ledger/ledger-row.js";
 import { RandomSource } from "../../src/random/random-source.js";
 import { sampleConfiguration } from "../../standin/sample-configuration.js";
 import { WriteBatcher } from "../../src/ledger/write-batcher.js";
@@ -120,6 +121,12 @@
   await fleet.timers.advance(0);
   assert.equal((await rows).length, count);
 });
+Then("the ledger row of {string} is {string}", async (key: string, state: string) => {
+  const row = fleet.table.get(ledgerKey({ team: "t", idempotencyKey: key }));
+  await fleet.timers.advance(0);
+  const found = await row;
+  assert.equal(found && ledgerRowOf(found).record.state, state);
+});
 Then("the callers are told {string}", (expected: string) => {
   assert.equal(told.join("; "), expected);
   assert.deepEqual(fleet.check(), []);
