Stop a fleet's processes when its start fails

Change: a fleet that fails to start ends the processes it started. Ruled out: ending them in the scenario's hook, which has no fleet yet at that time. Conclusion: a failed start fails one scenario only.

--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -60,13 +60,19 @@
       `http://127.0.0.1:${tablePort}`,
       `http://127.0.0.1:${listPort}`,
     );
-    await Promise.all([
-      fleet.standin(StandinKind.Table, "table", tablePort),
-      fleet.standin(StandinKind.InstanceList, "list", listPort),
-      ...upstreams.map((upstream) => fleet.startUpstream(upstream)),
-    ]);
-    await fleet.initialise(upstreams, size);
-    await fleet.startDaemons(size);
+    try {
+      await Promise.all([
+        fleet.standin(StandinKind.Table, "table", tablePort),
+        fleet.standin(StandinKind.InstanceList, "list", listPort),
+        ...upstreams.map((upstream) => fleet.startUpstream(upstream)),
+      ]);
+      await fleet.initialise(upstreams, size);
+      await fleet.startDaemons(size);
+    } catch (error) {
+      // Processes that were started would keep the test run from ending.
+      await fleet.stop();
+      throw error;
+    }
     return fleet;
   }
 
