Let stand-ins bring about more failures, and repeat a start whose port was taken

Change: delayMs delays the answer after the effect, as in the table of the tests on manual timers; GET /work of an upstream counts requests; fleets have a second operator and find a daemon by number after it was started again; a failed start waits for all starts, ends them and is repeated twice. Ruled out: a separate fault for late answers, as the in-memory table has one meaning of delayMs.

--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -18,6 +18,12 @@
 /** Operator credential of all fleets, in clear text. */
 export const OPERATOR_CREDENTIAL = "operator-key";
 
+/** Credential in clear text of a second operator. */
+export const OTHER_OPERATOR_CREDENTIAL = "other-operator-key";
+
+/** Starts of a fleet whose ports were taken in the meantime. */
+const MOST_STARTS = 3;
+
 /** How many processes of each kind to start. */
 export interface FleetSize {
   readonly daemons: number;
@@ -50,6 +56,18 @@
   ) {}
 
   static async create(size: FleetSize): Promise<Fleet> {
+    for (let attempt = 1; ; attempt += 1) {
+      try {
+        return await Fleet.started(size);
+      } catch (error) {
+        // A port that was free when it was chosen may be taken by another test run.
+        const taken = String(error).includes("EADDRINUSE");
+        if (!taken || attempt === MOST_STARTS) throw error;
+      }
+    }
+  }
+
+  private static async started(size: FleetSize): Promise<Fleet> {
     const names = Object.entries(size.services).flatMap(([service, count]) =>
       Array.from({ length: count }, (_, at) => ({ id: `${service}-${at + 1}`, service })),
     );
@@ -61,7 +79,7 @@
       `http://127.0.0.1:${listPort}`,
     );
     try {
-      await Promise.all([
+      await allSettled([
         fleet.standin(StandinKind.Table, "table", tablePort),
         fleet.standin(StandinKind.InstanceList, "list", listPort),
         ...upstreams.map((upstream) => fleet.startUpstream(upstream)),
@@ -108,6 +126,15 @@
     await rm(this.directory, { recursive: true });
   }
 
+  /** The daemon with a number from 1; the newest process if it was started again. */
+  daemon(number: number): FleetDaemon {
+    const found = this.daemons.findLast(
+      ({ settings }) => settings.instance.id === `fes-a-${number}`,
+    );
+    if (found === undefined) throw new Error(`no daemon ${number}`);
+    return found;
+  }
+
   private async standin(kind: StandinKind, id: string, port: number): Promise<Child> {
     const child = await Child.create(STANDIN, ["--kind", kind, "--id", id, "--port", String(port)]);
     this.children.push(child);
@@ -134,7 +161,7 @@
         state: "live",
       })),
     });
-    await Promise.all(settings.map((one) => this.startDaemon(size.settings?.(one) ?? one)));
+    await allSettled(settings.map((one) => this.startDaemon(size.settings?.(one) ?? one)));
     this.daemons.sort((a, b) => a.settings.instance.id.localeCompare(b.settings.instance.id));
   }
 
@@ -148,7 +175,8 @@
         host,
         port: operators,
         credentials: [
-          { name: "amal", digest: createHash("sha256").update(OPERATOR_CREDENTIAL).digest("hex") },
+          { name: "amal", digest: digestOf(OPERATOR_CREDENTIAL) },
+          { name: "badr", digest: digestOf(OTHER_OPERATOR_CREDENTIAL) },
         ],
       },
       table: this.tableSettings(),
@@ -168,3 +196,13 @@
     };
   }
 }
+
+function digestOf(credential: string): string {
+  return createHash("sha256").update(credential).digest("hex");
+}
+
+/** Waits for all starts, so that a failure leaves none behind that is not known yet. */
+async function allSettled(starts: readonly Promise<unknown>[]): Promise<void> {
+  await Promise.allSettled(starts);
+  await Promise.all(starts);
+}
--- a/standin/table-server.ts
+++ b/standin/table-server.ts
@@ -43,14 +43,15 @@
   private async handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const { faults } = this;
     if (faults.frozen) return reply.hijack();
-    if (faults.delayMs > 0) await delay(faults.delayMs);
     if (faults.down) return reply.status(503).send({ __type: "ServiceUnavailable" });
     const operation = String(request.headers["x-amz-target"]).split(".").at(-1) ?? "";
     switch (operation) {
       case "GetItem":
+        await delay(faults.delayMs);
         return reply.send({ Item: this.store.get((request.body as { Key: never }).Key) });
       case "Query": {
         const { ExpressionAttributeValues: values, Limit } = request.body as Query;
+        await delay(faults.delayMs);
         return reply.send({ Items: this.store.query(values[":pk"].S, values[":sk"].S, Limit) });
       }
       case "TransactWriteItems":
@@ -75,6 +76,7 @@
       request.raw.socket.destroy();
       return reply.hijack();
     }
+    await delay(this.faults.delayMs);
     if (codes === undefined) return reply.send({});
     return reply.status(400).send({
       __type: "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
--- a/standin/upstream-server.ts
+++ b/standin/upstream-server.ts
@@ -16,6 +16,7 @@
   private faults: EngineFaults = noEngineFaults;
   private running = 0;
   private hangUps = 0;
+  private received = 0;
   /** Bodies of `/call` by request id, so that tests can count executions. */
   private readonly calls: { readonly id: string; readonly body: unknown }[] = [];
 
@@ -54,6 +55,7 @@
     );
     server.get("/load", async () => ({ server_load: await upstream.reportedLoad() }));
     server.get("/calls", () => upstream.calls);
+    server.get("/work", () => ({ running: upstream.running, received: upstream.received }));
     server.post("/control", (request) => {
       upstream.faults = { ...upstream.faults, ...(request.body as Partial<EngineFaults>) };
       return upstream.faults;
@@ -66,6 +68,7 @@
     reply: FastifyReply,
     work: () => Promise<FastifyReply>,
   ): Promise<FastifyReply> {
+    this.received += 1;
     const { status, frozen, crashOn, echo, body, hangUp } = this.faults;
     if (crashOn !== "" && JSON.stringify(request.body).includes(crashOn))
       process.exit(CRASH_EXIT_CODE);
