Test that a resent booking is not told not-run when the ledger can't be asked

Cause: the rule for requests marked as resend had no scenario. Change: the first booking runs, its daemon is killed and the table goes down; the resent one must be told may-have-run, both before and after the breaker opens. Ruled out: a check in one process, where the first request's daemon would still attest. Conclusion: the rule holds over processes.

--- a/features/run-once-faults.feature
+++ b/features/run-once-faults.feature
@@ -104,3 +104,17 @@
     And booking "k" is sent to daemon 1
     Then the bookings are answered "table-uncertain not-run; table-unavailable not-run; result; result"
     And "k" ran 1 time, and nothing that was told not-run ran
+
+  Scenario: A resent booking meets a table that is down after the first one ran (P3: it is not told not-run)
+    Given the process of booking-1 has firstMs set to 1000
+    When booking "k" is sent to daemon 1
+    And the fleet runs for 500 ms
+    And daemon 1 is killed
+    And the process of the table has down set to 1
+    And booking "k" is resent to daemon 2
+    And the callers have their answers
+    And the fleet runs for 300 ms
+    And booking "k" is resent to daemon 2
+    And the fleet runs for 700 ms
+    Then the bookings are answered "connection lost; table-uncertain may-have-run; table-unavailable may-have-run"
+    And "k" ran 1 time, and nothing that was told not-run ran
--- a/features/steps/run-once-faults.ts
+++ b/features/steps/run-once-faults.ts
@@ -16,9 +16,16 @@
 }
 
 When(
-  /^booking "(.+)" is sent to daemon (\d+)(?: with deadline (\d+) ms)?$/,
-  function (this: ScenarioWorld, key: string, daemon: string, deadlineMs: string | null) {
-    bookingsOf(this).send(key, Number(daemon), Number(deadlineMs ?? DEADLINE_MS));
+  /^booking "(.+)" is (re)?sent to daemon (\d+)(?: with deadline (\d+) ms)?$/,
+  function (
+    this: ScenarioWorld,
+    key: string,
+    again: string | null,
+    daemon: string,
+    deadlineMs: string | null,
+  ) {
+    const request = { key, deadlineMs: Number(deadlineMs ?? DEADLINE_MS), resend: again !== null };
+    bookingsOf(this).send(request, Number(daemon));
   },
 );
 When("the callers have their answers", async function (this: ScenarioWorld) {
--- a/features/support/fleet-bookings.ts
+++ b/features/support/fleet-bookings.ts
@@ -9,6 +9,12 @@
   readonly outcome: string;
 }
 
+interface Booking {
+  readonly key: string;
+  readonly deadlineMs: number;
+  readonly resend: boolean;
+}
+
 interface Told {
   readonly text: string;
   readonly tookMs: number;
@@ -27,12 +33,12 @@
   }
 
   /** Sends a booking without waiting for its answer; the key is part of its text as well. */
-  send(key: string, daemon: number, deadlineMs: number): void {
+  send({ key, deadlineMs, resend }: Booking, daemon: number): void {
     const start = performance.now();
     const sent = post(this.fleet.daemon(daemon).url, {
       credential: sampleCredentials.seamstresses,
       pipeline: "booking",
-      body: { class: "chat", deadlineMs, input: { text: `[${key}]` }, stream: true },
+      body: { class: "chat", deadlineMs, input: { text: `[${key}]` }, resend },
       headers: { "idempotency-key": key },
     });
     const settled = sent.then(
