--- a/features/steps/graceful-stop.ts
+++ b/features/steps/graceful-stop.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Fleet, FleetDaemon } from "../../standin/fleet.js";
 import { sampleCredentials } from "../../standin/sample-configuration.js";
 import { post } from "../support/caller.js";
@@ -9,7 +9,7 @@
 const TOKENS = 8;
 const SETTLE_MS = 500;
 
-let load: CallerLoad;
+let load: CallerLoad | undefined;
 let exits: (number | null)[] = [];
 let stream: Promise<string | undefined>;
 
@@ -29,6 +29,12 @@
   return found;
 }
 
+// A load that goes on after a failed step would keep the test run from ending.
+After(async () => {
+  await load?.stop();
+  load = undefined;
+});
+
 Given("engines that stream for {int} ms", async function (this: ScenarioWorld, ms: number) {
   exits = [];
   const faults = { firstMs: 2, tokenMs: ms / TOKENS };
@@ -80,6 +86,7 @@
 });
 
 Then("no request of at least {int} was cut or refused", async (least: number) => {
+  assert(load !== undefined);
   await load.stop();
   assert.deepEqual(load.faults, []);
   assert(load.answers >= least, `${load.answers} answers`);
