--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -24,6 +24,7 @@
     pauseDetection.start();
     this.parts.metrics.start();
     this.parts.answerReads.start();
+    this.parts.crashSuspects.start();
     registerAttemptQuery(this.parts);
     this.parts.ledgerExpiry.start();
     await peerServer.listen();
--- a/src/daemon/serving-parts.ts
+++ b/src/daemon/serving-parts.ts
@@ -5,8 +5,11 @@
 import { AnswerLog } from "../caller/answer-log.js";
 import { AnswerReads } from "../caller/answer-reads.js";
 import { CallerServer } from "../caller/caller-server.js";
+import { StageCosts } from "../metrics/stage-costs.js";
 import { OperatorServer } from "../operator/operator-server.js";
 import { RequestIntake } from "../pipeline/request-intake.js";
+import { CrashSuspects } from "../routing/crash-suspects.js";
+import { Hedges } from "../routing/hedges.js";
 import { RetryBudget } from "../routing/retry-budget.js";
 import { DroppedAnswers } from "../upstream/dropped-answers.js";
 import { HttpUpstreamClients } from "../upstream/http-upstream-clients.js";
@@ -17,7 +20,10 @@
 export interface ServingCradle {
   readonly droppedAnswers: DroppedAnswers;
   readonly retryBudget: RetryBudget;
+  readonly hedges: Hedges;
+  readonly crashSuspects: CrashSuspects;
   readonly clients: UpstreamClients;
+  readonly stageCosts: StageCosts;
   readonly demandSource: DemandMeter;
   readonly pools: ServicePools;
   readonly pipelineAdmission: PipelineAdmission;
@@ -33,8 +39,11 @@
 export const servingParts = {
   droppedAnswers: asFunction(() => DroppedAnswers.create()).singleton(),
   retryBudget: asFunction(RetryBudget.create).singleton(),
+  hedges: asFunction(Hedges.create).singleton(),
+  crashSuspects: asFunction(CrashSuspects.create).singleton(),
   clients: asFunction(HttpUpstreamClients.create).singleton(),
   demandSource: asFunction(DemandMeter.create).singleton(),
+  stageCosts: asFunction(StageCosts.create).singleton(),
   pools: asFunction(ServicePools.create).singleton(),
   pipelineAdmission: asFunction(PipelineAdmission.create).singleton(),
   answerLog: asFunction(AnswerLog.create).singleton(),
