--- a/src/pipeline/request-intake.ts
+++ b/src/pipeline/request-intake.ts
@@ -32,6 +32,9 @@
   readonly metrics: Pick<Metrics, "requestEnded">;
 }
 
+/** Takes back what an ended request still holds at stages that it did not reach. */
+type Withdrawal = () => void;
+
 /** A caller's request as it came in. */
 export interface IncomingRequest {
   readonly team: string;
@@ -72,22 +75,26 @@
     this.parts.newRequests.check();
     const configuration = this.configuration();
     const request = this.checked(configuration, incoming);
-    if (request.resend !== true) {
-      const services = request.pipeline.stages.map((stage) => stage.service);
-      this.parts.crashSuspects.check(request, services);
-      this.parts.pipelineAdmission.admit(request);
-    }
+    const withdraw = request.resend === true ? undefined : this.admit(request);
     const record = this.parts.answerLog.start(request.id, request.team);
-    void this.run(configuration, request, record);
+    void this.run(configuration, request, record, withdraw);
     return record;
   }
 
+  private admit(request: ServeRequest): Withdrawal {
+    const services = request.pipeline.stages.map((stage) => stage.service);
+    this.parts.crashSuspects.check(request, services);
+    return this.parts.pipelineAdmission.admit(request);
+  }
+
   private async run(
     configuration: Configuration,
     request: ServeRequest,
     record: AnswerRecord,
+    admitted: Withdrawal | undefined,
   ): Promise<void> {
     const { timers, answerLog, attemptStates } = this.parts;
+    let withdraw = admitted;
     const state = RequestState.create(timers, request.deadline);
     const once = this.runOnce(configuration, request, state, record);
     const stop = new AbortController();
@@ -96,7 +103,7 @@
     });
     try {
       if (once === undefined || (await once.claim(stop.signal))) {
-        if (request.resend === true) this.parts.pipelineAdmission.admit(request);
+        withdraw ??= this.admit(request);
         await PipelineRun.create(this.parts, configuration, request, state, record).run(
           stop.signal,
         );
@@ -108,6 +115,7 @@
       record.fail(once !== undefined && state.dispatched ? withoutRetry(problem) : problem);
     } finally {
       timeout.cancel();
+      withdraw?.();
       if (state.abandon()) once?.release();
       else once?.finish();
       attemptStates.settle(request.id);
