Keep one definition of the steps that stop and start daemons

Cause: two features brought the same steps, so 19 steps were ambiguous and their scenarios failed. Change: the membership feature uses the steps of the fault features. Ruled out: different wording for the same step. Conclusion: step files share one vocabulary for processes.

--- a/features/steps/fleet-membership.ts
+++ b/features/steps/fleet-membership.ts
@@ -1,17 +1,11 @@
 import assert from "node:assert/strict";
-import { Given, Then, When } from "@cucumber/cucumber";
+import { Given, Then } from "@cucumber/cucumber";
 import { Fleet, type FleetDaemon, OPERATOR_CREDENTIAL } from "../../standin/fleet.js";
 import type { ScenarioWorld } from "../support/world.js";
 
 const POLL_MS = 100;
 const SECOND_MS = 1_000;
 
-function daemonOf(fleet: Fleet, number: number): FleetDaemon {
-  const found = fleet.daemons[number - 1];
-  assert(found !== undefined);
-  return found;
-}
-
 /** State of a member as a daemon tells its operators. */
 async function stateSeen({ settings }: FleetDaemon, id: string): Promise<string | undefined> {
   const { host, port } = settings.operators;
@@ -35,27 +29,13 @@
   },
 );
 
-When(
-  /^daemon (\d) is (frozen|woken|killed)$/,
-  async function (this: ScenarioWorld, number: string, what: string) {
-    const { child } = daemonOf(this.fleet, Number(number));
-    if (what === "killed") await child.end("SIGKILL");
-    else child.signal(what === "frozen" ? "SIGSTOP" : "SIGCONT");
-  },
-);
-
-When("daemon {int} is started again", async function (this: ScenarioWorld, number: number) {
-  const { settings } = daemonOf(this.fleet, number);
-  this.fleet.daemons[number - 1] = await this.fleet.startDaemon(settings);
-});
-
 Then(
   /^within (\d+) s daemons ([\d, ]+) see daemon (\d) as "(\w+)"$/,
   async function (this: ScenarioWorld, limit: string, by: string, of: string, state: string) {
-    const { id } = daemonOf(this.fleet, Number(of)).settings.instance;
+    const { id } = this.fleet.daemon(Number(of)).settings.instance;
     const end = performance.now() + Number(limit) * SECOND_MS;
     for (const number of by.split(", ")) {
-      const daemon = daemonOf(this.fleet, Number(number));
+      const daemon = this.fleet.daemon(Number(number));
       let seen = await stateSeen(daemon, id);
       while (seen !== state && performance.now() < end) {
         await new Promise((resolve) => setTimeout(resolve, POLL_MS));
