Open no metrics socket without a receiver

Cause: hot-shots opens its socket in mock mode too, so a test run that composed a daemon in its own process did not end after its summary (npm test: 264 scenarios, then ended by its time limit). Change: no client is made if the settings name no receiver. Ruled out: closing the client in every test that composes a daemon; the next one would forget it.

--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -23,7 +23,8 @@
   private processor = process.cpuUsage();
 
   private constructor(
-    private readonly client: StatsD,
+    /** Absent if no receiver is set; a client would hold a socket all the same. */
+    private readonly client: StatsD | undefined,
     private readonly timers: Timers,
   ) {
     this.window = AttainmentWindow.create(timers);
@@ -31,8 +32,9 @@
 
   static create(parts: Parts): Metrics {
     const { metrics, instance } = parts.settings;
+    if (metrics === undefined) return new Metrics(undefined, parts.timers);
     const client = new StatsD({
-      ...(metrics ?? { mock: true }),
+      ...metrics,
       globalTags: { instance: instance.id, data_centre: instance.dataCentre },
       errorHandler: (error) => {
         parts.log.debug({ message: "cannot send metrics", detail: error.message });
@@ -51,8 +53,10 @@
   /** Sends what is buffered and closes the socket. */
   async stop(): Promise<void> {
     this.subscription?.cancel();
+    const { client } = this;
+    if (client === undefined) return;
     await new Promise<void>((resolve) => {
-      this.client.close(() => {
+      client.close(() => {
         resolve();
       });
     });
@@ -62,20 +66,20 @@
     const { className, rank, team, durationMs, attained, error } = outcome;
     const tags = { class: className, rank, attained: String(attained) };
     this.window.add(className, attained, durationMs);
-    this.client.increment("request", 1, { ...tags, team, error: error ?? "none" });
-    this.client.timing("request.duration", durationMs, tags);
+    this.client?.increment("request", 1, { ...tags, team, error: error ?? "none" });
+    this.client?.timing("request.duration", durationMs, tags);
   }
 
   attemptEnded(cost: StageCost): void {
     const { stage, service, durationMs, linkCost, extra } = cost;
     const tags = { stage, service, extra: String(extra) };
-    this.client.timing("stage.duration", durationMs, tags);
-    this.client.increment("stage.link_cost", linkCost, tags);
+    this.client?.timing("stage.duration", durationMs, tags);
+    this.client?.increment("stage.link_cost", linkCost, tags);
   }
 
   /** Counts bytes that this instance sent to or received from other instances and the platform. */
   controlBytes(count: number): void {
-    this.client.increment("control.bytes", count);
+    this.client?.increment("control.bytes", count);
   }
 
   /** Attainment of each class in the last minutes. */
@@ -87,7 +91,7 @@
     const used = process.cpuUsage(this.processor);
     this.processor = process.cpuUsage();
     const busyMs = (used.user + used.system) / MICROSECONDS_PER_MS;
-    this.client.gauge("process.cpu_share", busyMs / PROCESS_INTERVAL_MS);
-    this.client.gauge("process.memory_bytes", process.memoryUsage.rss());
+    this.client?.gauge("process.cpu_share", busyMs / PROCESS_INTERVAL_MS);
+    this.client?.gauge("process.memory_bytes", process.memoryUsage.rss());
   }
 }
