Do not refuse a queue of a few works as overloaded

Cause: an instance with a small part of a limit estimates a few waiting works as more than 600 ms, most of all while a service's first estimates include connection set-up. Change: a queue of fewer than 8 works is not refused as overloaded; the deadline still is checked. Conclusion: small queues wait; floods are refused as before.

--- a/bench/baseline-pool.ts
+++ b/bench/baseline-pool.ts
@@ -43,7 +43,7 @@
   }
 
   estimate(): Estimate {
-    return { waitMs: 0, serviceMs: 0 };
+    return { waitMs: 0, waiting: 0, serviceMs: 0 };
   }
 
   private slot(work: Work): Slot {
--- a/src/admission/backlog.ts
+++ b/src/admission/backlog.ts
@@ -43,6 +43,11 @@
     this.change(entry, costMs);
   }
 
+  /** Number of works that have not started. */
+  get size(): number {
+    return this.entries.size;
+  }
+
   /** The tier with which work was admitted; undefined if it is not waiting. */
   tier(work: Work): Tier | undefined {
     return this.entries.get(keyOf(work))?.tier;
--- a/src/admission/refusal.ts
+++ b/src/admission/refusal.ts
@@ -5,6 +5,11 @@
 
 /** Longer queues only add delay: the work in them keeps no upstream busier. */
 const MOST_WAIT_MS = 600;
+/**
+ * A queue of fewer works is not refused, however long it is estimated: the first estimates of a
+ * service include connection set-up, and a small part of a limit makes a few works look long.
+ */
+const SHORT_QUEUE_WORKS = 8;
 const LEAST_RETRY_MS = 100;
 
 /**
@@ -29,7 +34,8 @@
     const detail = `${work.stage}: ${Math.round(finishMs)} ms needed, ${Math.round(leftMs)} left`;
     return ServeError.create(ErrorKind.DeadlineUnreachable, detail, { retryAfterMs });
   }
-  if (slackMs > MOST_WAIT_MS) {
+  const works = Math.max(0, ...stages.map(({ waiting }) => waiting));
+  if (slackMs > MOST_WAIT_MS && works >= SHORT_QUEUE_WORKS) {
     const retryAfterMs = Math.max(LEAST_RETRY_MS, slackMs - MOST_WAIT_MS);
     const detail = `${work.stage}: the queue is ${Math.round(slackMs)} ms long`;
     return ServeError.create(ErrorKind.Overloaded, detail, { retryAfterMs });
--- a/src/admission/service-pool.ts
+++ b/src/admission/service-pool.ts
@@ -82,12 +82,12 @@
     const budget = this.budget();
     const ahead = this.backlog.ahead(work, tier);
     const before = this.backlog.before(work, tier, costMs);
-    if (ahead + before === 0 && this.inFlight < budget) return { waitMs: 0, serviceMs };
+    if (ahead + before === 0 && this.inFlight < budget) return { waitMs: 0, waiting: 0, serviceMs };
     const available = this.queue.available(work, tier, budget, now);
     const inOrder = ahead / budget + before / (budget * available);
     // A rank below its floor does not wait for the work ahead of it.
     const byFloor = (before + costMs) / (budget * this.queue.floorOf(work, now));
-    return { waitMs: Math.min(inOrder, byFloor), serviceMs };
+    return { waitMs: Math.min(inOrder, byFloor), waiting: this.backlog.size, serviceMs };
   }
 
   /** Records that a caller asked for work, whether or not it is admitted; returns its tier. */
