Build the broken variants of the models in one place

Change: variantsOf in model/variants.ts; the suites use it. Ruled out: one suite for all protocols, which would mix their variables. Conclusion: a suite holds its protocol only.

--- a/model/configuration/suite.ts
+++ b/model/configuration/suite.ts
@@ -9,6 +9,7 @@
 } from "./state.js";
 import { lemmas } from "./lemmas.js";
 import { properties } from "./properties.js";
+import { variantsOf } from "../variants.js";
 import { instanceSteps, proposalSteps } from "./steps.js";
 
 function specification(name: string, rules: Rules): Specification<Variable> {
@@ -25,14 +26,7 @@
 }
 
 function broken(): BrokenVariant<Variable>[] {
-  const variant = (
-    name: string,
-    change: Partial<Rules>,
-    violated: string,
-  ): BrokenVariant<Variable> => ({
-    specification: specification(name, { ...ALL_RULES, ...change }),
-    violated,
-  });
+  const variant = variantsOf(specification, ALL_RULES);
   return [
     variant(
       "configuration: base version not checked",
--- a/model/lease/suite.ts
+++ b/model/lease/suite.ts
@@ -2,6 +2,7 @@
 import { PROCESSES, type Variable, type Rules, ALL_RULES, initialState } from "./state.js";
 import { lemmas } from "./lemmas.js";
 import { properties } from "./properties.js";
+import { variantsOf } from "../variants.js";
 import { processSteps, tick } from "./steps.js";
 
 function specification(name: string, rules: Rules): Specification<Variable> {
@@ -16,16 +17,21 @@
 
 function broken(): BrokenVariant<Variable>[] {
   const violated = "no order takes effect after an order with a higher number";
-  const variant = (name: string, change: Partial<Rules>): BrokenVariant<Variable> => ({
-    specification: specification(name, { ...ALL_RULES, ...change }),
-    violated,
-  });
+  const variant = variantsOf(specification, ALL_RULES);
   return [
-    variant("lease: no wait after takeover", { waitAfterTakeover: false }),
-    variant("lease: takeover before the lease was observed to its end", {
-      observeWholeLease: false,
-    }),
-    variant("lease: remaining time not checked before an order", { checkRemaining: false }),
+    variant("lease: no wait after takeover", { waitAfterTakeover: false }, violated),
+    variant(
+      "lease: takeover before the lease was observed to its end",
+      {
+        observeWholeLease: false,
+      },
+      violated,
+    ),
+    variant(
+      "lease: remaining time not checked before an order",
+      { checkRemaining: false },
+      violated,
+    ),
   ];
 }
 
--- a/model/ledger/suite.ts
+++ b/model/ledger/suite.ts
@@ -2,6 +2,7 @@
 import { ATTEMPTS, type Variable, type Rules, ALL_RULES, initialState } from "./state.js";
 import { lemmas } from "./lemmas.js";
 import { properties } from "./properties.js";
+import { variantsOf } from "../variants.js";
 import { attemptSteps } from "./steps.js";
 
 function specification(name: string, rules: Rules): Specification<Variable> {
@@ -15,14 +16,7 @@
 }
 
 function broken(): BrokenVariant<Variable>[] {
-  const variant = (
-    name: string,
-    change: Partial<Rules>,
-    violated: string,
-  ): BrokenVariant<Variable> => ({
-    specification: specification(name, { ...ALL_RULES, ...change }),
-    violated,
-  });
+  const variant = variantsOf(specification, ALL_RULES);
   return [
     variant(
       "ledger: dispatch before confirmation",
