Let suspects find a sound upstream

Cause: an upstream that is down is always idle, so suspects, which run alone on the idlest one, were sent there; each refused connection used up one of three attempts, and waiting for other trials ended after 8 tries. Innocent requests beside three poison requests ended as upstream-crashed. Change: trials prefer upstreams that answer and have not failed lately; attempts that were certainly not dispatched do not count as attempts, up to 5; waiting for a trial is bounded by the deadline. Ruled out: a larger retry budget, six attempts, and a random choice among idle upstreams; each left failures. Without the preference in the router the scenario still fails.

--- a/src/pipeline/stage-run.ts
+++ b/src/pipeline/stage-run.ts
@@ -10,6 +10,8 @@
 import { StageSlots } from "./stage-slots.js";
 
 const MOST_ATTEMPTS = 3;
+/** Attempts that were certainly not dispatched, for example to a process that has ended. */
+const MOST_UNDISPATCHED = 5;
 
 const retryable: ReadonlySet<ErrorKind> = new Set([
   ErrorKind.UpstreamFailed,
@@ -28,6 +30,7 @@
 export class StageRun {
   private readonly slots: StageSlots;
   private attempts = 0;
+  private undispatched = 0;
   /** Attempts including hedges. */
   private sent = 0;
 
@@ -66,6 +69,10 @@
         return await this.race(slot, prompt, attempt, signal);
       } catch (error) {
         const failure = ServeError.from(error, ErrorKind.Internal);
+        if (failure.undispatched && this.undispatched < MOST_UNDISPATCHED) {
+          this.undispatched += 1;
+          this.attempts -= 1;
+        }
         if (failure.kind === ErrorKind.RequestSuspected && this.mayRunAgainAlone(signal)) continue;
         if (signal.aborted || !this.mayRetry(failure)) throw failure;
       }
--- a/src/pipeline/stage-slots.ts
+++ b/src/pipeline/stage-slots.ts
@@ -66,12 +66,15 @@
         if (!usable) slot.release({ kind: "cancelled" });
       }
       if (usable) return { ...slot, alone };
+      if (alone) {
+        // Trials of other suspects end within moments; the deadline bounds the wait.
+        await timers.sleep(TRIAL_WAIT_MS, signal);
+        continue;
+      }
       this.staleSlots += 1;
       if (this.staleSlots > MOST_STALE_SLOTS) {
-        const detail = `the upstreams of ${this.stage.name} leave or are in use by suspects`;
-        throw ServeError.create(ErrorKind.NoUpstream, detail);
+        throw ServeError.create(ErrorKind.NoUpstream, `the upstreams of ${this.stage.name} leave`);
       }
-      if (alone) await timers.sleep(TRIAL_WAIT_MS, signal);
     }
   }
 
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -105,7 +105,13 @@
     this.refresh();
     const usable = this.eligible.filter((known) => usableFor(work, known));
     let record = this.eligible.find((known) => known.reserved);
-    record ??= usable.sort((a, b) => a.inFlight - b.inFlight)[0];
+    // An upstream that is down is always idle, so the sound ones come first.
+    record ??= usable.sort(
+      (a, b) =>
+        Number(b.reachable) - Number(a.reachable) ||
+        a.consecutiveFailures - b.consecutiveFailures ||
+        a.inFlight - b.inFlight,
+    )[0];
     if (record === undefined) return undefined;
     record.reserved = true;
     return record.inFlight > 0 ? undefined : { record, reason: "exclusive", candidates: [] };
