Use the usual terms in steps and comments

Cause: a few names and steps used figurative words or an operator's name with an underscore. Change: declare dead, applyFault, healthy, isOneOf. Ruled out: renaming the steps that say what a caller is told; outcome answers are told to callers. Conclusion: the words are those of the field.

--- a/features/fleet-membership.feature
+++ b/features/fleet-membership.feature
@@ -2,7 +2,7 @@
   Daemons in separate processes notice that one of them is frozen, killed or restarted.
 
   Background:
-    Given a fleet of 3 daemons that suspect after 1500 ms and bury after 3000 ms
+    Given a fleet of 3 daemons that suspect after 1500 ms and declare dead after 3000 ms
 
   Scenario: A frozen daemon is dead to the others and alive again when it wakes
     When daemon 3 is frozen
--- a/features/steps/fleet-faults.ts
+++ b/features/steps/fleet-faults.ts
@@ -6,7 +6,7 @@
 
 const POLL_MS = 50;
 
-async function afflict(child: Child, fault: string): Promise<void> {
+async function applyFault(child: Child, fault: string): Promise<void> {
   if (fault === "killed") await child.end("SIGKILL");
   else child.signal(fault === "frozen" ? "SIGSTOP" : "SIGCONT");
 }
@@ -38,7 +38,7 @@
 When(
   /^daemon (\d+) is (killed|frozen|woken)$/,
   async function (this: ScenarioWorld, number: string, fault: string) {
-    await afflict(this.fleet.daemon(Number(number)).child, fault);
+    await applyFault(this.fleet.daemon(Number(number)).child, fault);
   },
 );
 When("daemon {int} is started again", async function (this: ScenarioWorld, number: number) {
@@ -49,7 +49,7 @@
   async function (this: ScenarioWorld, fault: string) {
     for (const [id, { url, child }] of this.fleet.upstreams) {
       const { running } = (await (await fetch(`${url}/work`)).json()) as { running: number };
-      if (id.startsWith("advice") && running > 0) return afflict(child, fault);
+      if (id.startsWith("advice") && running > 0) return applyFault(child, fault);
     }
     throw new Error("no upstream generates");
   },
--- a/features/steps/fleet-membership.ts
+++ b/features/steps/fleet-membership.ts
@@ -17,7 +17,7 @@
 }
 
 Given(
-  "a fleet of {int} daemons that suspect after {int} ms and bury after {int} ms",
+  "a fleet of {int} daemons that suspect after {int} ms and declare dead after {int} ms",
   async function (this: ScenarioWorld, daemons: number, suspicionMs: number, deathMs: number) {
     this.fleet = await Fleet.create({
       ...{ daemons, services: { encoder: 1, retriever: 1, reranker: 1, advice: 1, booking: 1 } },
--- a/model/ledger/steps.ts
+++ b/model/ledger/steps.ts
@@ -26,11 +26,11 @@
   const others = ATTEMPTS.filter((j) => j !== i);
   const claimedBy = (state: State<Variable>, j: Attempt): Formula =>
     is(state.row, RowState.Claimed + j);
-  const in_ = (term: Term, ...values: number[]): Formula =>
+  const isOneOf = (term: Term, ...values: number[]): Formula =>
     some(...values.map((value) => is(term, value)));
   const claimable = (state: State<Variable>): Formula =>
     some(
-      in_(state.row, RowState.Absent, RowState.Released),
+      isOneOf(state.row, RowState.Absent, RowState.Released),
       // A live holder attests that it abandoned the attempt.
       ...others.map((j) => every(claimedBy(state, j), is(state[`phase${j}`], Phase.Abandoned))),
       ...(rules.keepClaims
@@ -43,9 +43,9 @@
     const phases = [Phase.Confirmed];
     if (!rules.confirmBeforeDispatch) phases.push(Phase.Sent);
     return rules.abandonBlocksDispatch
-      ? in_(state[phase], ...phases)
+      ? isOneOf(state[phase], ...phases)
       : some(
-          in_(state[phase], ...phases),
+          isOneOf(state[phase], ...phases),
           every(is(state[phase], Phase.Abandoned), is(state[landed], 1)),
         );
   };
@@ -77,7 +77,7 @@
     },
     {
       name: `attempt ${i} is abandoned and told not-run`,
-      guard: (s) => in_(s[phase], Phase.Read, Phase.Sent, Phase.Confirmed),
+      guard: (s) => isOneOf(s[phase], Phase.Read, Phase.Sent, Phase.Confirmed),
       update: () => ({ [phase]: Phase.Abandoned, [told]: Told.NotRun }),
     },
     {
@@ -105,7 +105,7 @@
         every(
           is(s[phase], Phase.Abandoned),
           not(claimedBy(s, i)),
-          rules.tombstone ? is(s[fresh], 0) : in_(s.row, RowState.Absent, RowState.Released),
+          rules.tombstone ? is(s[fresh], 0) : isOneOf(s.row, RowState.Absent, RowState.Released),
         ),
       update: () => ({ [resolved]: 1 }),
     },
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -105,7 +105,7 @@
     this.refresh();
     const usable = this.eligible.filter((known) => usableFor(work, known));
     let record = this.eligible.find((known) => known.reserved);
-    // An upstream that is down is always idle, so the sound ones come first.
+    // An upstream that is down is always idle, so healthy ones come first.
     record ??= usable.sort(
       (a, b) =>
         Number(b.reachable) - Number(a.reachable) ||
