Keep results short and in one data centre

Ruled out: choosing the engine near the results; it read shared parts again, which costs more than the transfer. Change: bulky final stages start with the last stage of the longer chains; releases go out after 15 ms; submissions stay together and wait up to 400 ms for their data centre; the engine is the home of the prefix.

--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -12,7 +12,6 @@
 import type { RequestContext } from "./request-context.js";
 import { Repeatability } from "./repeatability.js";
 import { repeatable } from "./route.js";
-import type { StageInputs } from "./stage-phase.js";
 import { UpstreamAttempt } from "./upstream-attempt.js";
 import type { UpstreamChoice } from "./upstream-choice.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
@@ -58,15 +57,15 @@
   private constructor(
     private readonly parts: Parts,
     private readonly context: RequestContext,
-    private readonly inputs: StageInputs | undefined,
+    private readonly inputs: readonly string[] | undefined,
     private readonly answering: () => void,
   ) {}
 
-  /** `answering` is called when an upstream begins to answer. */
+  /** `inputs` are handles of results; `answering` is called when an upstream begins to answer. */
   static create(
     parts: Parts,
     context: RequestContext,
-    inputs: StageInputs | undefined,
+    inputs: readonly string[] | undefined,
     answering: () => void,
   ): DispatchLoop {
     return new DispatchLoop(parts, context, inputs, answering);
@@ -97,9 +96,7 @@
 
   private choose(): UpstreamEntry | undefined {
     const { service, attributes } = this.context;
-    const { tried, inputs } = this;
-    const parts = attributes.promptParts;
-    return this.parts.upstreamChoice.choose(service, parts, tried, inputs?.dataCentre);
+    return this.parts.upstreamChoice.choose(service, attributes.promptParts, this.tried);
   }
 
   private async attempt(entry: UpstreamEntry): Promise<AttemptEnd> {
@@ -122,7 +119,7 @@
             upstream: entry.id,
             leftMs: Math.max(1, Math.floor(context.deadlineMs - started)),
             team: team?.name,
-            inputs: this.inputs?.handles,
+            inputs: this.inputs,
             lastEventId: progress.lastEventId,
             urgency: streamed ? Math.min(MOST_URGENCY, context.rank) : undefined,
           },
--- a/src/forward/engine-choice.ts
+++ b/src/forward/engine-choice.ts
@@ -12,8 +12,6 @@
   readonly standing: (id: string) => UpstreamStanding;
   /** Order of preference by prompt prefix: the highest weight is the home of the prefix. */
   readonly weight: (id: string) => number;
-  /** Data centre that keeps most of the bytes that the engine has to fetch. */
-  readonly inputDataCentre: string | undefined;
   /** Ids of engines that got the request before. */
   readonly tried: ReadonlySet<string>;
 }
@@ -37,8 +35,7 @@
     if ((slow || standing.failing) && !standing.claimProbe()) return false;
     return standing.inFlight < MOST_FILLED * entry.slots;
   };
-  const near = ordered.filter(({ dataCentre }) => dataCentre === choice.inputDataCentre);
-  return near.find(usable) ?? ordered.find(usable) ?? reachable(ordered, choice) ?? ordered[0];
+  return ordered.find(usable) ?? reachable(ordered, choice) ?? ordered[0];
 }
 
 function reachable(
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -13,7 +13,7 @@
 import type { RequestContext } from "./request-context.js";
 import type { Route } from "./route.js";
 import type { RouteView } from "./route-view.js";
-import { type StageInputs, StagePhase } from "./stage-phase.js";
+import { StagePhase } from "./stage-phase.js";
 import { StreamProgress } from "./stream-progress.js";
 import type { Team } from "./team.js";
 import type { UpstreamChoice } from "./upstream-choice.js";
@@ -114,12 +114,7 @@
     if (route.stages.length === 0) {
       return DispatchLoop.create(this.parts, context, undefined, () => undefined).run();
     }
-    const home = this.parts.upstreamChoice.choose(
-      service,
-      attributes.promptParts,
-      new Set(),
-      undefined,
-    );
+    const home = this.parts.upstreamChoice.choose(service, attributes.promptParts, new Set());
     if (home === undefined) throw ServeError.create(ErrorKind.NoUpstream, "no engine is listed");
     const phase = StagePhase.create(this.parts, {
       route,
@@ -132,7 +127,7 @@
       signal,
     });
     try {
-      const inputs: StageInputs = await phase.run();
+      const inputs = await phase.run();
       const answering = (): void => {
         phase.release();
       };
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -15,8 +15,8 @@
 const LOST_FACTOR = 2;
 /** Added to it for the round trip and the transfer of inputs. */
 const LOST_SLACK_MS = 250;
-/** Releases that wait this long go out in one call. */
-const RELEASE_DELAY_MS = 100;
+/** Releases that wait this long go out in one call; memory for results limits the calls. */
+const RELEASE_DELAY_MS = 15;
 const RELEASE_MS = 1_000;
 const OK = 200;
 
@@ -28,6 +28,11 @@
   /** The upstream may have run the call, or still runs it. */
   | { readonly kind: "lost" };
 
+interface Release {
+  readonly handle: string;
+  readonly released: (handle: string) => void;
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
@@ -37,8 +42,8 @@
 
 /** Sends stage calls and releases, each on a connection of its own. */
 export class StageCaller {
-  /** Handles to release by address. */
-  private readonly releases = new Map<string, string[]>();
+  /** Releases that wait, by address. */
+  private readonly releases = new Map<string, Release[]>();
 
   private constructor(private readonly parts: Parts) {}
 
@@ -88,16 +93,19 @@
     return answer;
   }
 
-  /** Releases results soon; a failure leaves them to expire at their upstream. */
-  release(handles: readonly string[]): void {
+  /**
+   * Releases results soon and calls `released` for each one; a failure leaves them to expire at
+   * their upstream.
+   */
+  release(handles: readonly string[], released: (handle: string) => void): void {
     for (const handle of handles) {
       const address = this.parts.dialect.handleAddress(handle);
       const waiting = this.releases.get(address);
       if (waiting !== undefined) {
-        waiting.push(handle);
+        waiting.push({ handle, released });
         continue;
       }
-      this.releases.set(address, [handle]);
+      this.releases.set(address, [{ handle, released }]);
       this.parts.timers.after(RELEASE_DELAY_MS, () => void this.sendRelease(address));
     }
   }
@@ -140,7 +148,8 @@
 
   private async sendRelease(address: string): Promise<void> {
     const { timers, dialect, decisionLines } = this.parts;
-    const handles = this.releases.get(address) ?? [];
+    const releases = this.releases.get(address) ?? [];
+    const handles = releases.map(({ handle }) => handle);
     this.releases.delete(address);
     const late = new AbortController();
     const limit = timers.after(RELEASE_MS, () => {
@@ -151,6 +160,7 @@
       connection = await Connection.open(`http://${address}`, timers, late.signal, CONNECT_MS);
       const { body } = await post(connection, dialect.releaseCall(handles), late.signal);
       await body.dump();
+      for (const { handle, released } of releases) released(handle);
     } catch (error) {
       decisionLines.write("results not released", { address, detail: String(error) });
     } finally {
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -10,8 +10,8 @@
 import type { StageSubmission } from "./stage-submission.js";
 import { finalStages } from "./stage-definition.js";
 
-/** Size of all final results from which their place matters for the choice of the engine. */
-const BULKY_BYTES = 1_000_000;
+/** Size of a result from which the memory that it takes at its maker limits the calls. */
+const BULKY_BYTES = 500_000;
 
 /** The results of one stage of a request. */
 interface StageResults {
@@ -19,13 +19,6 @@
   readonly dataCentre: string | undefined;
 }
 
-/** What the engine gets of the stages. */
-export interface StageInputs {
-  readonly handles: readonly string[];
-  /** Data centre that keeps most of the bytes, if there are many. */
-  readonly dataCentre: string | undefined;
-}
-
 interface Parts {
   readonly timers: Timers;
   readonly stageDispatch: StageDispatch;
@@ -67,8 +60,11 @@
     return this.submissions > 0;
   }
 
-  /** Throws `Overloaded`, `DeadlineExceeded` or `UpstreamFailed`; results are released then. */
-  async run(): Promise<StageInputs> {
+  /**
+   * Returns the handles of the results that the engine needs.
+   * Throws `Overloaded`, `DeadlineExceeded` or `UpstreamFailed`.
+   */
+  async run(): Promise<string[]> {
     const { route } = this.task;
     route.stages.forEach((_, at) => this.runs.push(this.runStage(at)));
     // The first failure ends the other stages; all are awaited, so that no rejection is unhandled.
@@ -79,16 +75,8 @@
     }
     await Promise.allSettled(this.runs);
     if (this.stop.signal.aborted) throw this.stop.signal.reason;
-    const finals = finalStages(route.stages);
-    const results = await Promise.all(finals.map((at) => this.runs[at]));
-    const bytes = finals.map(
-      (at, of) => (results[of]?.handles.length ?? 0) * (route.stages[at]?.resultBytes ?? 0),
-    );
-    const largest = bytes.indexOf(Math.max(...bytes));
-    return {
-      handles: results.flatMap((result) => result?.handles ?? []),
-      dataCentre: (bytes[largest] ?? 0) >= BULKY_BYTES ? results[largest]?.dataCentre : undefined,
-    };
+    const results = await Promise.all(finalStages(route.stages).map((at) => this.runs[at]));
+    return results.flatMap((result) => result?.handles ?? []);
   }
 
   /** Releases all results that still exist; the engine has read them or nobody will. */
@@ -104,6 +92,7 @@
     // Starts after all stages are registered, so that earlier ones can be awaited.
     await Promise.resolve();
     const needed = await Promise.all((stage?.after ?? []).map((each) => this.runs[each]));
+    await Promise.all(this.awaitedBy(at).map((each) => this.runs[each]));
     if (stage === undefined || pieces === 0) return { handles: [], dataCentre: undefined };
     const inputs = needed.flatMap((results) => results?.handles ?? []);
     const dataCentre =
@@ -120,6 +109,7 @@
         leftMs: deadlineMs - now,
         afterMs: this.afterMs(at),
         resultBytes: stage.resultBytes,
+        movedBytes: this.movedBytes(at),
         ...(dataCentre === undefined ? {} : { dataCentre }),
     });
     if (outcome.kind === "failed") {
@@ -133,6 +123,28 @@
     return { handles: outcome.handles, dataCentre: outcome.dataCentre };
   }
 
+  /**
+   * Stages that a bulky stage lets go first although it does not need them: it starts with the last
+   * stage of the longer chains, since its results would only take memory until those end.
+   */
+  private awaitedBy(at: number): readonly number[] {
+    const { stages } = this.task.route;
+    const stage = stages[at];
+    const finals = finalStages(stages);
+    if (stage === undefined || stage.resultBytes < BULKY_BYTES || !finals.includes(at)) return [];
+    return finals.filter((each) => each !== at).flatMap((each) => stages[each]?.after ?? []);
+  }
+
+  /** Bytes that each piece moves between data centres if it is made in the wrong one. */
+  private movedBytes(at: number): number {
+    const { route, attributes } = this.task;
+    const stage = route.stages[at];
+    if (stage === undefined || stage.after.length === 0) return stage?.resultBytes ?? 0;
+    return stage.after.reduce((sum, each) => {
+      return sum + (attributes.pieces[each] ?? 0) * (route.stages[each]?.resultBytes ?? 0);
+    }, 0);
+  }
+
   private async dispatch(submission: StageSubmission): Promise<StageOutcome> {
     const signal = AbortSignal.any([this.task.signal, this.stop.signal]);
     this.submissions += 1;
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -96,8 +96,10 @@
 
   /** Frees the memory of results. */
   release(handles: readonly string[]): void {
-    for (const handle of handles) for (const room of this.rooms.values()) room.release(handle);
-    this.parts.stageCaller.release(handles);
+    this.parts.stageCaller.release(handles, (handle) => {
+      for (const room of this.rooms.values()) room.release(handle);
+      this.fill();
+    });
   }
 
   private expectedMs(submission: StageSubmission, capacity: StageCapacity, count: number): number {
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -108,7 +108,7 @@
   release(service: string, handles: readonly string[]): void {
     const pools = [...this.pools].filter(([key]) => key.startsWith(`${service}/`));
     const [first] = pools;
-    if (first === undefined) this.parts.stageCaller.release(handles);
+    if (first === undefined) this.parts.stageCaller.release(handles, () => undefined);
     else first[1].release(handles);
   }
 
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -1,9 +1,9 @@
 import type { QueuedPiece, QueuedSubmission } from "./queued-submission.js";
 
-/** Size of a result from which a transfer between data centres is worth a wait. */
-const BULKY_BYTES = 500_000;
+/** Bytes of a submission from which a transfer between data centres is worth a wait. */
+const BULKY_BYTES = 1_000_000;
 /** Longest such wait; about one call of a stage. */
-const MOST_PATIENCE_MS = 250;
+const MOST_PATIENCE_MS = 400;
 /** Part of the time to the target that a piece may spend on that wait. */
 const PATIENCE_PART = 0.25;
 
@@ -66,12 +66,17 @@
     eligible.sort((a, b) => before(a.owner, b.owner, room));
     const taken = new Set<QueuedPiece>();
     let bytes = room.resultBytes;
-    for (const piece of eligible) {
-      if (taken.size >= room.mostPieces) break;
-      const { resultBytes } = piece.owner.submission;
-      if (resultBytes > bytes) continue;
-      bytes -= resultBytes;
-      taken.add(piece);
+    for (const [owner, pieces] of bySubmission(eligible)) {
+      const { resultBytes } = owner.submission;
+      const fitting = Math.min(
+        room.mostPieces - taken.size,
+        resultBytes === 0 ? Infinity : Math.floor(bytes / resultBytes),
+      );
+      // The results of one request stay in one place where possible.
+      if (fitting < pieces.length && taken.size > 0) continue;
+      const chosen = pieces.slice(0, Math.max(0, fitting));
+      bytes -= chosen.length * resultBytes;
+      for (const piece of chosen) taken.add(piece);
     }
     this.waiting = this.waiting.filter((piece) => !taken.has(piece));
     return [...taken];
@@ -96,7 +101,8 @@
 }
 
 function patience({ submission, targetMs, enqueuedMs }: QueuedSubmission): number {
-  if (submission.dataCentre === undefined || submission.resultBytes < BULKY_BYTES) return 0;
+  const { dataCentre, pieces, movedBytes } = submission;
+  if (dataCentre === undefined || pieces * movedBytes < BULKY_BYTES) return 0;
   return Math.max(0, Math.min(MOST_PATIENCE_MS, PATIENCE_PART * (targetMs - enqueuedMs)));
 }
 
@@ -109,3 +115,13 @@
 function isRemote({ submission: { dataCentre } }: QueuedSubmission, room: CallRoom): boolean {
   return dataCentre !== undefined && dataCentre !== room.dataCentre;
 }
+
+function bySubmission(pieces: readonly QueuedPiece[]): Map<QueuedSubmission, QueuedPiece[]> {
+  const grouped = new Map<QueuedSubmission, QueuedPiece[]>();
+  for (const piece of pieces) {
+    const group = grouped.get(piece.owner);
+    if (group === undefined) grouped.set(piece.owner, [piece]);
+    else group.push(piece);
+  }
+  return grouped;
+}
--- a/src/forward/stage-submission.ts
+++ b/src/forward/stage-submission.ts
@@ -17,6 +17,8 @@
   afterMs: z.number(),
   /** Approximate size of one result in bytes. */
   resultBytes: z.number(),
+  /** Bytes that a piece moves between data centres if it is made in another one. */
+  movedBytes: z.number(),
   /** Data centre in which the results are used, or most of the inputs lie. */
   dataCentre: z.string().optional(),
 });
--- a/src/forward/upstream-choice.ts
+++ b/src/forward/upstream-choice.ts
@@ -29,7 +29,6 @@
     service: string,
     promptParts: readonly PromptPart[],
     tried: ReadonlySet<string>,
-    inputDataCentre: string | undefined,
   ): UpstreamEntry | undefined {
     const { directory, standings, dataCentre, routeView } = this.parts;
     const candidates = directory.serving(service);
@@ -38,7 +37,7 @@
     if (engine === undefined) return choosePlain({ candidates, standing, dataCentre, tried });
     const prefix = sharedPrefix(promptParts);
     const weight = (id: string): number => hashes.h32(`${prefix} ${id}`);
-    return chooseEngine({ candidates, standing, weight, inputDataCentre, tried });
+    return chooseEngine({ candidates, standing, weight, tried });
   }
 }
 
