Send the next stage call before the last one ends, and release results earlier

Cause: upstreams of a stage stood idle for a round trip between calls, and memory for results was held until the engine's first token, 350 ms after it had read them. Change: the next call leaves 25 ms before the probable end of the running one; results of requests that run once are released 120 ms after they were sent to an engine with free slots; an engine that misses them has the stages run again once. Repeats take one further attempt per submission, heartbeats go out every 2 s.

--- /dev/null
+++ b/features/stage-pool.feature
@@ -0,0 +1,80 @@
+Feature: Filling stage calls
+  One instance fills the calls to a stage service with the pieces of all instances.
+
+  Background:
+    Given a stage service with 2 upstreams, 4 pieces a call, 200 ms a call and 10 ms a piece
+
+  Scenario: Requests that arrive while all upstreams are busy share calls
+    When 2 requests of 1 piece arrive
+    And 8 requests of 1 piece arrive
+    And the stage clock advances by 1000 ms
+    Then all requests have their results
+    And 4 calls were made
+
+  Scenario: A call is filled by rank before the time of arrival
+    When 2 requests of 1 piece arrive
+    And 4 requests of 1 piece with rank 2 arrive
+    And 4 requests of 1 piece with rank 0 arrive
+    And 4 requests of 1 piece with rank 1 arrive
+    And the stage clock advances by 230 ms
+    Then the third call carries rank 0
+    And the fourth call carries rank 1
+
+  Scenario: The pieces of one request stay in one call
+    When 2 requests of 1 piece arrive
+    And 1 requests of 3 pieces arrive
+    And 1 requests of 2 pieces arrive
+    And the stage clock advances by 500 ms
+    Then no request was split over calls
+
+  Scenario: A request whose deadline cannot be met is refused at once
+    When 2 requests of 1 piece arrive
+    And 40 requests of 1 piece arrive
+    And a request with 300 ms left arrives
+    Then it is refused with a time to come back above 300 ms
+
+  Scenario: Bulky pieces wait for the data centre that uses them, and no longer than that helps
+    Given the upstream in data centre "a" is busy
+    When a request with bulky results for data centre "a" arrives
+    And the stage clock advances by 100 ms
+    Then its pieces were not sent
+    When the stage clock advances by 400 ms
+    Then all requests have their results
+
+  Scenario: Results that nobody released count against the memory of their upstream
+    Given upstreams have memory for 4 results
+    When 4 requests of 2 pieces with results arrive
+    And the stage clock advances by 600 ms
+    Then 4 calls were made
+    When 1 requests of 4 pieces with results arrive
+    And the stage clock advances by 1000 ms
+    Then 4 calls were made
+    When all results are released
+    And the stage clock advances by 500 ms
+    Then all requests have their results
+
+  Scenario: An upstream that refuses a call gets it again later
+    Given the next call is refused
+    When 1 requests of 2 pieces arrive
+    And the stage clock advances by 600 ms
+    Then all requests have their results
+
+  Scenario: A lost call is made again at another upstream within the budget
+    Given the next call is lost
+    When 1 requests of 2 pieces arrive
+    And the stage clock advances by 2000 ms
+    Then all requests have their results
+    And 1 further attempts were taken from the budget
+
+  Scenario: An upstream whose call is overdue gets no more than the next call
+    Given the upstream in data centre "a" takes 3000 ms a call
+    When 40 requests of 1 piece arrive over 2000 ms
+    And the stage clock advances by 400 ms
+    Then the upstream in data centre "a" got 2 calls
+
+  Scenario: A repeated submission is answered without another call
+    When 1 requests of 1 piece arrive
+    And the stage clock advances by 300 ms
+    And the first request is submitted again
+    Then it is reported again
+    And 1 calls were made
--- /dev/null
+++ b/features/steps/stage-pool.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { StageTicket } from "../../src/forward/stage-outcome.js";
+import { StageBench } from "../support/stage-bench.js";
+
+const BULKY_BYTES = 1_500_000;
+const RESULT_BYTES = 1_000;
+
+interface PoolWorld {
+  stages: StageBench;
+  ticket: StageTicket;
+}
+
+function ranksOf(bench: StageBench, call: number): number[] {
+  return bench.calls[call]?.pieces.map(({ owner }) => owner.submission.rank) ?? [];
+}
+
+Given(
+  "a stage service with {int} upstreams, {int} pieces a call, {int} ms a call and {int} ms a piece",
+  function (this: PoolWorld, upstreams: number, batch: number, callMs: number, pieceMs: number) {
+    this.stages = StageBench.create(upstreams, { mostPieces: batch, callMs, pieceMs });
+  },
+);
+
+Given("the upstream in data centre {string} is busy", async function (this: PoolWorld, at: string) {
+  this.stages.submit({ dataCentre: at, pieces: 4 });
+  await this.stages.timers.advance(1);
+  assert.equal(this.stages.calls[0]?.dataCentre, at);
+});
+
+Given(
+  "the upstream in data centre {string} takes {int} ms a call",
+  function (this: PoolWorld, at: string, ms: number) {
+    this.stages.callMsOf.set(at, ms);
+  },
+);
+
+Given("upstreams have memory for {int} results", function (this: PoolWorld, count: number) {
+  this.stages.memoryBytes = count * RESULT_BYTES;
+});
+
+Given(/^the next call is (refused|lost)$/, function (this: PoolWorld, kind: "refused" | "lost") {
+  this.stages.next = kind;
+});
+
+When(
+  /^(\d+) requests of (\d+) pieces?(?: with rank (\d+))?( with results)? arrive$/,
+  function (
+    this: PoolWorld,
+    count: string,
+    pieces: string,
+    rank: string | null,
+    kept: string | null,
+  ) {
+    for (let at = 0; at < Number(count); at += 1) {
+      const resultBytes = kept === null ? 0 : RESULT_BYTES;
+      this.stages.submit({ pieces: Number(pieces), rank: Number(rank ?? 0), resultBytes });
+    }
+  },
+);
+
+When(
+  "{int} requests of 1 piece arrive over {int} ms",
+  async function (this: PoolWorld, count: number, ms: number) {
+    for (let at = 0; at < count; at += 1) {
+      this.stages.submit({});
+      await this.stages.timers.advance(ms / count);
+    }
+  },
+);
+
+When("a request with {int} ms left arrives", function (this: PoolWorld, ms: number) {
+  this.ticket = this.stages.submit({ leftMs: ms });
+});
+
+When(
+  "a request with bulky results for data centre {string} arrives",
+  function (this: PoolWorld, at: string) {
+    const bytes = { resultBytes: BULKY_BYTES, movedBytes: BULKY_BYTES };
+    this.stages.submit({ dataCentre: at, pieces: 2, attemptId: "bulky", ...bytes });
+  },
+);
+
+When("the stage clock advances by {int} ms", async function (this: PoolWorld, ms: number) {
+  await this.stages.timers.advance(ms);
+});
+
+When("all results are released", function (this: PoolWorld) {
+  this.stages.releaseAll();
+});
+
+When("the first request is submitted again", function (this: PoolWorld) {
+  const [first] = this.stages.accepted;
+  assert.ok(first !== undefined);
+  this.stages.submit(first);
+});
+
+Then("all requests have their results", function (this: PoolWorld) {
+  const made = this.stages.reports.filter(({ outcome }) => outcome.kind === "made");
+  assert.equal(made.length, this.stages.accepted.length);
+  for (const { submission, outcome } of made) {
+    assert.ok(outcome.kind === "made");
+    const owners = outcome.handles.map((handle) => handle.split("/")[1]?.split(".")[0]);
+    assert.deepEqual(
+      owners,
+      Array.from({ length: submission.pieces }, () => submission.attemptId),
+    );
+  }
+});
+
+Then("{int} calls were made", function (this: PoolWorld, count: number) {
+  assert.equal(this.stages.calls.length, count);
+});
+
+Then(
+  /^the (third|fourth) call carries rank (\d+)$/,
+  function (this: PoolWorld, which: string, rank: string) {
+    const ranks = ranksOf(this.stages, which === "third" ? 2 : 3);
+    assert.deepEqual(new Set(ranks), new Set([Number(rank)]));
+  },
+);
+
+Then("no request was split over calls", function (this: PoolWorld) {
+  const callsOf = new Map<string, Set<number>>();
+  this.stages.calls.forEach(({ pieces }, at) => {
+    for (const { owner } of pieces) {
+      const id = owner.submission.attemptId;
+      callsOf.set(id, (callsOf.get(id) ?? new Set()).add(at));
+    }
+  });
+  for (const calls of callsOf.values()) assert.equal(calls.size, 1);
+});
+
+Then(
+  "it is refused with a time to come back above {int} ms",
+  function (this: PoolWorld, ms: number) {
+    assert.ok(this.ticket.kind === "refused");
+    assert.ok(this.ticket.retryAfterMs > ms, `${this.ticket.retryAfterMs}`);
+  },
+);
+
+Then("its pieces were not sent", function (this: PoolWorld) {
+  const sent = this.stages.calls.flatMap(({ pieces }) => pieces);
+  assert.ok(sent.every(({ owner }) => owner.submission.attemptId !== "bulky"));
+});
+
+Then(
+  "{int} further attempts were taken from the budget",
+  function (this: PoolWorld, count: number) {
+    assert.equal(this.stages.furtherAttempts, count);
+  },
+);
+
+Then(
+  "the upstream in data centre {string} got {int} calls",
+  function (this: PoolWorld, at: string, count: number) {
+    const calls = this.stages.calls.filter(({ dataCentre }) => dataCentre === at);
+    assert.equal(calls.length, count);
+  },
+);
+
+Then("it is reported again", function (this: PoolWorld) {
+  assert.equal(this.stages.reports.length, 2);
+});
--- /dev/null
+++ b/features/support/stage-bench.ts
@@ -0,0 +1,131 @@
+import { PieceFailure } from "../../src/forward/piece-result.js";
+import type { QueuedPiece } from "../../src/forward/queued-submission.js";
+import type { StageCapacity } from "../../src/forward/service-definition.js";
+import type { CallAnswer } from "../../src/forward/stage-caller.js";
+import type { StageOutcome, StageTicket } from "../../src/forward/stage-outcome.js";
+import { StagePool } from "../../src/forward/stage-pool.js";
+import type { StageSubmission } from "../../src/forward/stage-submission.js";
+import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
+import type { UpstreamEntry } from "../../src/forward/upstream-entry.js";
+import { UpstreamStandings } from "../../src/forward/upstream-standings.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+
+const DATA_CENTRES = ["a", "b", "c"];
+const LARGE_BYTES = 1_000_000_000;
+const KEPT_MS = 4_000;
+const LEFT_MS = 8_000;
+const TARGET_MS = 4_000;
+
+/** One call that the pool made. */
+export interface MadeCall {
+  readonly upstream: string;
+  readonly dataCentre: string;
+  readonly pieces: readonly QueuedPiece[];
+}
+
+/** A stage pool before scripted upstreams, on a manual clock. */
+export class StageBench {
+  readonly timers = ManualTimers.create();
+  readonly calls: MadeCall[] = [];
+  readonly reports: { submission: StageSubmission; outcome: StageOutcome }[] = [];
+  readonly accepted: StageSubmission[] = [];
+  readonly callMsOf = new Map<string, number>();
+  next: CallAnswer["kind"] = "results";
+  furtherAttempts = 0;
+  memoryBytes = LARGE_BYTES;
+  private readonly entries: UpstreamEntry[];
+  private readonly pool: StagePool;
+  private sequence = 0;
+
+  private constructor(
+    upstreams: number,
+    private readonly shape: Pick<StageCapacity, "mostPieces" | "callMs" | "pieceMs">,
+  ) {
+    this.entries = DATA_CENTRES.slice(0, upstreams).map((dataCentre, at) => ({
+      id: `u${at}`,
+      service: "stage",
+      address: `10.0.0.${at}:80`,
+      dataCentre,
+      slots: 1,
+      draining: false,
+      coldMs: 0,
+      startedMs: 0,
+    }));
+    const directory = UpstreamDirectory.create({ timers: this.timers });
+    this.pool = StagePool.create({
+      timers: this.timers,
+      standings: UpstreamStandings.create({ timers: this.timers, directory }),
+      stageCaller: {
+        call: (entry, pieces) => this.call(entry, pieces),
+        release: (handles, released) => {
+          handles.forEach(released);
+        },
+      },
+      upstreams: () => this.entries,
+      capacity: () => ({
+        ...this.shape,
+        callsAtOnce: 1,
+        resultBytes: this.memoryBytes,
+        keptMs: KEPT_MS,
+      }),
+      takeFurther: () => {
+        this.furtherAttempts += 1;
+        return true;
+      },
+      ended: (submission, outcome) => this.reports.push({ submission, outcome }),
+    });
+  }
+
+  static create(
+    upstreams: number,
+    shape: Pick<StageCapacity, "mostPieces" | "callMs" | "pieceMs">,
+  ): StageBench {
+    return new StageBench(upstreams, shape);
+  }
+
+  submit(changes: Partial<StageSubmission>): StageTicket {
+    this.sequence += 1;
+    const submission: StageSubmission = {
+      service: "stage",
+      attemptId: `r${this.sequence}`,
+      stage: 0,
+      run: 0,
+      pieces: 1,
+      key: "key",
+      rank: 0,
+      targetLeftMs: TARGET_MS,
+      leftMs: LEFT_MS,
+      afterMs: 0,
+      resultBytes: 0,
+      movedBytes: 0,
+      ...changes,
+    };
+    const ticket = this.pool.submit(submission);
+    if (ticket.kind === "accepted") this.accepted.push(submission);
+    return ticket;
+  }
+
+  releaseAll(): void {
+    for (const { outcome } of this.reports) {
+      if (outcome.kind === "made") this.pool.release(outcome.handles);
+    }
+  }
+
+  private async call(entry: UpstreamEntry, pieces: readonly QueuedPiece[]): Promise<CallAnswer> {
+    this.calls.push({ upstream: entry.id, dataCentre: entry.dataCentre, pieces });
+    const { next } = this;
+    this.next = "results";
+    if (next === "refused") return { kind: "refused" };
+    const { callMs, pieceMs } = this.shape;
+    const ownMs = this.callMsOf.get(entry.dataCentre) ?? callMs;
+    await this.timers.sleep(ownMs + pieces.length * pieceMs);
+    if (next === "lost") return { kind: "lost" };
+    const results = pieces.map(({ owner, piece }) => {
+      const handle = `${entry.address}/${owner.submission.attemptId}.${piece}`;
+      return owner.ended
+        ? ({ kind: "failed", reason: PieceFailure.Failed } as const)
+        : ({ kind: "made", handle } as const);
+    });
+    return { kind: "results", results };
+  }
+}
--- a/src/error/answer-table.ts
+++ b/src/error/answer-table.ts
@@ -65,6 +65,7 @@
   [ErrorKind.UpstreamCrashed]: retryable(502, "An upstream crashed", SHORT_RETRY_MS),
   [ErrorKind.ConnectionSilent]: retryable(502, "A connection went silent", SHORT_RETRY_MS),
   [ErrorKind.UpstreamRejected]: final(502, "An upstream rejected the request"),
+  [ErrorKind.InputsGone]: retryable(503, "Results of earlier stages are gone", SHORT_RETRY_MS),
   [ErrorKind.NoUpstream]: retryable(503, "No upstream is available", LONG_RETRY_MS),
   [ErrorKind.TableUnavailable]: retryable(503, "The table service is unavailable", LONG_RETRY_MS),
   [ErrorKind.TableUncertain]: retryable(503, "The table service did not confirm", LONG_RETRY_MS),
--- a/src/error/error-kind.ts
+++ b/src/error/error-kind.ts
@@ -28,6 +28,7 @@
   UpstreamCrashed = "upstream-crashed",
   ConnectionSilent = "connection-silent",
   UpstreamRejected = "upstream-rejected",
+  InputsGone = "inputs-gone",
   NoUpstream = "no-upstream",
   TableUnavailable = "table-unavailable",
   TableUncertain = "table-uncertain",
--- a/src/forward/answer-attributes.ts
+++ b/src/forward/answer-attributes.ts
@@ -6,4 +6,6 @@
   readonly signed: boolean;
   /** Whether the upstream states that it did not run the request. */
   readonly notRun: boolean;
+  /** Whether it did not run the request because results that it needs no longer exist. */
+  readonly inputsGone: boolean;
 }
--- a/src/forward/attempt-end.ts
+++ b/src/forward/attempt-end.ts
@@ -15,5 +15,7 @@
   | { readonly kind: "unsent"; readonly detail: string }
   /** The upstream states that it did not run the request. */
   | { readonly kind: "not-run"; readonly status: number }
+  /** The engine did not run the request because results that it needs no longer exist. */
+  | { readonly kind: "inputs-gone" }
   /** The answer ended early or is not the answer to this request; it may have run. */
   | { readonly kind: "broken"; readonly detail: string };
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -33,6 +33,10 @@
 /** Typical time between events in ms; only ratios between engines matter. */
 const EVENT_EXPECTED_MS = 20;
 const MOST_URGENCY = 9;
+/** Time after which an engine with free slots has read the results; several transfers. */
+const READ_MS = 120;
+/** Part of an engine's slots in use up to which it admits a request at once. */
+const MOST_FILLED = 0.5;
 
 interface Parts {
   readonly timers: Timers;
@@ -58,17 +62,20 @@
     private readonly parts: Parts,
     private readonly context: RequestContext,
     private readonly inputs: readonly string[] | undefined,
-    private readonly answering: () => void,
+    private readonly inputsRead: () => void,
   ) {}
 
-  /** `inputs` are handles of results; `answering` is called when an upstream begins to answer. */
+  /**
+   * `inputs` are handles of results; `inputsRead` is called when an engine has read the
+   * results.
+   */
   static create(
     parts: Parts,
     context: RequestContext,
     inputs: readonly string[] | undefined,
-    answering: () => void,
+    inputsRead: () => void,
   ): DispatchLoop {
-    return new DispatchLoop(parts, context, inputs, answering);
+    return new DispatchLoop(parts, context, inputs, inputsRead);
   }
 
   /** Whether the request may have run at an upstream. */
@@ -127,7 +134,12 @@
           progress,
           streamed,
           quietMs: this.quietMs(),
-          answering: this.answering,
+          sent: () => {
+            this.expectRead(entry);
+          },
+          answering: () => {
+            this.inputsRead();
+          },
           signal: context.signal,
         },
       ).run();
@@ -166,6 +178,8 @@
         this.notRun += 1;
         if (this.notRun < MOST_NOT_RUN) return undefined;
         throw this.failure(ErrorKind.Overloaded, `upstreams refused with status ${end.status}`);
+      case "inputs-gone":
+        throw ServeError.create(ErrorKind.InputsGone, "results were released or have expired");
       case "reported":
         standing.failed();
         this.ran += 1;
@@ -183,6 +197,20 @@
     }
   }
 
+  /** An engine with free slots reads the results as soon as the request arrives. */
+  private expectRead(entry: UpstreamEntry): void {
+    const { timers, standings, directory } = this.parts;
+    if (this.inputs === undefined || this.inputs.length === 0) return;
+    // A request that may run again would need the results again.
+    if (repeatable(this.context.route)) return;
+    const filled = standings.of(entry.id).inFlight / Math.max(1, entry.slots);
+    const instances = this.parts.fleetBudget.instances;
+    if (filled * instances > MOST_FILLED || directory.coldMs(entry.id) > 0) return;
+    timers.after(READ_MS, () => {
+      this.inputsRead();
+    });
+  }
+
   private mayRunAgain(): boolean {
     const { route, writer, progress } = this.context;
     if (!repeatable(route) || this.ran >= route.mostAttempts) return false;
--- a/src/forward/fleet-budget.ts
+++ b/src/forward/fleet-budget.ts
@@ -40,6 +40,12 @@
     return new FleetBudget(parts.timers, parts.budgetBounds, parts.liveInstances);
   }
 
+  /** The most live instances seen so far; a smaller number may only be this instance's view. */
+  get instances(): number {
+    this.mostInstances = Math.max(this.mostInstances, this.liveInstances());
+    return this.mostInstances;
+  }
+
   /** Counts a first attempt at a service. */
   request(service: string): void {
     this.bucket(service).requests += 1;
@@ -48,10 +54,8 @@
   /** Takes a further attempt; returns false if this instance's part is spent. */
   takeFurther(service: string): boolean {
     const { requests, further } = this.total(service);
-    // A smaller fleet is believed only by those who see it, so the part follows the largest seen.
-    this.mostInstances = Math.max(this.mostInstances, this.liveInstances());
     const { ratio, slack } = this.bounds;
-    const allowed = USED_PART * (ratio * requests + slack / this.mostInstances);
+    const allowed = USED_PART * (ratio * requests + slack / this.instances);
     if (further + 1 > allowed) return false;
     this.bucket(service).further += 1;
     return true;
--- a/src/forward/front-peer-settings.ts
+++ b/src/forward/front-peer-settings.ts
@@ -1,12 +1,12 @@
 import type { FrontSettings } from "../settings/front-settings.js";
 import type { PeerSettings } from "../peer/peer-settings.js";
 
-/** Heartbeats between all instances cost about 1% of a core at this interval and 8 instances. */
-const HEARTBEAT_MS = 1_000;
+/** Calls that fail show a lost instance earlier; heartbeats are paid for all the time. */
+const HEARTBEAT_MS = 2_000;
 /** Two lost heartbeats. */
-const SUSPICION_MS = 2_500;
+const SUSPICION_MS = 4_500;
 /** Above the longest freeze of a process that then goes on. */
-const DEATH_MS = 8_000;
+const DEATH_MS = 10_000;
 /** New instances announce themselves; the list only mends what that missed. All reads are priced. */
 const LIST_INTERVAL_MS = 20_000;
 /** Fleet size up to which all instances exchange heartbeats. */
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -110,35 +110,68 @@
   }
 
   private async forward(context: RequestContext): Promise<number> {
-    const { route, attributes, configuration, signal, service } = context;
+    const { route, attributes, service } = context;
     if (route.stages.length === 0) {
       return DispatchLoop.create(this.parts, context, undefined, () => undefined).run();
     }
+    let phase = this.phase(context, 0);
+    try {
+      const inputs = await phase.run();
+      return await this.dispatch(context, phase, inputs);
+    } catch (error) {
+      const failure = ServeError.from(error, ErrorKind.Internal);
+      if (failure.kind !== ErrorKind.InputsGone || !this.takeFurther(route)) {
+        // A refusal promises that nothing ran, stage calls included.
+        throw phase.begun ? failure.afterDispatch() : failure;
+      }
+      this.parts.decisionLines.write("stages run again", {
+        attempt: attributes.attemptId,
+        service,
+        detail: failure.message,
+      });
+      phase.release();
+      phase = this.phase(context, 1);
+      try {
+        return await this.dispatch(context, phase, await phase.run());
+      } catch (again) {
+        throw ServeError.from(again, ErrorKind.Internal).afterDispatch();
+      }
+    } finally {
+      phase.release();
+    }
+  }
+
+  private async dispatch(
+    context: RequestContext,
+    phase: StagePhase,
+    inputs: readonly string[],
+  ): Promise<number> {
+    const read = (): void => {
+      phase.release();
+    };
+    return DispatchLoop.create(this.parts, context, inputs, read).run();
+  }
+
+  private phase(context: RequestContext, run: number): StagePhase {
+    const { route, attributes, service, configuration } = context;
     const home = this.parts.upstreamChoice.choose(service, attributes.promptParts, new Set());
     if (home === undefined) throw ServeError.create(ErrorKind.NoUpstream, "no engine is listed");
-    const phase = StagePhase.create(this.parts, {
+    return StagePhase.create(this.parts, {
       route,
       attributes,
+      run,
       rank: context.rank,
       targetMs: context.targetMs,
       deadlineMs: context.deadlineMs,
       services: configuration.services,
       engineDataCentre: home.dataCentre,
-      signal,
+      signal: context.signal,
     });
-    try {
-      const inputs = await phase.run();
-      const answering = (): void => {
-        phase.release();
-      };
-      return await DispatchLoop.create(this.parts, context, inputs, answering).run();
-    } catch (error) {
-      const failure = ServeError.from(error, ErrorKind.Internal);
-      // A refusal promises that nothing ran, stage calls included.
-      throw phase.begun ? failure.afterDispatch() : failure;
-    } finally {
-      phase.release();
-    }
+  }
+
+  /** Takes a further attempt at each service that a repeated stage phase calls. */
+  private takeFurther({ stages }: Route): boolean {
+    return stages.every(({ service }) => this.parts.fleetBudget.takeFurther(service));
   }
 
   private fail(
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -93,9 +93,9 @@
     } else void this.tell(owner, PeerMethod.StageRelease, { service, handles });
   }
 
-  private receive({ attemptId, stage, outcome }: StageReport): void {
-    const resolve = this.pending.get(submissionKey({ attemptId, stage }));
-    if (resolve !== undefined) resolve(outcome);
+  private receive(report: StageReport): void {
+    const resolve = this.pending.get(submissionKey(report));
+    if (resolve !== undefined) resolve(report.outcome);
   }
 
   private async submit(
@@ -152,9 +152,10 @@
   }
 
   private async cancel(owner: string, submission: StageSubmission): Promise<void> {
-    const { service, attemptId, stage } = submission;
-    if (owner === this.parts.self) this.parts.stagePools.cancel({ service, attemptId, stage });
-    else await this.tell(owner, PeerMethod.StageCancel, { service, attemptId, stage });
+    const { service, attemptId, stage, run } = submission;
+    const cancelled = { service, attemptId, stage, run };
+    if (owner === this.parts.self) this.parts.stagePools.cancel(cancelled);
+    else await this.tell(owner, PeerMethod.StageCancel, cancelled);
   }
 
   private async tell(owner: string, method: PeerMethod, params: unknown): Promise<void> {
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -27,6 +27,8 @@
 interface Task {
   readonly route: Route;
   readonly attributes: RequestAttributes;
+  /** Rises when the stages of the request run again. */
+  readonly run: number;
   readonly rank: number;
   /** On the monotonic clock, in ms. */
   readonly targetMs: number;
@@ -102,6 +104,7 @@
         service: stage.service,
         attemptId: attributes.attemptId,
         stage: at,
+        run: this.task.run,
         pieces,
         ...(stage.after.length > 0 ? { inputs } : { key: attributes.pieceKey }),
         rank,
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -18,13 +18,23 @@
 const NO_ROOM_MS = 150;
 /** Time of a call, relative to the typical upstream, from which an upstream counts as slow. */
 const SLOW_RATIO = 2;
+/** Time before the probable end of a call at which the next one is sent: a round trip. */
+const LEAD_MS = 25;
+/** Calls sent to an upstream at most: the one in progress and the next one. */
+const MOST_CALLS = 2;
 /** Time for which a finished submission is remembered, for a repeated submission of it. */
 const REMEMBERED_MS = 5_000;
 
+/** A call in progress at an upstream. */
+interface RunningCall {
+  /** Time at which it probably ends, on the monotonic clock in ms. */
+  readonly endMs: number;
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly standings: UpstreamStandings;
-  readonly stageCaller: StageCaller;
+  readonly stageCaller: Pick<StageCaller, "call" | "release">;
   /** Upstreams that this pool gives calls to. */
   readonly upstreams: () => readonly UpstreamEntry[];
   readonly capacity: () => StageCapacity | undefined;
@@ -37,7 +47,7 @@
 export class StagePool {
   private readonly queue = StageQueue.create();
   private readonly rooms = new Map<string, ResultRoom>();
-  private readonly busy = new Set<string>();
+  private readonly running = new Map<string, RunningCall[]>();
   private readonly known = new Map<string, QueuedSubmission>();
   private wakeDue = false;
 
@@ -108,7 +118,7 @@
     const fullMs = callMs + mostPieces * pieceMs;
     const ownMs = callMs + Math.min(mostPieces, submission.pieces) * pieceMs;
     const roundsBefore = Math.floor((ahead + submission.pieces) / (mostPieces * count));
-    const busyMs = this.busy.size >= count ? fullMs / (count + 1) : 0;
+    const busyMs = this.running.size >= count ? fullMs / (count + 1) : 0;
     return busyMs + roundsBefore * fullMs + ownMs;
   }
 
@@ -124,7 +134,7 @@
     const dataCentres = new Set(reachable.map(({ dataCentre }) => dataCentre));
     const typical = this.typicalRatio(reachable);
     for (const entry of reachable) {
-      if (this.busy.has(entry.id) || this.queue.size === 0) continue;
+      if (!this.isFree(entry.id) || this.queue.size === 0) continue;
       if (this.isSpare(entry, typical, reachable.length * capacity.mostPieces)) continue;
       const room = this.room(entry.id);
       const pieces = this.queue.take(
@@ -141,6 +151,15 @@
     if (this.queue.size > 0) this.wakeLater();
   }
 
+  /** Whether the upstream is idle, or will be when a call reaches it. */
+  private isFree(id: string): boolean {
+    const calls = this.running.get(id) ?? [];
+    if (calls.length >= MOST_CALLS) return false;
+    const now = this.parts.timers.now();
+    // A call that is overdue shows that the upstream is slow or hangs.
+    return calls.every(({ endMs }) => Math.abs(endMs - now) <= LEAD_MS);
+  }
+
   /** Whether the upstream is so slow that the others finish the waiting pieces earlier. */
   private isSpare(entry: UpstreamEntry, typical: number, othersFill: number): boolean {
     const standing = this.parts.standings.of(entry.id);
@@ -172,7 +191,7 @@
     capacity: StageCapacity,
   ): Promise<void> {
     const { timers, stageCaller } = this.parts;
-    this.busy.add(entry.id);
+    const endRunning = this.begin(entry.id, pieces.length, capacity);
     const bytes = pieces.reduce((sum, { owner }) => sum + owner.submission.resultBytes, 0);
     const endReservation = this.room(entry.id).reserve(bytes);
     try {
@@ -190,17 +209,36 @@
           await timers.sleep(BUSY_RETRY_MS);
           break;
         case "lost":
-          for (const owner of new Set(pieces.map((piece) => piece.owner))) owner.failures += 1;
-          for (const piece of pieces) this.again(piece);
+          this.again(pieces);
           break;
       }
     } finally {
       endReservation();
-      this.busy.delete(entry.id);
+      endRunning();
       this.fill();
     }
   }
 
+  /** Counts a call until the returned function is called, and fills the next one before its end. */
+  private begin(id: string, pieces: number, capacity: StageCapacity): () => void {
+    const { timers, standings } = this.parts;
+    const ratio = standings.of(id).ratio ?? 1;
+    const expectedMs = ratio * (capacity.callMs + pieces * capacity.pieceMs);
+    const before = this.running.get(id) ?? [];
+    const startMs = Math.max(timers.now(), ...before.map(({ endMs }) => endMs));
+    const call: RunningCall = { endMs: startMs + expectedMs };
+    this.running.set(id, [...before, call]);
+    const next = timers.after(Math.max(0, call.endMs - LEAD_MS - timers.now()), () => {
+      this.fill();
+    });
+    return () => {
+      next.cancel();
+      const left = (this.running.get(id) ?? []).filter((each) => each !== call);
+      if (left.length === 0) this.running.delete(id);
+      else this.running.set(id, left);
+    };
+  }
+
   private take(
     entry: UpstreamEntry,
     piece: QueuedPiece,
@@ -224,8 +262,7 @@
         if (!owner.ended) this.queue.add([piece]);
         return;
       case PieceFailure.Failed:
-        owner.failures += 1;
-        this.again(piece);
+        this.again([piece]);
     }
   }
 
@@ -237,13 +274,15 @@
     this.end(owner, { kind: "made", handles, dataCentre: mostFrequent(owner.makers) });
   }
 
-  /** Queues a piece once more if the budget and the submission allow it. */
-  private again(piece: QueuedPiece): void {
-    const { owner } = piece;
-    if (owner.ended) return;
-    if (owner.failures >= MOST_FAILURES || !this.parts.takeFurther()) {
-      this.fail(owner, PieceFailure.Failed);
-    } else this.queue.add([piece]);
+  /** Queues pieces of a failed call once more where the budget and their submission allow it. */
+  private again(pieces: readonly QueuedPiece[]): void {
+    for (const owner of new Set(pieces.map((piece) => piece.owner))) {
+      if (owner.ended) continue;
+      owner.failures += 1;
+      if (owner.failures >= MOST_FAILURES || !this.parts.takeFurther()) {
+        this.fail(owner, PieceFailure.Failed);
+      } else this.queue.add(pieces.filter((piece) => piece.owner === owner));
+    }
   }
 
   private fail(owner: QueuedSubmission, reason: PieceFailure): void {
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -10,7 +10,12 @@
 import { type StageOutcome, type StageTicket, stageOutcomeSchema } from "./stage-outcome.js";
 import { StagePool } from "./stage-pool.js";
 import { shardOf, shardUpstreams } from "./stage-shard.js";
-import { type StageSubmission, stageSubmissionSchema, submissionKey } from "./stage-submission.js";
+import {
+  type StageSubmission,
+  type SubmissionIdentity,
+  stageSubmissionSchema,
+  submissionKey,
+} from "./stage-submission.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamStandings } from "./upstream-standings.js";
 
@@ -18,13 +23,13 @@
 const REPORT_MS = 500;
 const REPORT_TRIES = 3;
 
-const cancelSchema = z.object({ service: z.string(), attemptId: z.string(), stage: z.number() });
+const identity = { attemptId: z.string(), stage: z.number(), run: z.number() };
+const cancelSchema = z.object({ service: z.string(), ...identity });
 const releaseSchema = z.object({ service: z.string(), handles: z.array(z.string()) });
 
 /** Schema of a report that a submission ended. */
 export const stageReportSchema = z.object({
-  attemptId: z.string(),
-  stage: z.number(),
+  ...identity,
   outcome: stageOutcomeSchema,
 });
 
@@ -87,6 +92,7 @@
     this.submitters.set(key, from);
     const ticket = this.pool(submission).submit(submission);
     if (ticket.kind === "refused") this.submitters.delete(key);
+    else this.parts.fleetBudget.request(submission.service);
     this.parts.decisionLines.write("stage submission", {
       attempt: submission.attemptId,
       stage: submission.stage,
@@ -100,7 +106,7 @@
     return ticket;
   }
 
-  cancel(submission: Pick<StageSubmission, "service" | "attemptId" | "stage">): void {
+  cancel(submission: SubmissionIdentity & Pick<StageSubmission, "service">): void {
     this.pool(submission).cancel(submissionKey(submission));
     this.submitters.delete(submissionKey(submission));
   }
@@ -131,11 +137,11 @@
   }
 
   private async report(submission: StageSubmission, outcome: StageOutcome): Promise<void> {
-    const { attemptId, stage, service } = submission;
+    const { attemptId, stage, run, service } = submission;
     const key = submissionKey(submission);
     const submitter = this.submitters.get(key);
     this.submitters.delete(key);
-    const report: StageReport = { attemptId, stage, outcome };
+    const report: StageReport = { attemptId, stage, run, outcome };
     if (submitter === undefined || submitter === this.parts.self) {
       this.local(report);
       return;
--- a/src/forward/stage-submission.ts
+++ b/src/forward/stage-submission.ts
@@ -5,6 +5,8 @@
   service: z.string(),
   attemptId: z.string(),
   stage: z.number().int().nonnegative(),
+  /** Rises when the stages of a request run again. */
+  run: z.number().int().nonnegative(),
   pieces: z.number().int().positive(),
   key: z.string().optional(),
   inputs: z.array(z.string()).optional(),
@@ -26,10 +28,10 @@
 /** The pieces of one stage of one request. */
 export type StageSubmission = z.output<typeof stageSubmissionSchema>;
 
-/** Identifies a submission; a repeated submission has the same key. */
-export function submissionKey({
-  attemptId,
-  stage,
-}: Pick<StageSubmission, "attemptId" | "stage">): string {
-  return `${attemptId}/${stage}`;
+/** What identifies a submission; a repeated one has the same identity. */
+export type SubmissionIdentity = Pick<StageSubmission, "attemptId" | "stage" | "run">;
+
+/** The identity of a submission as one text. */
+export function submissionKey({ attemptId, stage, run }: SubmissionIdentity): string {
+  return `${attemptId}/${stage}/${run}`;
 }
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -36,7 +36,9 @@
   readonly streamed: boolean;
   /** Silence after which the attempt is given up, in ms; undefined to wait. */
   readonly quietMs: number | undefined;
-  /** Called once when the upstream has begun its answer. */
+  /** Called when the request is sent on an open connection. */
+  readonly sent: () => void;
+  /** Called when the upstream has begun its answer. */
   readonly answering: () => void;
   readonly signal: AbortSignal;
 }
@@ -87,6 +89,7 @@
   private async exchange(connection: Connection, signal: AbortSignal): Promise<AttemptEnd> {
     const { request, attemptId, dispatch, streamed } = this.task;
     const { dialect } = this.parts;
+    this.task.sent();
     const { statusCode, headers, body } = await connection.request({
       path: request.target,
       method: request.method as "GET",
@@ -101,6 +104,7 @@
     if (attributes.attemptId !== undefined && attributes.attemptId !== attemptId) {
       return { kind: "broken", detail: "the answer belongs to another request" };
     }
+    if (attributes.inputsGone) return { kind: "inputs-gone" };
     if (attributes.notRun || statusCode === MISDIRECTED) {
       return { kind: "not-run", status: statusCode };
     }
