--- /dev/null
+++ b/features/steps/forward-decisions.ts
@@ -0,0 +1,351 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import { ErrorKind } from "../../src/error/error-kind.js";
+import { ServeError } from "../../src/error/serve-error.js";
+import type { AnswerWriter } from "../../src/forward/answer-writer.js";
+import { CrashRegister } from "../../src/forward/crash-register.js";
+import { chooseEngine } from "../../src/forward/engine-choice.js";
+import { EventSplitter } from "../../src/forward/event-splitter.js";
+import { FleetBudget } from "../../src/forward/fleet-budget.js";
+import { shareOf } from "../../src/forward/hash-share.js";
+import { choosePlain } from "../../src/forward/plain-choice.js";
+import { RefusalWriter } from "../../src/forward/refusal-writer.js";
+import { RouteTable } from "../../src/forward/route-table.js";
+import { RouteView } from "../../src/forward/route-view.js";
+import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
+import { UpstreamStandings } from "../../src/forward/upstream-standings.js";
+import { RandomSource } from "../../src/random/random-source.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { configurationOf, entryOf, routeOf } from "../support/forward-samples.js";
+import { MemoryUpdates } from "../support/memory-updates.js";
+
+const KEPT_MS = 2_000;
+const SEED = 11;
+
+interface DecisionWorld {
+  table: RouteTable;
+  view: RouteView;
+  changes: number;
+  timers: ManualTimers;
+  directory: UpstreamDirectory;
+  standings: UpstreamStandings;
+  placed: string[];
+  first: string;
+  budgets: FleetBudget[];
+  further: number;
+  registers: CrashRegister[];
+}
+
+function directoryOf(world: DecisionWorld, ids: readonly string[], service: string): void {
+  world.timers = ManualTimers.create();
+  world.directory = UpstreamDirectory.create({ timers: world.timers });
+  world.standings = UpstreamStandings.create(world);
+  world.directory.apply(
+    ids.map((id) => [id, entryOf({ id, service })]),
+    0,
+  );
+}
+
+function placeEngine(world: DecisionWorld, prefix: string): string {
+  const entry = chooseEngine({
+    candidates: world.directory.serving("engine"),
+    standing: (id) => world.standings.of(id),
+    weight: (id) => shareOf(`${prefix} ${id}`),
+    tried: new Set(),
+  });
+  assert.ok(entry !== undefined);
+  return entry.id;
+}
+
+Given(
+  "routes for {string} with prefixes {string}, {string} and {string}",
+  function (this: DecisionWorld, host: string, a: string, b: string, c: string) {
+    this.table = RouteTable.create([a, b, c].map((prefix) => routeOf({ host, prefix })));
+  },
+);
+
+Then(
+  "{string} of host {string} goes to the route with prefix {string}",
+  function (this: DecisionWorld, target: string, host: string, prefix: string) {
+    assert.equal(this.table.find(host, target)?.prefix, prefix);
+  },
+);
+
+Then(
+  "{string} of host {string} has no route",
+  function (this: DecisionWorld, target: string, host: string) {
+    assert.equal(this.table.find(host, target), undefined);
+  },
+);
+
+When(
+  "the configurations {int}, {int} and {int} arrive",
+  function (this: DecisionWorld, a: number, b: number, c: number) {
+    this.view = RouteView.create();
+    this.changes = 0;
+    this.view.subscribe(() => {
+      this.changes += 1;
+    });
+    for (const version of [a, b, c]) this.view.adopt(configurationOf({ version }));
+  },
+);
+
+Then(
+  "version {int} is in force after {int} changes",
+  function (this: DecisionWorld, version: number, changes: number) {
+    assert.equal(this.view.version, version);
+    assert.equal(this.changes, changes);
+  },
+);
+
+Given(
+  "the upstreams {string} and {string} of service {string}",
+  function (this: DecisionWorld, a: string, b: string, service: string) {
+    directoryOf(this, [a, b], service);
+  },
+);
+
+When("{string} reports that it is leaving", function (this: DecisionWorld, id: string) {
+  this.directory.apply([[id, entryOf({ id, service: "s", draining: true })]], 0);
+});
+
+Then(
+  "service {string} is served by {string}",
+  function (this: DecisionWorld, service: string, ids: string) {
+    assert.equal(
+      this.directory
+        .serving(service)
+        .map(({ id }) => id)
+        .join(","),
+      ids,
+    );
+  },
+);
+
+When(
+  "the entries of {string} and {string} lapse after an outage of the store",
+  function (this: DecisionWorld, a: string, b: string) {
+    this.directory.apply(
+      [
+        [a, undefined],
+        [b, undefined],
+      ],
+      KEPT_MS,
+    );
+  },
+);
+
+When("{string} is listed again within a second", async function (this: DecisionWorld, id: string) {
+  await this.timers.advance(900);
+  this.directory.apply([[id, entryOf({ id, service: "s" })]], KEPT_MS);
+});
+
+When("two seconds pass", async function (this: DecisionWorld) {
+  await this.timers.advance(KEPT_MS);
+});
+
+Given("{int} engines", function (this: DecisionWorld, count: number) {
+  const ids = Array.from({ length: count }, (_, at) => `e${at}`);
+  directoryOf(this, ids, "engine");
+});
+
+When(
+  "{int} requests with prefix {string} are placed",
+  function (this: DecisionWorld, count: number, prefix: string) {
+    this.placed = Array.from({ length: count }, () => placeEngine(this, prefix));
+  },
+);
+
+Then("all went to one engine", function (this: DecisionWorld) {
+  this.first = this.placed[0] ?? "";
+  assert.deepEqual(new Set(this.placed), new Set([this.first]));
+});
+
+When("that engine cannot be reached", function (this: DecisionWorld) {
+  this.standings.of(this.first).unreachable();
+});
+
+Then("all went to another engine", function (this: DecisionWorld) {
+  assert.equal(new Set(this.placed).size, 1);
+  assert.notEqual(this.placed[0], this.first);
+});
+
+When("the first engine is reached again", function (this: DecisionWorld) {
+  this.standings.of(this.first).succeeded(1);
+});
+
+Then("all went to the first engine", function (this: DecisionWorld) {
+  assert.deepEqual(new Set(this.placed), new Set([this.first]));
+});
+
+Given("all engines answer at the same pace", function (this: DecisionWorld) {
+  for (const id of this.directory.ids) {
+    for (let at = 0; at < 4; at += 1) this.standings.of(id).succeeded(1);
+  }
+});
+
+When(
+  "the home of prefix {string} becomes {int} times slower",
+  function (this: DecisionWorld, prefix: string, factor: number) {
+    this.first = placeEngine(this, prefix);
+    for (let at = 0; at < 6; at += 1) this.standings.of(this.first).succeeded(factor);
+  },
+);
+
+Then("at most {int} of them went to the slow engine", function (this: DecisionWorld, most: number) {
+  assert.ok(this.placed.filter((id) => id === this.first).length <= most);
+});
+
+Given(
+  "3 plain upstreams of which one in this data centre fails half of its requests",
+  function (this: DecisionWorld) {
+    directoryOf(this, ["p1", "p2", "p3"], "plain");
+  },
+);
+
+When(
+  "{int} requests are placed over {int} ms",
+  async function (this: DecisionWorld, count: number, ms: number) {
+    this.placed = [];
+    let failed = false;
+    for (let at = 0; at < count; at += 1) {
+      const entry = choosePlain({
+        candidates: this.directory.serving("plain"),
+        standing: (id) => this.standings.of(id),
+        dataCentre: "a",
+        tried: new Set(),
+      });
+      assert.ok(entry !== undefined);
+      this.placed.push(entry.id);
+      if (entry.id === "p1") failed = !failed;
+      if (entry.id === "p1" && failed) this.standings.of("p1").failed();
+      else this.standings.of(entry.id).succeeded(1);
+      await this.timers.advance(ms / count);
+    }
+  },
+);
+
+Then("fewer than {int} went to the failing upstream", function (this: DecisionWorld, n: number) {
+  assert.ok(this.placed.filter((id) => id === "p1").length < n);
+});
+
+Given(
+  "{int} instances share a budget of {float} and {int} in {int} ms",
+  function (this: DecisionWorld, count: number, ratio: number, slack: number, windowMs: number) {
+    this.timers = ManualTimers.create();
+    this.further = 0;
+    this.budgets = Array.from({ length: count }, () =>
+      FleetBudget.create({
+        timers: this.timers,
+        budgetBounds: { ratio, slack, windowMs },
+        liveInstances: () => count,
+      }),
+    );
+  },
+);
+
+When(
+  "each sees {int} requests and retries without end for {int} ms",
+  async function (this: DecisionWorld, requests: number, ms: number) {
+    for (const budget of this.budgets) {
+      for (let at = 0; at < requests; at += 1) budget.request("s");
+    }
+    for (let passed = 0; passed < ms; passed += 100) {
+      for (const budget of this.budgets) if (budget.takeFurther("s")) this.further += 1;
+      await this.timers.advance(100);
+    }
+  },
+);
+
+When("{int} ms go by", async function (this: DecisionWorld, ms: number) {
+  await this.timers.advance(ms);
+});
+
+Then(
+  "together they made at most {int} further attempts",
+  function (this: DecisionWorld, most: number) {
+    assert.ok(this.further > 0);
+    assert.ok(this.further <= most, `${this.further}`);
+  },
+);
+
+Then("a further attempt is allowed", function (this: DecisionWorld) {
+  assert.ok(this.budgets[0]?.takeFurther("s"));
+});
+
+Then("any stream of events cut at any points is passed on without a change", function () {
+  const event = fc
+    .tuple(fc.nat(999), fc.constantFrom("\n", "\r\n"), fc.string({ maxLength: 12 }))
+    .map(([id, end, text]) => `id: ${id}${end}data: ${text.replace(/[\r\n]/g, "")}${end}${end}`);
+  fc.assert(
+    fc.property(fc.array(event), fc.array(fc.nat(200)), fc.string(), (events, cuts, rest) => {
+      const whole = Buffer.from(`${events.join("")}${rest}`);
+      const splitter = EventSplitter.create();
+      const passed: Buffer[] = [];
+      let from = 0;
+      for (const cut of [...cuts, whole.length]) {
+        const to = Math.min(whole.length, from + cut);
+        const found = splitter.add(whole.subarray(from, to));
+        if (found !== undefined) passed.push(found.bytes);
+        from = to;
+      }
+      assert.deepEqual(Buffer.concat([...passed, splitter.remainder]), whole);
+    }),
+    { seed: SEED },
+  );
+});
+
+Given("two instances that share crash suspicions", function (this: DecisionWorld) {
+  this.timers = ManualTimers.create();
+  const updates = MemoryUpdates.create(this.timers);
+  this.registers = ["a", "b"].map((id) => CrashRegister.create({ updates: updates.of(id) }));
+});
+
+When(
+  /^(?:a|the) content crashes upstream "(.+)" at the (first|second) instance$/,
+  async function (this: DecisionWorld, upstream: string, which: string) {
+    this.registers[which === "first" ? 0 : 1]?.crashed("digest", "s", upstream);
+    await this.timers.advance(100);
+  },
+);
+
+Then("the second instance still runs it", function (this: DecisionWorld) {
+  this.registers[1]?.check("digest");
+});
+
+Then("neither instance runs it", function (this: DecisionWorld) {
+  for (const register of this.registers) {
+    assert.throws(
+      () => {
+        register.check("digest");
+      },
+      { kind: ErrorKind.RequestSuspected },
+    );
+  }
+});
+
+function answerTo(error: ServeError): { status: number; headers: readonly string[] } {
+  let headers: readonly string[] = [];
+  const writer: Pick<AnswerWriter, "send"> = {
+    send: (_status, sent) => {
+      headers = sent;
+    },
+  };
+  const refusals = RefusalWriter.create({ random: RandomSource.create(SEED) });
+  const status = refusals.write(writer, error);
+  return { status, headers };
+}
+
+Then("a refusal as overloaded is answered 503 with a time to come back", function () {
+  const { status, headers } = answerTo(ServeError.create(ErrorKind.Overloaded, "full"));
+  assert.equal(status, 503);
+  assert.ok(headers.includes("retry-after"));
+});
+
+Then("the same after a stage was dispatched is answered 502 without one", function () {
+  const error = ServeError.create(ErrorKind.Overloaded, "full").afterDispatch();
+  const { status, headers } = answerTo(error);
+  assert.equal(status, 502);
+  assert.ok(!headers.includes("retry-after"));
+});
--- a/src/forward/engine-choice.ts
+++ b/src/forward/engine-choice.ts
@@ -48,8 +48,6 @@
 }
 
 function medianRatio(entries: readonly UpstreamEntry[], choice: EngineChoice): number {
-  const ratios = entries
-    .flatMap(({ id }) => choice.standing(id).ratio ?? [])
-    .sort((a, b) => a - b);
+  const ratios = entries.flatMap(({ id }) => choice.standing(id).ratio ?? []).sort((a, b) => a - b);
   return ratios[Math.floor(ratios.length / 2)] ?? 1;
 }
--- a/src/forward/event-splitter.ts
+++ b/src/forward/event-splitter.ts
@@ -34,7 +34,10 @@
     this.rest = bytes.subarray(end);
     if (end === 0) return undefined;
     const whole = bytes.subarray(0, end);
-    const events = whole.toString("latin1").split(/\r?\n\r?\n/).filter((text) => text !== "");
+    const events = whole
+      .toString("latin1")
+      .split(/\r?\n\r?\n/)
+      .filter((text) => text !== "");
     const ids = events.flatMap((text) => ID_FIELD.exec(text)?.[1]?.trim() ?? []);
     return { bytes: whole, count: events.length, lastId: ids.at(-1) };
   }
--- a/src/forward/refusal-writer.ts
+++ b/src/forward/refusal-writer.ts
@@ -24,7 +24,7 @@
   }
 
   /** Returns the status of the answer. */
-  write(writer: AnswerWriter, error: ServeError): number {
+  write(writer: Pick<AnswerWriter, "send">, error: ServeError): number {
     const status = statusOf(error);
     const problem = problemOf(error, this.random);
     const headers = ["content-type", "application/problem+json"];
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -97,23 +97,22 @@
     await Promise.all(this.awaitedBy(at).map((each) => this.runs[each]));
     if (stage === undefined || pieces === 0) return { handles: [], dataCentre: undefined };
     const inputs = needed.flatMap((results) => results?.handles ?? []);
-    const dataCentre =
-      stage.after.length > 0 ? needed[0]?.dataCentre : this.task.engineDataCentre;
+    const dataCentre = stage.after.length > 0 ? needed[0]?.dataCentre : this.task.engineDataCentre;
     const now = this.parts.timers.now();
     const outcome = await this.dispatch({
-        service: stage.service,
-        attemptId: attributes.attemptId,
-        stage: at,
-        run: this.task.run,
-        pieces,
-        ...(stage.after.length > 0 ? { inputs } : { key: attributes.pieceKey }),
-        rank,
-        targetLeftMs: targetMs - now,
-        leftMs: deadlineMs - now,
-        afterMs: this.afterMs(at),
-        resultBytes: stage.resultBytes,
-        movedBytes: this.movedBytes(at),
-        ...(dataCentre === undefined ? {} : { dataCentre }),
+      service: stage.service,
+      attemptId: attributes.attemptId,
+      stage: at,
+      run: this.task.run,
+      pieces,
+      ...(stage.after.length > 0 ? { inputs } : { key: attributes.pieceKey }),
+      rank,
+      targetLeftMs: targetMs - now,
+      leftMs: deadlineMs - now,
+      afterMs: this.afterMs(at),
+      resultBytes: stage.resultBytes,
+      movedBytes: this.movedBytes(at),
+      ...(dataCentre === undefined ? {} : { dataCentre }),
     });
     if (outcome.kind === "failed") {
       const late = outcome.reason === PieceFailure.Late;
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -51,8 +51,7 @@
     const view = new StoreView(parts);
     parts.peerMethods.register(PeerMethod.StoreRows, (params) => {
       const { table, after } = rowsQuerySchema.parse(params);
-      const follower =
-        table === StoreTable.Configuration ? view.configuration : view.upstreams;
+      const follower = table === StoreTable.Configuration ? view.configuration : view.upstreams;
       const snapshot = follower.cache.snapshot();
       return Promise.resolve(snapshot.version > after ? snapshot : null);
     });
