Admit requests by the waits of all their stages

Ruled out: memory for results (273 pieces without room of 31,225). Change: instances that fill calls tell the waits by rank with each ticket; a request whose waits leave no room for its target is refused at its arrival, with the excess as the time to come back.

--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -17,6 +17,7 @@
 import type { RowFeed } from "../forward/row-feed.js";
 import { StageCaller } from "../forward/stage-caller.js";
 import { StageDispatch } from "../forward/stage-dispatch.js";
+import { StageLoads } from "../forward/stage-loads.js";
 import { StagePools } from "../forward/stage-pools.js";
 import { StatusServer } from "../forward/status-server.js";
 import { StoreInstanceList } from "../forward/store-instance-list.js";
@@ -68,6 +69,7 @@
   readonly crashProbe: CrashProbe;
   readonly forwardMetrics: ForwardMetrics;
   readonly stageCaller: StageCaller;
+  readonly stageLoads: StageLoads;
   readonly stagePools: StagePools;
   readonly stageDispatch: StageDispatch;
   readonly storeView: StoreView;
@@ -127,6 +129,7 @@
     crashProbe: asFunction(CrashProbe.create).singleton(),
     forwardMetrics: asFunction(() => ForwardMetrics.create()).singleton(),
     stageCaller: asFunction(StageCaller.create).singleton(),
+    stageLoads: asFunction(StageLoads.create).singleton(),
     stagePools: asFunction(StagePools.create).singleton(),
     stageDispatch: asFunction(StageDispatch.create).singleton(),
     storeView: asFunction(StoreView.create).singleton(),
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -13,6 +13,8 @@
 import type { RequestContext } from "./request-context.js";
 import type { Route } from "./route.js";
 import type { RouteView } from "./route-view.js";
+import { admitStages } from "./stage-admission.js";
+import type { StageLoads } from "./stage-loads.js";
 import { StagePhase } from "./stage-phase.js";
 import { StreamProgress } from "./stream-progress.js";
 import type { Team } from "./team.js";
@@ -27,6 +29,7 @@
   readonly routeView: RouteView;
   readonly upstreamChoice: UpstreamChoice;
   readonly crashRegister: CrashRegister;
+  readonly stageLoads: StageLoads;
   readonly refusalWriter: RefusalWriter;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
@@ -114,6 +117,7 @@
     if (route.stages.length === 0) {
       return DispatchLoop.create(this.parts, context, undefined, () => undefined).run();
     }
+    this.admit(context);
     let phase = this.phase(context, 0);
     try {
       const inputs = await phase.run();
@@ -141,6 +145,26 @@
     }
   }
 
+  /** Throws `Overloaded` if the stages have no room for the request before its target. */
+  private admit(context: RequestContext): void {
+    const { route, attributes, configuration, rank, targetMs } = context;
+    const { stageLoads, timers, decisionLines } = this.parts;
+    const { attemptId, pieces } = attributes;
+    const admission = admitStages({
+      stages: route.stages,
+      pieces,
+      services: configuration.services,
+      waitMs: ({ service, resultBytes }) =>
+        stageLoads.waitMs(service, attemptId, rank, resultBytes),
+      targetLeftMs: targetMs - timers.now(),
+    });
+    if (admission.kind === "admitted") return;
+    decisionLines.write("refused", { attempt: attemptId, rank, ...admission });
+    throw ServeError.create(ErrorKind.Overloaded, "the stages have no room before the target", {
+      retryAfterMs: admission.retryAfterMs,
+    });
+  }
+
   private async dispatch(
     context: RequestContext,
     phase: StagePhase,
--- /dev/null
+++ b/src/forward/stage-admission.ts
@@ -0,0 +1,68 @@
+import type { ServiceDefinition } from "./service-definition.js";
+import type { StageDefinition } from "./stage-definition.js";
+
+/** Time from the dispatch to an engine until the first event of an average prompt. */
+const ENGINE_MS = 300;
+/** Wait that is always allowed: about one call. Shorter queues drain before a caller returns. */
+const LEAST_ALLOWED_MS = 500;
+/** Longest time that a caller is told to stay away; deadlines are a few seconds. */
+const MOST_RETRY_MS = 4_000;
+
+/** What an admission decision knows. */
+export interface AdmissionInput {
+  readonly stages: readonly StageDefinition[];
+  /** Pieces of each stage. */
+  readonly pieces: readonly number[];
+  readonly services: ReadonlyMap<string, ServiceDefinition>;
+  /** Wait of pieces at a stage in ms. */
+  readonly waitMs: (stage: StageDefinition) => number;
+  /** Time until the target of the request in ms. */
+  readonly targetLeftMs: number;
+}
+
+/** Whether a request should start its stages now. */
+export type Admission =
+  | { readonly kind: "admitted"; readonly waitMs: number }
+  | { readonly kind: "refused"; readonly waitMs: number; readonly retryAfterMs: number };
+
+interface Path {
+  readonly waitMs: number;
+  readonly workMs: number;
+}
+
+/**
+ * Admits a request if its waits at all its stages leave room for its target. Answers the load
+ * pattern of a flood beyond what the scarcest stage can serve: requests that would be late take
+ * calls from those that would not, and lose the work of their first stages.
+ */
+export function admitStages(input: AdmissionInput): Admission {
+  const paths = input.stages.map((_, at) => pathTo(input, at));
+  const longest = paths.reduce((a, b) => (total(b) > total(a) ? b : a), { waitMs: 0, workMs: 0 });
+  const allowedMs = Math.max(LEAST_ALLOWED_MS, input.targetLeftMs - longest.workMs - ENGINE_MS);
+  if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs };
+  const excessMs = longest.waitMs - allowedMs;
+  const retryAfterMs = Math.min(MOST_RETRY_MS, LEAST_ALLOWED_MS + excessMs);
+  return { kind: "refused", waitMs: longest.waitMs, retryAfterMs };
+}
+
+/** Waits and work until a stage is done. */
+function pathTo(input: AdmissionInput, at: number): Path {
+  const stage = input.stages[at];
+  const pieces = input.pieces[at] ?? 0;
+  if (stage === undefined) return { waitMs: 0, workMs: 0 };
+  const before = stage.after
+    .map((each) => pathTo(input, each))
+    .reduce((a, b) => (total(b) > total(a) ? b : a), { waitMs: 0, workMs: 0 });
+  if (pieces === 0) return before;
+  const capacity = input.services.get(stage.service)?.stage;
+  if (capacity === undefined) return before;
+  const { callMs, pieceMs, mostPieces } = capacity;
+  return {
+    waitMs: before.waitMs + input.waitMs(stage),
+    workMs: before.workMs + callMs + Math.min(pieces, mostPieces) * pieceMs,
+  };
+}
+
+function total({ waitMs, workMs }: Path): number {
+  return waitMs + workMs;
+}
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -8,6 +8,7 @@
 import type { PeerMethods } from "../peer/peer-methods.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
+import type { StageLoads } from "./stage-loads.js";
 import { type StageOutcome, type StageTicket, stageTicketSchema } from "./stage-outcome.js";
 import { type StagePools, type StageReport, stageReportSchema } from "./stage-pools.js";
 import { shardOf } from "./stage-shard.js";
@@ -31,6 +32,7 @@
   readonly peerCalls: PeerCalls;
   readonly peerMethods: PeerMethods;
   readonly stagePools: StagePools;
+  readonly stageLoads: StageLoads;
   readonly directory: UpstreamDirectory;
   readonly decisionLines: DecisionLines;
 }
@@ -106,9 +108,21 @@
     for (const owner of owners.slice(0, MOST_REMOTE_TRIES)) {
       if (owner === self) break;
       const ticket = await this.submitTo(owner, submission);
-      if (ticket !== undefined) return accepted(owner, ticket);
+      if (ticket !== undefined) return this.accepted(owner, submission, ticket);
     }
-    return accepted(self, stagePools.submit(submission, self));
+    return this.accepted(self, submission, stagePools.submit(submission, self));
+  }
+
+  private accepted(
+    owner: string,
+    { service, attemptId }: StageSubmission,
+    ticket: StageTicket,
+  ): { owner: string; expectedMs: number } {
+    if (ticket.waits !== undefined) this.parts.stageLoads.note(service, attemptId, ticket.waits);
+    if (ticket.kind === "accepted") return { owner, expectedMs: ticket.expectedMs };
+    throw ServeError.create(ErrorKind.Overloaded, "a stage has no room before the deadline", {
+      retryAfterMs: ticket.retryAfterMs,
+    });
   }
 
   /** Undefined if the instance did not answer. */
@@ -166,10 +180,3 @@
     }
   }
 }
-
-function accepted(owner: string, ticket: StageTicket): { owner: string; expectedMs: number } {
-  if (ticket.kind === "accepted") return { owner, expectedMs: ticket.expectedMs };
-  throw ServeError.create(ErrorKind.Overloaded, "a stage has no room before the deadline", {
-    retryAfterMs: ticket.retryAfterMs,
-  });
-}
--- a/src/forward/stage-outcome.ts
+++ b/src/forward/stage-outcome.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { PieceFailure } from "./piece-result.js";
+import { stageWaitsSchema } from "./stage-wait.js";
 
 /** Schema of how a submission ended. */
 export const stageOutcomeSchema = z.discriminatedUnion("kind", [
@@ -19,9 +20,13 @@
 /** Schema of the answer to a submission. */
 export const stageTicketSchema = z.discriminatedUnion("kind", [
   /** `expectedMs` is the time until the results are expected. */
-  z.object({ kind: z.literal("accepted"), expectedMs: z.number() }),
+  z.object({ kind: z.literal("accepted"), expectedMs: z.number(), waits: stageWaitsSchema }),
   /** `retryAfterMs` is the time after which there is probably room. */
-  z.object({ kind: z.literal("refused"), retryAfterMs: z.number() }),
+  z.object({
+    kind: z.literal("refused"),
+    retryAfterMs: z.number(),
+    waits: stageWaitsSchema.optional(),
+  }),
 ]);
 
 /** The answer to a submission. */
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -8,11 +8,9 @@
 import type { StageDispatch } from "./stage-dispatch.js";
 import type { StageOutcome } from "./stage-outcome.js";
 import type { StageSubmission } from "./stage-submission.js";
+import { BULKY_BYTES } from "./stage-wait.js";
 import { finalStages } from "./stage-definition.js";
 
-/** Size of a result from which the memory that it takes at its maker limits the calls. */
-const BULKY_BYTES = 500_000;
-
 /** The results of one stage of a request. */
 interface StageResults {
   readonly handles: readonly string[];
@@ -77,8 +75,8 @@
     }
     await Promise.allSettled(this.runs);
     if (this.stop.signal.aborted) throw this.stop.signal.reason;
-    const results = await Promise.all(finalStages(route.stages).map((at) => this.runs[at]));
-    return results.flatMap((result) => result?.handles ?? []);
+    const results = await this.results(finalStages(route.stages));
+    return results.flatMap(({ handles }) => handles);
   }
 
   /** Releases all results that still exist; the engine has read them or nobody will. */
@@ -87,16 +85,20 @@
     for (const [service, handles] of this.kept) this.releaseOf(service, [...handles]);
   }
 
+  private results(stages: readonly number[]): Promise<StageResults[]> {
+    return Promise.all(stages.flatMap((at) => this.runs[at] ?? []));
+  }
+
   private async runStage(at: number): Promise<StageResults> {
     const { route, attributes, targetMs, deadlineMs, rank } = this.task;
     const stage = route.stages[at];
     const pieces = attributes.pieces[at] ?? 0;
     // Starts after all stages are registered, so that earlier ones can be awaited.
     await Promise.resolve();
-    const needed = await Promise.all((stage?.after ?? []).map((each) => this.runs[each]));
-    await Promise.all(this.awaitedBy(at).map((each) => this.runs[each]));
+    const needed = await this.results(stage?.after ?? []);
+    await this.results(this.awaitedBy(at));
     if (stage === undefined || pieces === 0) return { handles: [], dataCentre: undefined };
-    const inputs = needed.flatMap((results) => results?.handles ?? []);
+    const inputs = needed.flatMap(({ handles }) => handles);
     const dataCentre = stage.after.length > 0 ? needed[0]?.dataCentre : this.task.engineDataCentre;
     const now = this.parts.timers.now();
     const outcome = await this.dispatch({
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -2,11 +2,14 @@
 import { PieceFailure, type PieceResult } from "./piece-result.js";
 import type { QueuedPiece, QueuedSubmission } from "./queued-submission.js";
 import { ResultRoom } from "./result-room.js";
+import { RunningCalls } from "./running-calls.js";
 import type { StageCapacity } from "./service-definition.js";
 import type { StageCaller } from "./stage-caller.js";
+import { StageForecast } from "./stage-forecast.js";
 import type { StageOutcome, StageTicket } from "./stage-outcome.js";
 import { StageQueue } from "./stage-queue.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
+import { type StageWaits, waitOf } from "./stage-wait.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamStandings } from "./upstream-standings.js";
 
@@ -18,19 +21,9 @@
 const NO_ROOM_MS = 150;
 /** Time of a call, relative to the typical upstream, from which an upstream counts as slow. */
 const SLOW_RATIO = 2;
-/** Time before the probable end of a call at which the next one is sent: a round trip. */
-const LEAD_MS = 25;
-/** Calls sent to an upstream at most: the one in progress and the next one. */
-const MOST_CALLS = 2;
 /** Time for which a finished submission is remembered, for a repeated submission of it. */
 const REMEMBERED_MS = 5_000;
 
-/** A call in progress at an upstream. */
-interface RunningCall {
-  /** Time at which it probably ends, on the monotonic clock in ms. */
-  readonly endMs: number;
-}
-
 interface Parts {
   readonly timers: Timers;
   readonly standings: UpstreamStandings;
@@ -47,11 +40,15 @@
 export class StagePool {
   private readonly queue = StageQueue.create();
   private readonly rooms = new Map<string, ResultRoom>();
-  private readonly running = new Map<string, RunningCall[]>();
+  private readonly running: RunningCalls;
+  private readonly forecast: StageForecast;
   private readonly known = new Map<string, QueuedSubmission>();
   private wakeDue = false;
 
-  private constructor(private readonly parts: Parts) {}
+  private constructor(private readonly parts: Parts) {
+    this.running = RunningCalls.create(parts.timers);
+    this.forecast = StageForecast.create(parts.timers);
+  }
 
   static create(parts: Parts): StagePool {
     return new StagePool(parts);
@@ -65,16 +62,20 @@
       return { kind: "refused", retryAfterMs: capacity?.callMs ?? 0 };
     }
     const key = submissionKey(submission);
-    const expectedMs = this.expectedMs(submission, capacity, upstreams);
+    const waits = this.waits(capacity);
+    const ownMs =
+      capacity.callMs + Math.min(capacity.mostPieces, submission.pieces) * capacity.pieceMs;
+    const expectedMs = waitOf(waits, submission.rank, submission.resultBytes) + ownMs;
     const known = this.known.get(key);
     if (known !== undefined) {
       // The submitter did not get the results.
       if (known.outcome !== undefined) this.parts.ended(submission, known.outcome);
-      return { kind: "accepted", expectedMs };
+      return { kind: "accepted", expectedMs, waits };
     }
     if (expectedMs + submission.afterMs > submission.leftMs) {
-      return { kind: "refused", retryAfterMs: expectedMs };
+      return { kind: "refused", retryAfterMs: expectedMs, waits };
     }
+    this.forecast.arrived(submission.rank, submission.pieces);
     const now = this.parts.timers.now();
     const queued: QueuedSubmission = {
       submission,
@@ -90,7 +91,7 @@
     this.known.set(key, queued);
     this.queue.add(queued.handles.map((_, piece) => ({ owner: queued, piece })));
     this.fill();
-    return { kind: "accepted", expectedMs };
+    return { kind: "accepted", expectedMs, waits };
   }
 
   /** Drops a submission; results that were made for it are released. */
@@ -112,14 +113,19 @@
     });
   }
 
-  private expectedMs(submission: StageSubmission, capacity: StageCapacity, count: number): number {
-    const { callMs, pieceMs, mostPieces } = capacity;
-    const ahead = this.queue.ahead(submission.rank);
-    const fullMs = callMs + mostPieces * pieceMs;
-    const ownMs = callMs + Math.min(mostPieces, submission.pieces) * pieceMs;
-    const roundsBefore = Math.floor((ahead + submission.pieces) / (mostPieces * count));
-    const busyMs = this.running.size >= count ? fullMs / (count + 1) : 0;
-    return busyMs + roundsBefore * fullMs + ownMs;
+  private waits(capacity: StageCapacity): StageWaits {
+    const reachable = this.reachable();
+    return this.forecast.waits({
+      capacity,
+      upstreams: Math.max(1, reachable.length),
+      ratio: this.typicalRatio(reachable),
+      allBusy: this.running.busy >= reachable.length,
+      ahead: (rank) => this.queue.ahead(rank),
+    });
+  }
+
+  private reachable(): UpstreamEntry[] {
+    return this.parts.upstreams().filter(({ id }) => !this.parts.standings.of(id).avoided);
   }
 
   /** Starts a call at each idle upstream for which pieces wait. */
@@ -129,12 +135,11 @@
     if (capacity === undefined) return;
     for (const late of this.queue.expire(timers.now())) this.fail(late, PieceFailure.Late);
     if (this.queue.size === 0) return;
-    const all = this.parts.upstreams();
-    const reachable = all.filter(({ id }) => !this.parts.standings.of(id).avoided);
+    const reachable = this.reachable();
     const dataCentres = new Set(reachable.map(({ dataCentre }) => dataCentre));
     const typical = this.typicalRatio(reachable);
     for (const entry of reachable) {
-      if (!this.isFree(entry.id) || this.queue.size === 0) continue;
+      if (!this.running.isFree(entry.id) || this.queue.size === 0) continue;
       if (this.isSpare(entry, typical, reachable.length * capacity.mostPieces)) continue;
       const room = this.room(entry.id);
       const pieces = this.queue.take(
@@ -151,15 +156,6 @@
     if (this.queue.size > 0) this.wakeLater();
   }
 
-  /** Whether the upstream is idle, or will be when a call reaches it. */
-  private isFree(id: string): boolean {
-    const calls = this.running.get(id) ?? [];
-    if (calls.length >= MOST_CALLS) return false;
-    const now = this.parts.timers.now();
-    // A call that is overdue shows that the upstream is slow or hangs.
-    return calls.every(({ endMs }) => Math.abs(endMs - now) <= LEAD_MS);
-  }
-
   /** Whether the upstream is so slow that the others finish the waiting pieces earlier. */
   private isSpare(entry: UpstreamEntry, typical: number, othersFill: number): boolean {
     const standing = this.parts.standings.of(entry.id);
@@ -191,7 +187,11 @@
     capacity: StageCapacity,
   ): Promise<void> {
     const { timers, stageCaller } = this.parts;
-    const endRunning = this.begin(entry.id, pieces.length, capacity);
+    const ratio = this.parts.standings.of(entry.id).ratio ?? 1;
+    const expectedMs = ratio * (capacity.callMs + pieces.length * capacity.pieceMs);
+    const endRunning = this.running.begin(entry.id, expectedMs, () => {
+      this.fill();
+    });
     const bytes = pieces.reduce((sum, { owner }) => sum + owner.submission.resultBytes, 0);
     const endReservation = this.room(entry.id).reserve(bytes);
     try {
@@ -219,26 +219,6 @@
     }
   }
 
-  /** Counts a call until the returned function is called, and fills the next one before its end. */
-  private begin(id: string, pieces: number, capacity: StageCapacity): () => void {
-    const { timers, standings } = this.parts;
-    const ratio = standings.of(id).ratio ?? 1;
-    const expectedMs = ratio * (capacity.callMs + pieces * capacity.pieceMs);
-    const before = this.running.get(id) ?? [];
-    const startMs = Math.max(timers.now(), ...before.map(({ endMs }) => endMs));
-    const call: RunningCall = { endMs: startMs + expectedMs };
-    this.running.set(id, [...before, call]);
-    const next = timers.after(Math.max(0, call.endMs - LEAD_MS - timers.now()), () => {
-      this.fill();
-    });
-    return () => {
-      next.cancel();
-      const left = (this.running.get(id) ?? []).filter((each) => each !== call);
-      if (left.length === 0) this.running.delete(id);
-      else this.running.set(id, left);
-    };
-  }
-
   private take(
     entry: UpstreamEntry,
     piece: QueuedPiece,
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -41,9 +41,16 @@
     this.waiting.push(...pieces);
   }
 
-  /** Pieces that are served before, or together with, a new submission of the rank. */
-  ahead(rank: number): number {
-    return this.waiting.filter(({ owner }) => owner.submission.rank <= rank).length;
+  /** Waiting pieces of the rank and all more urgent ones, and the size of their results. */
+  ahead(rank: number): { pieces: number; bytes: number } {
+    let pieces = 0;
+    let bytes = 0;
+    for (const { owner } of this.waiting) {
+      if (owner.ended || owner.submission.rank > rank) continue;
+      pieces += 1;
+      bytes += owner.submission.resultBytes;
+    }
+    return { pieces, bytes };
   }
 
   /** Drops the pieces of ended submissions and returns submissions whose deadline has passed. */
