--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -11,13 +11,13 @@
 import type { ForwardRequest } from "./forward-request.js";
 import type { RefusalWriter } from "./refusal-writer.js";
 import type { RequestContext } from "./request-context.js";
+import { rankOf } from "./rank-of.js";
 import type { Route } from "./route.js";
 import type { RouteView } from "./route-view.js";
 import { admitStages } from "./stage-admission.js";
 import type { StageLoads } from "./stage-loads.js";
 import { StagePhase } from "./stage-phase.js";
 import { StreamProgress } from "./stream-progress.js";
-import type { Team } from "./team.js";
 import type { UpstreamChoice } from "./upstream-choice.js";
 
 type LoopParts = Parameters<typeof DispatchLoop.create>[0];
@@ -241,10 +241,6 @@
   }
 }
 
-function rankOf(route: Route, team: Team | undefined): number {
-  return team?.rank ?? route.rank;
-}
-
 /** Splits requests by weight; the same request goes to the same service on every instance. */
 function serviceOf(route: Route, attemptId: string): string {
   const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
--- a/src/forward/stage-wait.ts
+++ b/src/forward/stage-wait.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 
 /** Ranks that waits are told apart for; less urgent ones count as the last. */
-export const WAIT_RANKS = 4;
+export const WAIT_RANKS = 12;
 
 /** Schema of the times, by rank, that new pieces of a stage service wait for a call, in ms. */
 export const stageWaitsSchema = z.object({
