Count the target of a caller that comes back from its first attempt

Cause: a caller that came back after a refusal was treated as fresh, so it was admitted although its target had passed or could not be met, and fresh requests became late behind it. Change: the longest deadline seen on a route tells first attempts from repeated ones; the forecast counts full calls while others wait; nobody is told to come back after the target if it can still be met before.

--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -12,6 +12,7 @@
 import { FrontServer } from "../forward/front-server.js";
 import { RefusalWriter } from "../forward/refusal-writer.js";
 import { RequestForwarder } from "../forward/request-forwarder.js";
+import { RouteDeadlines } from "../forward/route-deadlines.js";
 import { RouteView } from "../forward/route-view.js";
 import type { RowDecoder } from "../forward/row-decoder.js";
 import type { RowFeed } from "../forward/row-feed.js";
@@ -70,6 +71,7 @@
   readonly forwardMetrics: ForwardMetrics;
   readonly stageCaller: StageCaller;
   readonly stageLoads: StageLoads;
+  readonly routeDeadlines: RouteDeadlines;
   readonly stagePools: StagePools;
   readonly stageDispatch: StageDispatch;
   readonly storeView: StoreView;
@@ -130,6 +132,7 @@
     forwardMetrics: asFunction(() => ForwardMetrics.create()).singleton(),
     stageCaller: asFunction(StageCaller.create).singleton(),
     stageLoads: asFunction(StageLoads.create).singleton(),
+    routeDeadlines: asFunction(() => RouteDeadlines.create()).singleton(),
     stagePools: asFunction(StagePools.create).singleton(),
     stageDispatch: asFunction(StageDispatch.create).singleton(),
     storeView: asFunction(StoreView.create).singleton(),
--- a/src/forward/request-context.ts
+++ b/src/forward/request-context.ts
@@ -19,6 +19,8 @@
   readonly service: string;
   /** Identifies requests that are the same to an upstream. */
   readonly digest: string;
+  /** Whether the caller comes back after a refusal or a failure. */
+  readonly returning: boolean;
   /** On the monotonic clock, in ms. */
   readonly targetMs: number;
   readonly deadlineMs: number;
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -13,6 +13,7 @@
 import type { RequestContext } from "./request-context.js";
 import { rankOf } from "./rank-of.js";
 import type { Route } from "./route.js";
+import type { RouteDeadlines } from "./route-deadlines.js";
 import type { RouteView } from "./route-view.js";
 import { admitStages } from "./stage-admission.js";
 import type { StageLoads } from "./stage-loads.js";
@@ -30,6 +31,7 @@
   readonly upstreamChoice: UpstreamChoice;
   readonly crashRegister: CrashRegister;
   readonly stageLoads: StageLoads;
+  readonly routeDeadlines: RouteDeadlines;
   readonly refusalWriter: RefusalWriter;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
@@ -94,6 +96,7 @@
     }
     const digest = CrashRegister.digest(request, attributes.key);
     crashRegister.check(digest);
+    const elapsedMs = this.parts.routeDeadlines.elapsedMs(route, attributes.deadlineMs);
     const leftMs = Math.min(attributes.deadlineMs ?? Infinity, route.timeoutMs);
     return {
       request,
@@ -104,7 +107,8 @@
       rank: rankOf(route, team),
       service: serviceOf(route, attributes.attemptId),
       digest,
-      targetMs: request.arrivedMs + route.targetMs,
+      returning: elapsedMs > 0,
+      targetMs: request.arrivedMs + route.targetMs - elapsedMs,
       deadlineMs: request.arrivedMs + leftMs,
       signal,
       writer,
@@ -147,7 +151,7 @@
 
   /** Throws `Overloaded` if the stages have no room for the request before its target. */
   private admit(context: RequestContext): void {
-    const { route, attributes, configuration, rank, targetMs } = context;
+    const { route, attributes, configuration, rank, targetMs, returning } = context;
     const { stageLoads, timers, decisionLines } = this.parts;
     const { attemptId, pieces } = attributes;
     const admission = admitStages({
@@ -159,7 +163,7 @@
       targetLeftMs: targetMs - timers.now(),
     });
     if (admission.kind === "admitted") return;
-    decisionLines.write("refused", { attempt: attemptId, rank, ...admission });
+    decisionLines.write("refused", { attempt: attemptId, rank, returning, ...admission });
     throw ServeError.create(ErrorKind.Overloaded, "the stages have no room before the target", {
       retryAfterMs: admission.retryAfterMs,
     });
--- a/src/forward/stage-admission.ts
+++ b/src/forward/stage-admission.ts
@@ -5,8 +5,8 @@
 const ENGINE_MS = 300;
 /** Wait that is always allowed: about one call. Shorter queues drain before a caller returns. */
 const LEAST_ALLOWED_MS = 500;
-/** Longest time that a caller is told to stay away; deadlines are a few seconds. */
-const MOST_RETRY_MS = 4_000;
+/** Shortest time that a caller is told to stay away. */
+const LEAST_RETRY_MS = 300;
 
 /** What an admission decision knows. */
 export interface AdmissionInput {
@@ -38,10 +38,12 @@
 export function admitStages(input: AdmissionInput): Admission {
   const paths = input.stages.map((_, at) => pathTo(input, at));
   const longest = paths.reduce((a, b) => (total(b) > total(a) ? b : a), { waitMs: 0, workMs: 0 });
-  const allowedMs = Math.max(LEAST_ALLOWED_MS, input.targetLeftMs - longest.workMs - ENGINE_MS);
+  const slackMs = input.targetLeftMs - longest.workMs - ENGINE_MS;
+  const allowedMs = Math.max(LEAST_ALLOWED_MS, slackMs);
   if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs };
-  const excessMs = longest.waitMs - allowedMs;
-  const retryAfterMs = Math.min(MOST_RETRY_MS, LEAST_ALLOWED_MS + excessMs);
+  const excessMs = longest.waitMs - allowedMs + LEAST_ALLOWED_MS;
+  // A caller that comes back after the target has passed can only be served late.
+  const retryAfterMs = Math.min(excessMs, Math.max(LEAST_RETRY_MS, slackMs));
   return { kind: "refused", waitMs: longest.waitMs, retryAfterMs };
 }
 
@@ -57,9 +59,12 @@
   const capacity = input.services.get(stage.service)?.stage;
   if (capacity === undefined) return before;
   const { callMs, pieceMs, mostPieces } = capacity;
+  const waitMs = input.waitMs(stage);
+  // While others wait as well, each call is full.
+  const inCall = waitMs > 0 ? mostPieces : Math.min(pieces, mostPieces);
   return {
-    waitMs: before.waitMs + input.waitMs(stage),
-    workMs: before.workMs + callMs + Math.min(pieces, mostPieces) * pieceMs,
+    waitMs: before.waitMs + waitMs,
+    workMs: before.workMs + callMs + inCall * pieceMs,
   };
 }
 
