Give slow stage upstreams small calls only

Cause: a stage upstream that turned slow was given up after twice the expected time, avoided for 500 ms and then filled again, so full calls were lost every second. Change: a late call counts as slow; a slow upstream gets two of the least urgent pieces every 2 s until it is fast again, after the others were filled, and its calls get more time.

--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -78,3 +78,15 @@
     And the first request is submitted again
     Then it is reported again
     And 1 calls were made
+
+  Scenario: An upstream that was late gets only a small call of the least urgent pieces
+    Given the upstream in data centre "a" takes 3000 ms a call
+    And the upstream in data centre "a" was late before
+    When 2 requests of 1 piece with rank 0 arrive
+    And 2 requests of 2 pieces with rank 2 arrive
+    And 4 requests of 1 piece with rank 1 arrive
+    And the stage clock advances by 2500 ms
+    And 3 requests of 1 piece with rank 0 arrive
+    And 2 requests of 1 piece with rank 3 arrive
+    And the stage clock advances by 100 ms
+    Then data centre "a" got at most 2 pieces a call and none of rank 0
--- a/features/steps/stage-pool.ts
+++ b/features/steps/stage-pool.ts
@@ -162,3 +162,22 @@
 Then("it is reported again", function (this: PoolWorld) {
   assert.equal(this.stages.reports.length, 2);
 });
+
+Given(
+  "the upstream in data centre {string} was late before",
+  function (this: PoolWorld, at: string) {
+    this.stages.standingOf(at).late(10);
+  },
+);
+
+Then(
+  "data centre {string} got at most {int} pieces a call and none of rank {int}",
+  function (this: PoolWorld, at: string, most: number, rank: number) {
+    const calls = this.stages.calls.filter(({ dataCentre }) => dataCentre === at);
+    assert.ok(calls.length > 0);
+    for (const { pieces } of calls) {
+      assert.ok(pieces.length <= most);
+      assert.ok(pieces.every(({ owner }) => owner.submission.rank !== rank));
+    }
+  },
+);
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -7,6 +7,7 @@
 import type { StageSubmission } from "../../src/forward/stage-submission.js";
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
 import type { UpstreamEntry } from "../../src/forward/upstream-entry.js";
+import type { UpstreamStanding } from "../../src/forward/upstream-standing.js";
 import { UpstreamStandings } from "../../src/forward/upstream-standings.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 
@@ -35,6 +36,7 @@
   memoryBytes = LARGE_BYTES;
   private readonly entries: UpstreamEntry[];
   private readonly pool: StagePool;
+  private readonly standings: UpstreamStandings;
   private sequence = 0;
 
   private constructor(
@@ -52,9 +54,10 @@
       startedMs: 0,
     }));
     const directory = UpstreamDirectory.create({ timers: this.timers });
+    this.standings = UpstreamStandings.create({ timers: this.timers, directory });
     this.pool = StagePool.create({
       timers: this.timers,
-      standings: UpstreamStandings.create({ timers: this.timers, directory }),
+      standings: this.standings,
       stageCaller: {
         call: (entry, pieces) => this.call(entry, pieces),
         release: (handles, released) => {
@@ -105,6 +108,11 @@
     return ticket;
   }
 
+  standingOf(dataCentre: string): UpstreamStanding {
+    const entry = this.entries.find((each) => each.dataCentre === dataCentre);
+    return this.standings.of(entry?.id ?? "");
+  }
+
   releaseAll(): void {
     for (const { outcome } of this.reports) {
       if (outcome.kind === "made") this.pool.release(outcome.handles);
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -61,10 +61,11 @@
     const started = timers.now();
     const expectedMs = capacity.callMs + pieces.length * capacity.pieceMs;
     const late = new AbortController();
-    const limit = timers.after(LOST_FACTOR * expectedMs + LOST_SLACK_MS, () => {
+    const standing = standings.of(entry.id);
+    const lostMs = LOST_FACTOR * Math.max(1, standing.ratio ?? 1) * expectedMs + LOST_SLACK_MS;
+    const limit = timers.after(lostMs, () => {
       late.abort(new Error("no answer in time"));
     });
-    const standing = standings.of(entry.id);
     let detail = "";
     let answer: CallAnswer;
     try {
@@ -76,8 +77,11 @@
         standing.unreachable();
         answer = { kind: "refused" };
       } else {
-        standing.failed();
-        standing.unreachable();
+        if (late.signal.aborted) standing.late((timers.now() - started) / expectedMs);
+        else {
+          standing.failed();
+          standing.unreachable();
+        }
         answer = { kind: "lost" };
       }
     } finally {
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -7,7 +7,7 @@
 import type { StageCaller } from "./stage-caller.js";
 import { StageForecast } from "./stage-forecast.js";
 import type { StageOutcome, StageTicket } from "./stage-outcome.js";
-import { StageQueue } from "./stage-queue.js";
+import { type CallRoom, StageQueue } from "./stage-queue.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
 import { type StageWaits, waitOf } from "./stage-wait.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
@@ -21,6 +21,8 @@
 const NO_ROOM_MS = 150;
 /** Time of a call, relative to the typical upstream, from which an upstream counts as slow. */
 const SLOW_RATIO = 2;
+/** Pieces of a call to an upstream that is probably slow or failing. */
+const PROBE_PIECES = 2;
 /** Time for which a finished submission is remembered, for a repeated submission of it. */
 const REMEMBERED_MS = 5_000;
 
@@ -136,31 +138,43 @@
     for (const late of this.queue.expire(timers.now())) this.fail(late, PieceFailure.Late);
     if (this.queue.size === 0) return;
     const reachable = this.reachable();
-    const dataCentres = new Set(reachable.map(({ dataCentre }) => dataCentre));
     const typical = this.typicalRatio(reachable);
-    for (const entry of reachable) {
-      if (!this.running.isFree(entry.id) || this.queue.size === 0) continue;
-      if (this.isSpare(entry, typical, reachable.length * capacity.mostPieces)) continue;
-      const room = this.room(entry.id);
-      const pieces = this.queue.take(
-        {
-          dataCentre: entry.dataCentre,
-          mostPieces: capacity.mostPieces,
-          resultBytes: room.free(capacity.resultBytes),
-          dataCentres,
-        },
-        timers.now(),
-      );
-      if (pieces.length > 0) void this.call(entry, pieces, capacity);
+    const othersFill = reachable.length * capacity.mostPieces;
+    const spare = reachable.filter((entry) => this.isSpare(entry, typical, othersFill));
+    const usual = reachable.filter((entry) => !spare.includes(entry));
+    const dataCentres = new Set(usual.map(({ dataCentre }) => dataCentre));
+    for (const entry of usual) {
+      this.fillCall(entry, capacity, {
+        mostPieces: capacity.mostPieces,
+        probe: false,
+        dataCentres,
+      });
+    }
+    for (const entry of spare) {
+      if (this.queue.size === 0 || !this.parts.standings.of(entry.id).claimProbe()) continue;
+      this.fillCall(entry, capacity, { mostPieces: PROBE_PIECES, probe: true, dataCentres });
     }
     if (this.queue.size > 0) this.wakeLater();
   }
 
+  private fillCall(
+    entry: UpstreamEntry,
+    capacity: StageCapacity,
+    room: Omit<CallRoom, "dataCentre" | "resultBytes">,
+  ): void {
+    if (this.queue.size === 0 || !this.running.isFree(entry.id)) return;
+    const { dataCentre } = entry;
+    const resultBytes = this.room(entry.id).free(capacity.resultBytes);
+    const now = this.parts.timers.now();
+    const pieces = this.queue.take({ ...room, dataCentre, resultBytes }, now);
+    if (pieces.length > 0) void this.call(entry, pieces, capacity);
+  }
+
   /** Whether the upstream is so slow that the others finish the waiting pieces earlier. */
   private isSpare(entry: UpstreamEntry, typical: number, othersFill: number): boolean {
     const standing = this.parts.standings.of(entry.id);
     const slow = (standing.ratio ?? typical) > SLOW_RATIO * typical || standing.failing;
-    return slow && this.queue.size < othersFill && !standing.claimProbe();
+    return slow && this.queue.size < othersFill;
   }
 
   private typicalRatio(entries: readonly UpstreamEntry[]): number {
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -13,6 +13,8 @@
   readonly mostPieces: number;
   /** Free memory for results in bytes. */
   readonly resultBytes: number;
+  /** Whether the call only finds out how the upstream does. */
+  readonly probe: boolean;
   /** Data centres with an upstream of the service that takes work. */
   readonly dataCentres: ReadonlySet<string>;
 }
@@ -71,6 +73,8 @@
       ({ owner }) => !owner.ended && !this.holdsBack(owner, room, now),
     );
     eligible.sort((a, b) => before(a.owner, b.owner, room));
+    // A probe may be late or lost, so it carries what is least urgent.
+    if (room.probe) eligible.reverse();
     const taken = new Set<QueuedPiece>();
     let bytes = room.resultBytes;
     for (const [owner, pieces] of bySubmission(eligible)) {
--- a/src/forward/upstream-standing.ts
+++ b/src/forward/upstream-standing.ts
@@ -6,6 +6,8 @@
 const LONGEST_AVOID_MS = 4_000;
 /** Weight of the newest result in the means; the last four results make up most of them. */
 const WEIGHT = 0.25;
+/** Part of the mean time below which a single answer replaces the mean. */
+const RECOVERED_PART = 0.5;
 /** Share of failed answers from which an upstream counts as failing. */
 const FAILING_SHARE = 0.3;
 /** Results after which a share says something. */
@@ -66,7 +68,15 @@
     this.note(false);
     this.avoidMs = FIRST_AVOID_MS;
     this.avoidedUntil = -Infinity;
-    this.meanMs = this.meanMs === undefined ? ratio : this.meanMs + WEIGHT * (ratio - this.meanMs);
+    const known = this.meanMs ?? ratio;
+    // An upstream that has become fast again is believed at once.
+    this.meanMs = ratio < RECOVERED_PART * known ? ratio : known + WEIGHT * (ratio - known);
+  }
+
+  /** Records that an answer took longer than `ratio` times the expected time. */
+  late(ratio: number): void {
+    this.note(false);
+    this.meanMs = Math.max(this.meanMs ?? ratio, ratio);
   }
 
   /** Records an answer that reports a failure, or a lost answer. */
