Count admitted work that has not reached its later stages

Change: the instance that fills the first stage's calls keeps a fluid backlog of admitted pieces per service and rank and refuses by it.

--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -99,6 +99,8 @@
       targetLeftMs: TARGET_MS,
       leftMs: LEFT_MS,
       afterMs: 0,
+      later: [],
+      allowedMs: TARGET_MS,
       resultBytes: 0,
       movedBytes: 0,
       ...changes,
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -121,8 +121,8 @@
     if (route.stages.length === 0) {
       return DispatchLoop.create(this.parts, context, undefined, () => undefined).run();
     }
-    this.admit(context);
-    let phase = this.phase(context, 0);
+    const allowedMs = this.admit(context);
+    let phase = this.phase(context, 0, allowedMs);
     try {
       const inputs = await phase.run();
       return await this.dispatch(context, phase, inputs);
@@ -138,7 +138,7 @@
         detail: failure.message,
       });
       phase.release();
-      phase = this.phase(context, 1);
+      phase = this.phase(context, 1, allowedMs);
       try {
         return await this.dispatch(context, phase, await phase.run());
       } catch (again) {
@@ -149,8 +149,11 @@
     }
   }
 
-  /** Throws `Overloaded` if the stages have no room for the request before its target. */
-  private admit(context: RequestContext): void {
+  /**
+   * Returns the longest wait at the stages that is allowed, in ms; throws `Overloaded` if they have
+   * no room for the request before its target.
+   */
+  private admit(context: RequestContext): number {
     const { route, attributes, configuration, rank, targetMs, returning } = context;
     const { stageLoads, timers, decisionLines } = this.parts;
     const { attemptId, pieces } = attributes;
@@ -162,7 +165,7 @@
         stageLoads.waitMs(service, attemptId, rank, resultBytes),
       targetLeftMs: targetMs - timers.now(),
     });
-    if (admission.kind === "admitted") return;
+    if (admission.kind === "admitted") return admission.allowedMs;
     decisionLines.write("refused", { attempt: attemptId, rank, returning, ...admission });
     throw ServeError.create(ErrorKind.Overloaded, "the stages have no room before the target", {
       retryAfterMs: admission.retryAfterMs,
@@ -180,7 +183,7 @@
     return DispatchLoop.create(this.parts, context, inputs, read).run();
   }
 
-  private phase(context: RequestContext, run: number): StagePhase {
+  private phase(context: RequestContext, run: number, allowedMs: number): StagePhase {
     const { route, attributes, service, configuration } = context;
     const home = this.parts.upstreamChoice.choose(service, attributes.promptParts, new Set());
     if (home === undefined) throw ServeError.create(ErrorKind.NoUpstream, "no engine is listed");
@@ -188,6 +191,7 @@
       route,
       attributes,
       run,
+      allowedMs,
       rank: context.rank,
       targetMs: context.targetMs,
       deadlineMs: context.deadlineMs,
--- a/src/forward/stage-admission.ts
+++ b/src/forward/stage-admission.ts
@@ -22,7 +22,8 @@
 
 /** Whether a request should start its stages now. */
 export type Admission =
-  | { readonly kind: "admitted"; readonly waitMs: number }
+  /** `allowedMs` is the longest wait with which the target can still be met. */
+  | { readonly kind: "admitted"; readonly waitMs: number; readonly allowedMs: number }
   | { readonly kind: "refused"; readonly waitMs: number; readonly retryAfterMs: number };
 
 interface Path {
@@ -40,7 +41,7 @@
   const longest = paths.reduce((a, b) => (total(b) > total(a) ? b : a), { waitMs: 0, workMs: 0 });
   const slackMs = input.targetLeftMs - longest.workMs - ENGINE_MS;
   const allowedMs = Math.max(LEAST_ALLOWED_MS, slackMs);
-  if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs };
+  if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs, allowedMs };
   const excessMs = longest.waitMs - allowedMs + LEAST_ALLOWED_MS;
   // A caller that comes back after the target has passed can only be served late.
   const retryAfterMs = Math.min(excessMs, Math.max(LEAST_RETRY_MS, slackMs));
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -27,6 +27,8 @@
   readonly attributes: RequestAttributes;
   /** Rises when the stages of the request run again. */
   readonly run: number;
+  /** Longest wait over all stages that is allowed, in ms. */
+  readonly allowedMs: number;
   readonly rank: number;
   /** On the monotonic clock, in ms. */
   readonly targetMs: number;
@@ -44,6 +46,7 @@
   private readonly kept = new Map<string, Set<string>>();
   private readonly stop = new AbortController();
   private submissions = 0;
+  private laterTold = false;
   private ended = false;
 
   private constructor(
@@ -112,6 +115,8 @@
       targetLeftMs: targetMs - now,
       leftMs: deadlineMs - now,
       afterMs: this.afterMs(at),
+      later: this.claimLater(at),
+      allowedMs: this.task.allowedMs,
       resultBytes: stage.resultBytes,
       movedBytes: this.movedBytes(at),
       ...(dataCentre === undefined ? {} : { dataCentre }),
@@ -170,6 +175,16 @@
     }
   }
 
+  /** Pieces of all other stages, for the first submission; empty for all further ones. */
+  private claimLater(first: number): { service: string; pieces: number }[] {
+    if (this.laterTold) return [];
+    this.laterTold = true;
+    return this.task.route.stages.flatMap(({ service }, at) => {
+      const pieces = this.task.attributes.pieces[at] ?? 0;
+      return at === first || pieces === 0 ? [] : [{ service, pieces }];
+    });
+  }
+
   /** Least time that the stages after this one take, in ms. */
   private afterMs(at: number): number {
     const { route, services } = this.task;
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -151,7 +151,9 @@
       });
     }
     for (const entry of spare) {
-      if (this.queue.size === 0 || !this.parts.standings.of(entry.id).claimProbe()) continue;
+      // A few waiting pieces are done sooner by the next upstream that becomes free.
+      if (this.queue.size <= capacity.mostPieces || !this.parts.standings.of(entry.id).claimProbe())
+        continue;
       this.fillCall(entry, capacity, { mostPieces: PROBE_PIECES, probe: true, dataCentres });
     }
     if (this.queue.size > 0) this.wakeLater();
@@ -179,7 +181,7 @@
 
   private typicalRatio(entries: readonly UpstreamEntry[]): number {
     const ratios = entries
-      .flatMap(({ id }) => this.parts.standings.of(id).ratio ?? [])
+      .map(({ id }) => this.parts.standings.of(id).ratio ?? 1)
       .sort((a, b) => a - b);
     return ratios[Math.floor((ratios.length - 1) / 2)] ?? 1;
   }
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -5,6 +5,7 @@
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { FleetBudget } from "./fleet-budget.js";
+import { FluidBacklog } from "./fluid-backlog.js";
 import type { RouteView } from "./route-view.js";
 import type { StageCaller } from "./stage-caller.js";
 import { type StageOutcome, type StageTicket, stageOutcomeSchema } from "./stage-outcome.js";
@@ -22,6 +23,8 @@
 /** Time limit of a call that reports results, and how often it is made. */
 const REPORT_MS = 500;
 const REPORT_TRIES = 3;
+/** Part of the pieces of full calls that upstreams make; some calls wait for inputs or links. */
+const FILLED_PART = 0.85;
 
 const identity = { attemptId: z.string(), stage: z.number(), run: z.number() };
 const cancelSchema = z.object({ service: z.string(), ...identity });
@@ -54,9 +57,12 @@
   private readonly pools = new Map<string, StagePool>();
   /** Submitting instance by submission. */
   private readonly submitters = new Map<string, string>();
+  private readonly backlog: FluidBacklog;
   private local: (report: StageReport) => void = () => undefined;
 
-  private constructor(private readonly parts: Parts) {}
+  private constructor(private readonly parts: Parts) {
+    this.backlog = FluidBacklog.create(parts.timers, (service) => this.piecesPerMs(service));
+  }
 
   static create(parts: Parts): StagePools {
     const pools = new StagePools(parts);
@@ -90,7 +96,7 @@
     const key = submissionKey(submission);
     // A repeated submission that has ended is reported while it is submitted.
     this.submitters.set(key, from);
-    const ticket = this.pool(submission).submit(submission);
+    const ticket = this.admitted(submission);
     if (ticket.kind === "refused") this.submitters.delete(key);
     else this.parts.fleetBudget.request(submission.service);
     this.parts.decisionLines.write("stage submission", {
@@ -106,6 +112,30 @@
     return ticket;
   }
 
+  /** Refuses a request for which the later stages have no room; they do not know of it yet. */
+  private admitted(submission: StageSubmission): StageTicket {
+    const { rank, later, allowedMs, pieces } = submission;
+    const laterMs = later.map(({ service }) => this.backlog.waitMs(service, rank));
+    const waitMs = Math.max(0, ...laterMs);
+    if (waitMs > allowedMs) return { kind: "refused", retryAfterMs: waitMs - allowedMs };
+    const ticket = this.pool(submission).submit(submission);
+    if (ticket.kind === "accepted") {
+      for (const each of later) this.backlog.add(each.service, rank, each.pieces);
+      if (later.length > 0) this.backlog.add(submission.service, rank, pieces);
+    }
+    return ticket;
+  }
+
+  /** Pieces that the upstreams of a service make in a millisecond, over all requests. */
+  private piecesPerMs(service: string): number {
+    const { directory, routeView } = this.parts;
+    const capacity = routeView.configuration?.services.get(service)?.stage;
+    if (capacity === undefined) return 0;
+    const { callMs, pieceMs, mostPieces } = capacity;
+    const upstreams = directory.serving(service).length;
+    return (FILLED_PART * upstreams * mostPieces) / (callMs + mostPieces * pieceMs);
+  }
+
   cancel(submission: SubmissionIdentity & Pick<StageSubmission, "service">): void {
     this.pool(submission).cancel(submissionKey(submission));
     this.submitters.delete(submissionKey(submission));
--- a/src/forward/stage-submission.ts
+++ b/src/forward/stage-submission.ts
@@ -17,6 +17,10 @@
   leftMs: z.number(),
   /** Time that the request needs after this stage, in ms. */
   afterMs: z.number(),
+  /** Pieces that follow at other stages; only the first submission of a request tells them. */
+  later: z.array(z.object({ service: z.string(), pieces: z.number() })),
+  /** Longest wait over all stages with which the request still meets its target, in ms. */
+  allowedMs: z.number(),
   /** Approximate size of one result in bytes. */
   resultBytes: z.number(),
   /** Bytes that a piece moves between data centres if it is made in another one. */
