--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -86,7 +86,7 @@
     And 2 requests of 2 pieces with rank 2 arrive
     And 4 requests of 1 piece with rank 1 arrive
     And the stage clock advances by 2500 ms
-    And 3 requests of 1 piece with rank 0 arrive
-    And 2 requests of 1 piece with rank 3 arrive
+    And 4 requests of 1 piece with rank 3 arrive
+    And 6 requests of 1 piece with rank 0 arrive
     And the stage clock advances by 100 ms
     Then data centre "a" got at most 2 pieces a call and none of rank 0
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -12,6 +12,7 @@
 import { FrontServer } from "../forward/front-server.js";
 import { RefusalWriter } from "../forward/refusal-writer.js";
 import { RequestForwarder } from "../forward/request-forwarder.js";
+import { RequestMatcher } from "../forward/request-matcher.js";
 import { RouteDeadlines } from "../forward/route-deadlines.js";
 import { RouteView } from "../forward/route-view.js";
 import type { RowDecoder } from "../forward/row-decoder.js";
@@ -78,6 +79,7 @@
   readonly refusalWriter: RefusalWriter;
   readonly readiness: Readiness;
   readonly admit: () => void;
+  readonly requestMatcher: RequestMatcher;
   readonly requestForwarder: RequestForwarder;
   readonly callers: FrontSettings["callers"];
   readonly frontServer: FrontServer;
@@ -141,6 +143,7 @@
     admit: asFunction((parts: FrontCradle) => (): void => {
       parts.readiness.admit();
     }).singleton(),
+    requestMatcher: asFunction(RequestMatcher.create).singleton(),
     requestForwarder: asFunction(RequestForwarder.create).singleton(),
     frontServer: asFunction(FrontServer.create).singleton(),
     statusServer: asFunction((parts: FrontCradle) =>
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -27,8 +27,8 @@
   async start(): Promise<void> {
     const { peerServer, membership, storeView, frontServer, statusServer, readiness } = this.parts;
     this.parts.pauses.start();
-    // Registers the calls that other instances may make before they can arrive.
-    void this.parts.stageDispatch;
+    // Peer calls are registered when their part is made, which must happen before they arrive.
+    this.parts.stageDispatch.start();
     await Promise.all([peerServer.listen(), frontServer.listen(), statusServer.listen()]);
     storeView.start();
     readiness.clear(UnreadyReason.Starting);
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -7,18 +7,15 @@
 import type { Dialect } from "./dialect.js";
 import { DispatchLoop } from "./dispatch-loop.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
-import { shareOf } from "./hash-share.js";
 import type { ForwardRequest } from "./forward-request.js";
 import type { RefusalWriter } from "./refusal-writer.js";
 import type { RequestContext } from "./request-context.js";
-import { rankOf } from "./rank-of.js";
 import type { Route } from "./route.js";
-import type { RouteDeadlines } from "./route-deadlines.js";
+import type { RequestMatcher } from "./request-matcher.js";
 import type { RouteView } from "./route-view.js";
 import { admitStages } from "./stage-admission.js";
 import type { StageLoads } from "./stage-loads.js";
 import { StagePhase } from "./stage-phase.js";
-import { StreamProgress } from "./stream-progress.js";
 import type { UpstreamChoice } from "./upstream-choice.js";
 
 type LoopParts = Parameters<typeof DispatchLoop.create>[0];
@@ -31,7 +28,7 @@
   readonly upstreamChoice: UpstreamChoice;
   readonly crashRegister: CrashRegister;
   readonly stageLoads: StageLoads;
-  readonly routeDeadlines: RouteDeadlines;
+  readonly requestMatcher: RequestMatcher;
   readonly refusalWriter: RefusalWriter;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
@@ -60,7 +57,7 @@
     let limit: { cancel(): void } | undefined;
     try {
       this.parts.admit();
-      context = this.context(request, writer, stop.signal);
+      context = this.parts.requestMatcher.match(request, writer, stop.signal);
       limit = timers.after(Math.max(0, context.deadlineMs - timers.now()), () => {
         stop.abort(ServeError.create(ErrorKind.DeadlineExceeded, "the time limit has passed"));
       });
@@ -74,48 +71,6 @@
     }
   }
 
-  private context(
-    request: ForwardRequest,
-    writer: AnswerWriter,
-    signal: AbortSignal,
-  ): RequestContext {
-    const { routeView, dialect, crashRegister } = this.parts;
-    const { configuration, routes } = routeView;
-    if (configuration === undefined || routes === undefined) {
-      throw ServeError.create(ErrorKind.NotReady, "no configuration is known yet");
-    }
-    const route = routes.find(request.headers.host ?? "", request.target);
-    if (route === undefined) throw ServeError.create(ErrorKind.UnknownRoute, request.target);
-    const attributes = dialect.readRequest(request.headers);
-    if (request.body.length > configuration.limits.bodyBytes) {
-      throw ServeError.create(ErrorKind.BodyTooLarge, `${request.body.length} bytes`);
-    }
-    const team = attributes.key === undefined ? undefined : configuration.teams.get(attributes.key);
-    if (team === undefined && configuration.keysNeeded && !route.anonymous) {
-      throw ServeError.create(ErrorKind.Unauthenticated, "the key is missing or unknown");
-    }
-    const digest = CrashRegister.digest(request, attributes.key);
-    crashRegister.check(digest);
-    const elapsedMs = this.parts.routeDeadlines.elapsedMs(route, attributes.deadlineMs);
-    const leftMs = Math.min(attributes.deadlineMs ?? Infinity, route.timeoutMs);
-    return {
-      request,
-      attributes,
-      configuration,
-      route,
-      team,
-      rank: rankOf(route, team),
-      service: serviceOf(route, attributes.attemptId),
-      digest,
-      returning: elapsedMs > 0,
-      targetMs: request.arrivedMs + route.targetMs - elapsedMs,
-      deadlineMs: request.arrivedMs + leftMs,
-      signal,
-      writer,
-      progress: StreamProgress.create(attributes.lastEventId),
-    };
-  }
-
   private async forward(context: RequestContext): Promise<number> {
     const { route, attributes, service } = context;
     if (route.stages.length === 0) {
@@ -248,14 +203,3 @@
     });
   }
 }
-
-/** Splits requests by weight; the same request goes to the same service on every instance. */
-function serviceOf(route: Route, attemptId: string): string {
-  const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
-  let at = shareOf(attemptId) * total;
-  for (const { service, weight } of route.services) {
-    at -= weight;
-    if (at < 0) return service;
-  }
-  return route.services[0]?.service ?? "";
-}
--- /dev/null
+++ b/src/forward/request-matcher.ts
@@ -0,0 +1,82 @@
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+import type { AnswerWriter } from "./answer-writer.js";
+import { CrashRegister } from "./crash-register.js";
+import type { Dialect } from "./dialect.js";
+import type { ForwardRequest } from "./forward-request.js";
+import { shareOf } from "./hash-share.js";
+import { rankOf } from "./rank-of.js";
+import type { RequestContext } from "./request-context.js";
+import type { RouteDeadlines } from "./route-deadlines.js";
+import type { Route } from "./route.js";
+import type { RouteView } from "./route-view.js";
+import { StreamProgress } from "./stream-progress.js";
+
+interface Parts {
+  readonly dialect: Dialect;
+  readonly routeView: RouteView;
+  readonly crashRegister: CrashRegister;
+  readonly routeDeadlines: RouteDeadlines;
+}
+
+/** Finds the route, team and time limits of a request. */
+export class RequestMatcher {
+  private constructor(private readonly parts: Parts) {}
+
+  static create(parts: Parts): RequestMatcher {
+    return new RequestMatcher(parts);
+  }
+
+  /**
+   * Throws `NotReady`, `UnknownRoute`, `MalformedRequest`, `BodyTooLarge`, `Unauthenticated` or
+   * `RequestSuspected`.
+   */
+  match(request: ForwardRequest, writer: AnswerWriter, signal: AbortSignal): RequestContext {
+    const { routeView, dialect, crashRegister } = this.parts;
+    const { configuration, routes } = routeView;
+    if (configuration === undefined || routes === undefined) {
+      throw ServeError.create(ErrorKind.NotReady, "no configuration is known yet");
+    }
+    const route = routes.find(request.headers.host ?? "", request.target);
+    if (route === undefined) throw ServeError.create(ErrorKind.UnknownRoute, request.target);
+    const attributes = dialect.readRequest(request.headers);
+    if (request.body.length > configuration.limits.bodyBytes) {
+      throw ServeError.create(ErrorKind.BodyTooLarge, `${request.body.length} bytes`);
+    }
+    const team = attributes.key === undefined ? undefined : configuration.teams.get(attributes.key);
+    if (team === undefined && configuration.keysNeeded && !route.anonymous) {
+      throw ServeError.create(ErrorKind.Unauthenticated, "the key is missing or unknown");
+    }
+    const digest = CrashRegister.digest(request, attributes.key);
+    crashRegister.check(digest);
+    const elapsedMs = this.parts.routeDeadlines.elapsedMs(route, attributes.deadlineMs);
+    const leftMs = Math.min(attributes.deadlineMs ?? Infinity, route.timeoutMs);
+    return {
+      request,
+      attributes,
+      configuration,
+      route,
+      team,
+      rank: rankOf(route, team),
+      service: serviceOf(route, attributes.attemptId),
+      digest,
+      returning: elapsedMs > 0,
+      targetMs: request.arrivedMs + route.targetMs - elapsedMs,
+      deadlineMs: request.arrivedMs + leftMs,
+      signal,
+      writer,
+      progress: StreamProgress.create(attributes.lastEventId),
+    };
+  }
+}
+
+/** Splits requests by weight; the same request goes to the same service on every instance. */
+function serviceOf(route: Route, attemptId: string): string {
+  const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
+  let at = shareOf(attemptId) * total;
+  for (const { service, weight } of route.services) {
+    at -= weight;
+    if (at < 0) return service;
+  }
+  return route.services[0]?.service ?? "";
+}
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -45,15 +45,18 @@
   private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): StageDispatch {
-    const dispatch = new StageDispatch(parts);
-    parts.peerMethods.register(PeerMethod.StageResults, (params) => {
-      dispatch.receive(stageReportSchema.parse(params));
+    return new StageDispatch(parts);
+  }
+
+  /** Begins to take reports of other instances and of this one. */
+  start(): void {
+    this.parts.peerMethods.register(PeerMethod.StageResults, (params) => {
+      this.receive(stageReportSchema.parse(params));
       return Promise.resolve(true);
     });
-    parts.stagePools.reportTo((report) => {
-      dispatch.receive(report);
+    this.parts.stagePools.reportTo((report) => {
+      this.receive(report);
     });
-    return dispatch;
   }
 
   /**
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -92,7 +92,7 @@
     this.task.sent();
     const { statusCode, headers, body } = await connection.request({
       path: request.target,
-      method: request.method as "GET",
+      method: request.method,
       headers: dialect.upstreamHeaders(request.rawHeaders, dispatch),
       ...(request.body.length > 0 ? { body: request.body } : {}),
       reset: true,
--- a/src/forward/upstream-standings.ts
+++ b/src/forward/upstream-standings.ts
@@ -1,5 +1,6 @@
 import type { Timers } from "../time/timers.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
+import type { UpstreamEntry } from "./upstream-entry.js";
 import { UpstreamStanding } from "./upstream-standing.js";
 
 /** Far above the number of upstreams of a deployment, beside those that left. */
@@ -28,6 +29,12 @@
     return standing;
   }
 
+  /** The lower median of the ratios; an upstream without fresh results counts as expected. */
+  typicalRatio(entries: readonly UpstreamEntry[]): number {
+    const ratios = entries.map(({ id }) => this.of(id).ratio ?? 1).sort((a, b) => a - b);
+    return ratios[Math.floor((ratios.length - 1) / 2)] ?? 1;
+  }
+
   private dropUnlisted(): void {
     const listed = new Set(this.directory.ids);
     for (const [id, { inFlight }] of this.byId) {
