--- /dev/null
+++ b/features/front-path.feature
@@ -0,0 +1,114 @@
+Feature: A daemon on the platform
+  The daemon runs with the platform's adapter before stand-ins of store and upstreams, over sockets.
+
+  Background:
+    Given a platform with the upstreams "u1" and "u2" and a daemon
+
+  Scenario: A stream whose stage results are made first arrives whole
+    When a caller asks for a stream with 2 pieces
+    Then the caller gets status 200 and 5 whole events
+    And the engine got the handles of both pieces and the team of the key, and no key
+    And the results are released
+
+  Scenario: A plain answer is passed on with its signature
+    When a caller asks for "/plain/1"
+    Then the caller gets status 200 and the body "answer to request-1"
+    And the answer is signed by the upstream
+
+  Scenario: A stream that breaks off does not look complete
+    Given all upstreams are "breaks-off"
+    When a caller asks for a stream with 0 pieces
+    Then the caller's connection is cut
+
+  Scenario: A resumable stream goes on at another upstream without a gap
+    Given one upstream is "breaks-off"
+    When 6 callers ask for resumable streams
+    Then every caller got 5 whole events in order
+
+  Scenario: An answer without a length that ends with a reset is not passed on
+    Given all upstreams are "resets-unframed"
+    When a caller asks for "/once/1"
+    Then the caller gets status 502
+
+  Scenario: An answer that belongs to another request is not passed on
+    Given all upstreams are "answers-other"
+    When a caller asks for "/once/1"
+    Then the caller gets status 502
+
+  Scenario: A request that may run once is not sent again after its connection was lost
+    Given all upstreams are "loses-answers"
+    When a caller asks for "/once/1"
+    Then the caller gets status 502
+    And one request ran
+
+  Scenario: A request that may be repeated is tried elsewhere
+    Given one upstream is "loses-answers"
+    When 6 callers ask for "/plain/1"
+    Then every caller got status 200
+
+  Scenario: An upstream that hangs does not hold up a request that may be repeated
+    Given one upstream is "mute"
+    When 6 callers ask for "/plain/1"
+    Then every caller got status 200
+
+  Scenario: An upstream whose address another one took does not run the request
+    Given the address of "u1" now belongs to "u9"
+    When 6 callers ask for "/once/1"
+    Then every caller got status 200
+    And "u1" ran nothing
+
+  Scenario: A refusal of all upstreams is answered as not run
+    Given all upstreams are "full"
+    When a caller asks for "/once/1"
+    Then the caller gets status 503 and a time to come back
+    And no request ran
+
+  Scenario: An upstream that is leaving gets no new work
+    When "u1" registers as leaving
+    And 1500 ms pass in real time
+    And 6 callers ask for "/plain/1"
+    Then every caller got status 200
+    And "u1" ran nothing
+
+  Scenario: Rows that name no upstream are passed over
+    When the store has entries that cannot be read
+    And 1500 ms pass in real time
+    And a caller asks for "/plain/1"
+    Then the caller gets status 200
+
+  Scenario: A key that was taken away is refused within two seconds
+    When a configuration without the key is written
+    And 2000 ms pass in real time
+    And a caller asks for "/plain/1"
+    Then the caller gets status 401
+
+  Scenario: A new version arrives although the store forgot its history
+    When the store is silent while a configuration without the key is written
+    And the store forgets its history and answers again
+    And 4000 ms pass in real time
+    And a caller asks for "/plain/1"
+    Then the caller gets status 401
+
+  Scenario: Requests are served while the store is away
+    When the store is busy
+    And 3000 ms pass in real time
+    And a caller asks for "/once/1"
+    Then the caller gets status 200
+
+  Scenario: A daemon that the store turns away learns from another one
+    Given a second daemon that the store turns away once it knows the fleet
+    When a configuration without the key is written
+    And 4000 ms pass in real time
+    And a caller asks the second daemon for "/plain/1"
+    Then the caller gets status 401
+
+  Scenario: A stop lets requests in progress end
+    Given upstreams answer after 1500 ms
+    When a caller asks for a stream with 0 pieces and the daemon stops meanwhile
+    Then the caller gets status 200 and 5 whole events
+    And the daemon is unready and then gone
+
+  Scenario: A caller that leaves ends the work at the upstream
+    Given upstreams answer after 3000 ms
+    When a caller asks for "/plain/1" and leaves after 200 ms
+    Then the daemon has no request in progress within 500 ms
--- /dev/null
+++ b/features/steps/front-path.ts
@@ -0,0 +1,234 @@
+import assert from "node:assert/strict";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { StoreMode } from "../../standin/platform-store.js";
+import type { PlatformUpstream, UpstreamMode } from "../../standin/platform-upstream.js";
+import type { FrontAnswer } from "../support/front-caller.js";
+import { FrontHost } from "../support/front-host.js";
+
+const EVENTS = ["1", "2", "3", "4", "5"];
+const RELEASED_MS = 1_500;
+const POLL_MS = 25;
+const FLEET_MS = 2_500;
+
+interface FrontWorld {
+  front: FrontHost | undefined;
+  reply: FrontAnswer;
+  replies: FrontAnswer[];
+}
+
+function hostOf(world: FrontWorld): FrontHost {
+  assert.ok(world.front !== undefined);
+  return world.front;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function until(condition: () => boolean, ms: number): Promise<void> {
+  const end = Date.now() + ms;
+  while (!condition() && Date.now() < end) await pause(POLL_MS);
+  assert.ok(condition());
+}
+
+function eventIds({ body }: FrontAnswer): string[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id ?? "");
+}
+
+function upstreamOf(world: FrontWorld, id: string): PlatformUpstream {
+  const upstream = hostOf(world).upstreams.find((each) => each.id === id);
+  assert.ok(upstream !== undefined);
+  return upstream;
+}
+
+function requestsOf(upstream: PlatformUpstream): PlatformUpstream["ran"] {
+  return upstream.ran.filter(({ url }) => !url.startsWith("/nutmegstage/"));
+}
+
+After(async function (this: FrontWorld) {
+  await this.front?.stop();
+});
+
+Given(
+  "a platform with the upstreams {string} and {string} and a daemon",
+  async function (this: FrontWorld, a: string, b: string) {
+    this.front = await FrontHost.create([a, b]);
+  },
+);
+
+Given("all upstreams are {string}", function (this: FrontWorld, mode: UpstreamMode) {
+  for (const upstream of hostOf(this).upstreams) upstream.mode = mode;
+});
+
+Given("one upstream is {string}", function (this: FrontWorld, mode: UpstreamMode) {
+  upstreamOf(this, "u1").mode = mode;
+});
+
+Given("upstreams answer after {int} ms", function (this: FrontWorld, ms: number) {
+  for (const upstream of hostOf(this).upstreams) upstream.delayMs = ms;
+});
+
+Given(
+  "the address of {string} now belongs to {string}",
+  function (this: FrontWorld, id: string, other: string) {
+    upstreamOf(this, id).id = other;
+  },
+);
+
+Given(
+  "a second daemon that the store turns away once it knows the fleet",
+  async function (this: FrontWorld) {
+    const host = hostOf(this);
+    const second = await host.startDaemon();
+    await pause(FLEET_MS);
+    second.gate.closed = true;
+  },
+);
+
+When(
+  "a caller asks for a stream with {int} pieces",
+  async function (this: FrontWorld, pieces: number) {
+    const headers = { "nutmegstage-pieces": String(pieces), "nutmegstage-piece-key": "k" };
+    this.reply = await hostOf(this).ask("/stream/staged/1", headers);
+  },
+);
+
+When("a caller asks for {string}", async function (this: FrontWorld, path: string) {
+  this.reply = await hostOf(this).ask(path, { "nutmegstage-attempt-id": "request-1" });
+});
+
+When(
+  "a caller asks the second daemon for {string}",
+  async function (this: FrontWorld, path: string) {
+    this.reply = await hostOf(this).ask(path, {}, hostOf(this).daemons[1]);
+  },
+);
+
+When("{int} callers ask for {string}", async function (this: FrontWorld, n: number, path: string) {
+  const host = hostOf(this);
+  this.replies = await Promise.all(Array.from({ length: n }, () => host.ask(path)));
+});
+
+When("{int} callers ask for resumable streams", async function (this: FrontWorld, count: number) {
+  const host = hostOf(this);
+  const ask = (): Promise<FrontAnswer> => host.ask("/stream/resumable/1");
+  this.replies = await Promise.all(Array.from({ length: count }, ask));
+});
+
+When("{string} registers as leaving", function (this: FrontWorld, id: string) {
+  hostOf(this).register(upstreamOf(this, id), "draining");
+});
+
+When("the store has entries that cannot be read", function (this: FrontWorld) {
+  const { store } = hostOf(this);
+  store.put("servers", "x1", { service: "pool", address: 7, zone: "a", state: "ready" });
+  store.put("servers", "x2", "text");
+  store.put("servers", "x3", { service: "pool", address: "127.0.0.1:1", zone: "a", state: "odd" });
+});
+
+When("a configuration without the key is written", function (this: FrontWorld) {
+  hostOf(this).configure(["another-key"]);
+});
+
+When(
+  "the store is silent while a configuration without the key is written",
+  async function (this: FrontWorld) {
+    const host = hostOf(this);
+    host.store.mode = StoreMode.Silent;
+    host.configure(["another-key"]);
+    await pause(FLEET_MS);
+  },
+);
+
+When("the store forgets its history and answers again", function (this: FrontWorld) {
+  const { store } = hostOf(this);
+  store.forgetHistory();
+  store.mode = StoreMode.Serving;
+});
+
+When("the store is busy", function (this: FrontWorld) {
+  hostOf(this).store.mode = StoreMode.Busy;
+});
+
+When("{int} ms pass in real time", async function (this: FrontWorld, ms: number) {
+  await pause(ms);
+});
+
+Then(
+  "the caller gets status {int} and {int} whole events",
+  function (this: FrontWorld, status: number, count: number) {
+    assert.equal(this.reply.status, status);
+    assert.ok(this.reply.whole);
+    assert.deepEqual(eventIds(this.reply), EVENTS.slice(0, count));
+  },
+);
+
+Then(
+  "the engine got the handles of both pieces and the team of the key, and no key",
+  function (this: FrontWorld) {
+    const [run] = hostOf(this).upstreams.flatMap((upstream) => requestsOf(upstream));
+    assert.ok(run !== undefined);
+    assert.equal(String(run.headers["nutmegstage-inputs"]).split(",").length, 2);
+    assert.equal(run.headers["nutmegstage-tenant"], "team-1");
+    assert.equal(run.headers["x-api-key"], undefined);
+    assert.ok(Number(run.headers["nutmegstage-deadline-ms"]) <= 6_000);
+  },
+);
+
+Then("the results are released", async function (this: FrontWorld) {
+  const { upstreams } = hostOf(this);
+  await until(() => upstreams.flatMap(({ released }) => released).length === 2, RELEASED_MS);
+});
+
+Then("the caller gets status {int}", function (this: FrontWorld, status: number) {
+  assert.equal(this.reply.status, status);
+});
+
+Then(
+  "the caller gets status {int} and the body {string}",
+  function (this: FrontWorld, status: number, body: string) {
+    assert.equal(this.reply.status, status);
+    assert.equal(this.reply.body, body);
+  },
+);
+
+Then("the answer is signed by the upstream", function (this: FrontWorld) {
+  assert.match(String(this.reply.headers["nutmegstage-replica-stamp"]), /^stamp-u[12]$/);
+});
+
+Then("the caller's connection is cut", function (this: FrontWorld) {
+  assert.equal(this.reply.whole, false);
+});
+
+Then("every caller got {int} whole events in order", function (this: FrontWorld, count: number) {
+  for (const reply of this.replies) {
+    assert.ok(reply.whole);
+    assert.deepEqual(eventIds(reply), EVENTS.slice(0, count));
+  }
+});
+
+Then("every caller got status {int}", function (this: FrontWorld, status: number) {
+  assert.deepEqual(
+    this.replies.map((reply) => reply.status),
+    this.replies.map(() => status),
+  );
+});
+
+Then(/^(one|no) request ran$/, function (this: FrontWorld, count: string) {
+  const ran = hostOf(this).upstreams.flatMap((upstream) => requestsOf(upstream));
+  assert.equal(ran.length, count === "one" ? 1 : 0);
+});
+
+Then("{string} ran nothing", function (this: FrontWorld, id: string) {
+  const upstream = hostOf(this).upstreams[id === "u1" ? 0 : 1];
+  assert.ok(upstream !== undefined);
+  assert.equal(requestsOf(upstream).length, 0);
+});
+
+Then(
+  "the caller gets status {int} and a time to come back",
+  function (this: FrontWorld, status: number) {
+    assert.equal(this.reply.status, status);
+    assert.ok(Number(this.reply.headers["retry-after"]) > 0);
+  },
+);
--- /dev/null
+++ b/features/steps/front-stop.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { Then, When } from "@cucumber/cucumber";
+import type { FrontAnswer } from "../support/front-caller.js";
+import type { FrontHost } from "../support/front-host.js";
+
+const POLL_MS = 25;
+const REQUEST_SENT_MS = 100;
+
+interface StopWorld {
+  front: FrontHost | undefined;
+  reply: FrontAnswer;
+}
+
+function hostOf(world: StopWorld): FrontHost {
+  assert.ok(world.front !== undefined);
+  return world.front;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+When(
+  "a caller asks for a stream with 0 pieces and the daemon stops meanwhile",
+  async function (this: StopWorld) {
+    const host = hostOf(this);
+    const asked = host.ask("/stream/staged/1", { "nutmegstage-pieces": "0" });
+    await pause(REQUEST_SENT_MS);
+    const stopped = host.first.daemon.stop();
+    assert.equal(await host.ready(host.first.readiness), false);
+    this.reply = await asked;
+    await stopped;
+  },
+);
+
+When(
+  "a caller asks for {string} and leaves after {int} ms",
+  async function (this: StopWorld, path: string, ms: number) {
+    this.reply = await hostOf(this).ask(path, {}, hostOf(this).first, ms);
+  },
+);
+
+Then("the daemon is unready and then gone", async function (this: StopWorld) {
+  assert.equal(await hostOf(this).ready(hostOf(this).first.readiness), false);
+});
+
+Then(
+  "the daemon has no request in progress within {int} ms",
+  async function (this: StopWorld, ms: number) {
+    const { daemon } = hostOf(this).first;
+    const end = Date.now() + ms;
+    while (daemon.inProgress > 0 && Date.now() < end) await pause(POLL_MS);
+    assert.equal(daemon.inProgress, 0);
+  },
+);
--- /dev/null
+++ b/features/support/front-host.ts
@@ -0,0 +1,175 @@
+import { FrontDaemon } from "../../src/daemon/front-daemon.js";
+import { frontSettingsSchema } from "../../src/settings/front-settings.js";
+import { PlatformRowDecoder } from "../../platform/platform-row-decoder.js";
+import { RequestDialect } from "../../platform/request-dialect.js";
+import { StoreClient } from "../../platform/store-client.js";
+import { freePorts } from "../../standin/free-ports.js";
+import { PlatformStore } from "../../standin/platform-store.js";
+import { PlatformUpstream } from "../../standin/platform-upstream.js";
+import { StoreGate } from "./store-gate.js";
+import { type FrontAnswer, askFront } from "./front-caller.js";
+
+const KEY = "key-1";
+const VERSION_STEP = 3;
+const READY_MS = 5_000;
+const POLL_MS = 50;
+
+/** A daemon of the platform and the ports of what it listens on. */
+interface Running {
+  readonly daemon: FrontDaemon;
+  readonly callers: number;
+  readonly readiness: number;
+  /** Answers instead of the store while it is closed. */
+  readonly gate: StoreGate;
+}
+
+/** Stand-ins of the platform and daemons before them, in this process, on loopback. */
+export class FrontHost {
+  readonly daemons: Running[] = [];
+  private version = 1;
+
+  private constructor(
+    private readonly storePort: number,
+    readonly store: PlatformStore,
+    readonly upstreams: readonly PlatformUpstream[],
+  ) {}
+
+  static async create(ids: readonly string[]): Promise<FrontHost> {
+    const [storePort = 0, ...ports] = await freePorts(1 + ids.length);
+    const store = await PlatformStore.create(storePort);
+    const upstreams = await Promise.all(
+      ids.map((id, at) => PlatformUpstream.create(id, ports[at] ?? 0)),
+    );
+    const host = new FrontHost(storePort, store, upstreams);
+    for (const upstream of upstreams) host.register(upstream, "ready");
+    host.configure([KEY]);
+    await host.startDaemon();
+    return host;
+  }
+
+  get first(): Running {
+    const [first] = this.daemons;
+    if (first === undefined) throw new Error("no daemon was started");
+    return first;
+  }
+
+  register(upstream: PlatformUpstream, state: string): void {
+    this.store.put("servers", upstream.id, upstream.entry("pool", state));
+  }
+
+  configure(keys: readonly string[]): void {
+    this.version += VERSION_STEP;
+    this.store.put("op", "config", configuration(this.version, keys));
+  }
+
+  async startDaemon(): Promise<Running> {
+    const [callers = 0, readiness = 0, peers = 0, metrics = 0, gatePort = 0] = await freePorts(5);
+    const gate = await StoreGate.create(gatePort, this.storePort);
+    const at = (port: number): string => `127.0.0.1:${port}`;
+    const settings = frontSettingsSchema.parse({
+      instance: { id: `i${this.daemons.length}`, dataCentre: "a" },
+      callers: at(callers),
+      readiness: at(readiness),
+      peers: at(peers),
+      peerSecret: "secret-of-the-tests",
+      metrics: at(metrics),
+      store: at(gatePort),
+      seeds: "",
+      bounds: {
+        drainMs: 2_000,
+        graceSeconds: 8,
+        budgetRatio: 0.2,
+        budgetWindowSeconds: 10,
+        budgetSlack: 50,
+      },
+      logLevel: "error",
+    });
+    const daemon = FrontDaemon.create(settings, {
+      dialect: RequestDialect.create(),
+      rowDecoder: PlatformRowDecoder.create(),
+      rowFeed: ({ timers, forwardMetrics }) =>
+        StoreClient.create({ timers, forwardMetrics, address: settings.store }),
+    });
+    const running = { daemon, callers, readiness, gate };
+    this.daemons.push(running);
+    await daemon.start();
+    await this.untilReady(readiness);
+    return running;
+  }
+
+  async ready(port: number): Promise<boolean> {
+    try {
+      const response = await fetch(`http://127.0.0.1:${port}/nutmegstage/ready`);
+      await response.arrayBuffer();
+      return response.status === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  ask(
+    path: string,
+    headers: Record<string, string> = {},
+    running: Running = this.first,
+    leaveMs?: number,
+  ): Promise<FrontAnswer> {
+    return askFront(running.callers, path, { "x-api-key": KEY, ...headers }, leaveMs);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map(({ daemon }) => daemon.close()));
+    await Promise.all(this.daemons.map(({ gate }) => gate.stop()));
+    await Promise.all([this.store.stop(), ...this.upstreams.map((each) => each.stop())]);
+  }
+
+  private async untilReady(port: number): Promise<void> {
+    const end = Date.now() + READY_MS;
+    while (!(await this.ready(port))) {
+      if (Date.now() > end) throw new Error("the daemon did not become ready");
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+}
+
+function configuration(version: number, keys: readonly string[]): unknown {
+  const route = {
+    host: "a.example",
+    "timeout-ms": 6_000,
+    "target-latency-ms": 400,
+    priority: 1,
+    "max-attempts": 2,
+    anonymous: false,
+    service: "pool",
+  };
+  const stream = { ...route, kind: "streaming", service: "pool" };
+  return {
+    version,
+    routes: [
+      { ...route, name: "plain", prefix: "/plain/", kind: "idempotent" },
+      { ...route, name: "once", prefix: "/once/", kind: "non_idempotent", "max-attempts": 1 },
+      {
+        ...stream,
+        name: "staged",
+        prefix: "/stream/staged/",
+        stages: [{ service: "pool", after: [], bytes: 1_000 }],
+      },
+      { ...stream, name: "resumable", prefix: "/stream/resumable/", resumable: true },
+    ],
+    services: [
+      {
+        name: "pool",
+        pieces: {
+          slots: 1,
+          queue: 2,
+          batch: 4,
+          "call-ms": 20,
+          "item-ms": 1,
+          "headroom-mb": 10,
+          "handle-s": 4,
+        },
+      },
+    ],
+    tenants: [{ name: "team-1", "api-keys": keys, priority: 0 }],
+    limits: { "max-body-bytes": 1_000_000, "idle-timeout-ms": 10_000 },
+  };
+}
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -36,6 +36,11 @@
     await membership.start();
   }
 
+  /** Requests whose answer has not ended. */
+  get inProgress(): number {
+    return this.parts.frontServer.inProgress;
+  }
+
   /** Notes changed settings; addresses and bounds take effect at the next start. */
   reloaded(settings: FrontSettings): void {
     this.parts.log.info({ message: "settings reloaded", seeds: settings.seeds });
@@ -51,6 +56,16 @@
     return (this.stopping ??= this.drainAndClose());
   }
 
+  /** Closes everything at once; requests in progress are cut. */
+  async close(): Promise<void> {
+    const { storeView, membership, frontServer, statusServer, peerServer, peerCalls } = this.parts;
+    storeView.stop();
+    membership.stop();
+    this.parts.pauses.stop();
+    await Promise.all([frontServer.close(), statusServer.close(), peerServer.close()]);
+    await peerCalls.close();
+  }
+
   private async drainAndClose(): Promise<void> {
     const { timers, log, readiness, membership, frontServer, stagePools } = this.parts;
     const end = timers.now() + GRACE_PART * this.settings.bounds.graceSeconds;
--- a/src/forward/front-server.ts
+++ b/src/forward/front-server.ts
@@ -42,6 +42,7 @@
       bodyLimit: MOST_BODY_BYTES,
       requestTimeout: REQUEST_MS,
       keepAliveTimeout: FIRST_IDLE_MS,
+      forceCloseConnections: true,
       exposeHeadRoutes: false,
       http: {
         maxHeaderSize: MOST_HEADER_BYTES,
--- a/src/forward/status-server.ts
+++ b/src/forward/status-server.ts
@@ -20,8 +20,8 @@
 
 /** Tells the balancer whether this instance takes new connections, and serves the metrics. */
 export class StatusServer {
-  private readonly readiness: FastifyInstance = fastify();
-  private readonly metrics: FastifyInstance = fastify();
+  private readonly readiness: FastifyInstance = fastify({ forceCloseConnections: true });
+  private readonly metrics: FastifyInstance = fastify({ forceCloseConnections: true });
 
   private constructor(private readonly parts: Parts) {
     const { dialect, ready, forwardMetrics } = parts;
--- /dev/null
+++ b/standin/platform-store.ts
@@ -0,0 +1,119 @@
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
+
+const OK = 200;
+const FORBIDDEN_HISTORY = 410;
+const UNAVAILABLE = 503;
+const POLL_MS = 20;
+
+interface StoredRow {
+  readonly table: string;
+  readonly key: string;
+  readonly value: string;
+  readonly ver: number;
+  readonly tombstone: boolean;
+}
+
+/** How the store treats calls. */
+export enum StoreMode {
+  Serving = "serving",
+  /** Answers 503 without having done anything. */
+  Busy = "busy",
+  /** Accepts calls and never answers them. */
+  Silent = "silent",
+}
+
+/** A small stand-in of the platform's store, kept in memory. */
+export class PlatformStore {
+  mode = StoreMode.Serving;
+  private readonly rows = new Map<string, StoredRow>();
+  private version = 0;
+  /** Changes up to this version are forgotten. */
+  private forgotten = 0;
+
+  private constructor(private readonly server: Server) {}
+
+  static async create(port: number): Promise<PlatformStore> {
+    const server = createServer((request, response) => {
+      void store.answer(request, response);
+    });
+    const store = new PlatformStore(server);
+    await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
+    return store;
+  }
+
+  /** Writes a row; a content of undefined removes it. */
+  put(table: string, key: string, content: unknown): void {
+    this.version += 1;
+    const value = Buffer.from(JSON.stringify(content ?? null)).toString("base64");
+    const tombstone = content === undefined;
+    this.rows.set(`${table}/${key}`, { table, key, value, ver: this.version, tombstone });
+  }
+
+  forgetHistory(): void {
+    this.forgotten = this.version;
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://store");
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    if (this.mode === StoreMode.Silent) return;
+    if (this.mode === StoreMode.Busy) {
+      response.writeHead(UNAVAILABLE).end();
+      return;
+    }
+    const table = url.searchParams.get("table") ?? "";
+    switch (url.pathname) {
+      case "/nutmegstage/rows-get":
+        this.send(
+          response,
+          this.since(table, 0).filter(({ tombstone }) => !tombstone),
+        );
+        return;
+      case "/nutmegstage/rows-feed":
+        await this.feed(url, table, response);
+        return;
+      case "/nutmegstage/rows-tx":
+        this.apply(JSON.parse(Buffer.concat(chunks).toString()) as { writes: StoredRow[] });
+        this.send(response, []);
+        return;
+      default:
+        response.writeHead(404).end();
+    }
+  }
+
+  private async feed(url: URL, table: string, response: ServerResponse): Promise<void> {
+    const after = Number(url.searchParams.get("after"));
+    if (after < this.forgotten) {
+      response.writeHead(FORBIDDEN_HISTORY).end();
+      return;
+    }
+    const end = Date.now() + Number(url.searchParams.get("wait-ms"));
+    while (this.since(table, after).length === 0 && Date.now() < end) {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+    this.send(response, this.since(table, after));
+  }
+
+  private apply({ writes }: { writes: readonly StoredRow[] }): void {
+    this.version += 1;
+    for (const { table, key, value } of writes) {
+      const row = { table, key, value, ver: this.version, tombstone: false };
+      this.rows.set(`${table}/${key}`, row);
+    }
+  }
+
+  private since(table: string, version: number): StoredRow[] {
+    return [...this.rows.values()].filter((row) => row.table === table && row.ver > version);
+  }
+
+  private send(response: ServerResponse, rows: readonly StoredRow[]): void {
+    const body = { rows, "has-more": false, ver: this.version, "now-ms": Date.now() };
+    response.writeHead(OK, { "content-type": "application/json" }).end(JSON.stringify(body));
+  }
+}
--- /dev/null
+++ b/standin/platform-upstream.ts
@@ -0,0 +1,150 @@
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
+
+/** How an upstream treats requests. */
+export enum UpstreamMode {
+  Serving = "serving",
+  /** Runs the request and closes the connection without an answer. */
+  LosesAnswers = "loses-answers",
+  /** Breaks its answers off in the middle. */
+  BreaksOff = "breaks-off",
+  /** Answers without a length and resets the connection before the end. */
+  ResetsUnframed = "resets-unframed",
+  /** Answers with the id of another request. */
+  AnswersOther = "answers-other",
+  /** States that it is full. */
+  Full = "full",
+  /** Runs requests and never answers. */
+  Mute = "mute",
+}
+
+const EVENTS = 5;
+const EVENT_MS = 20;
+
+/** A request as an upstream got it. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+}
+
+/** A small stand-in of one upstream: engine, plain service and stage service at once. */
+export class PlatformUpstream {
+  mode = UpstreamMode.Serving;
+  /** Time to the first byte of an answer, in ms. */
+  delayMs = 0;
+  /** Requests that it ran. */
+  readonly ran: SeenRequest[] = [];
+  /** Requests that reached it. */
+  readonly seen: SeenRequest[] = [];
+  readonly released: string[] = [];
+
+  private constructor(
+    public id: string,
+    readonly address: string,
+    private readonly server: Server,
+  ) {}
+
+  static async create(id: string, port: number): Promise<PlatformUpstream> {
+    const server = createServer((request, response) => {
+      void upstream.answer(request, response);
+    });
+    const upstream = new PlatformUpstream(id, `127.0.0.1:${port}`, server);
+    await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
+    return upstream;
+  }
+
+  /** The entry with which it registers itself. */
+  entry(service: string, state = "ready"): Record<string, unknown> {
+    return { service, address: this.address, zone: "a", slots: 4, state, seq: 1, born: 1 };
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = Buffer.concat(chunks).toString();
+    const { method = "", url = "", headers } = request;
+    const seen = { method, url, headers, body };
+    this.seen.push(seen);
+    if (headers["nutmegstage-expect-replica"] !== this.id && url !== "/nutmegstage/stage-free") {
+      response.writeHead(421, { "nutmegstage-replica-id": this.id }).end();
+      return;
+    }
+    if (this.mode === UpstreamMode.Full) {
+      response.writeHead(503, { "nutmegstage-not-executed": "1" }).end();
+      return;
+    }
+    this.ran.push(seen);
+    await new Promise((resolve) => setTimeout(resolve, this.delayMs));
+    if (url === "/nutmegstage/stage-run") this.runStage(body, response);
+    else if (url === "/nutmegstage/stage-free") this.free(body, response);
+    else await this.run(seen, response);
+  }
+
+  private runStage(body: string, response: ServerResponse): void {
+    const { items } = JSON.parse(body) as { items: { id: string; stage: number; piece: number }[] };
+    const made = items.map(({ id, stage, piece }) => ({
+      handle: `${this.address}/${id}.${stage}.${piece}`,
+    }));
+    json(response, { items: made });
+  }
+
+  private free(body: string, response: ServerResponse): void {
+    this.released.push(...(JSON.parse(body) as { handles: string[] }).handles);
+    json(response, {});
+  }
+
+  private async run({ headers, url }: SeenRequest, response: ServerResponse): Promise<void> {
+    const id = String(headers["nutmegstage-attempt-id"]);
+    const named = this.mode === UpstreamMode.AnswersOther ? "another" : id;
+    response.setHeader("nutmegstage-attempt-id", named);
+    response.setHeader("nutmegstage-replica-stamp", `stamp-${this.id}`);
+    switch (this.mode) {
+      case UpstreamMode.LosesAnswers:
+        response.destroy();
+        return;
+      case UpstreamMode.Mute:
+        return;
+      case UpstreamMode.ResetsUnframed:
+        response.useChunkedEncodingByDefault = false;
+        response.removeHeader("transfer-encoding");
+        response.write("half of ");
+        await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
+        response.socket?.resetAndDestroy();
+        return;
+      case UpstreamMode.Serving:
+      case UpstreamMode.BreaksOff:
+      case UpstreamMode.AnswersOther:
+      case UpstreamMode.Full:
+        if (url.startsWith("/stream/")) await this.stream(headers, response);
+        else response.end(`answer to ${id}`);
+    }
+  }
+
+  private async stream(
+    headers: IncomingMessage["headers"],
+    response: ServerResponse,
+  ): Promise<void> {
+    response.setHeader("content-type", "text/event-stream");
+    const first = Number(headers["last-event-id"] ?? 0) + 1;
+    for (let event = first; event <= EVENTS; event += 1) {
+      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
+      if (this.mode === UpstreamMode.BreaksOff && event >= first + 1) {
+        response.write(`id: ${event + 1}\ndata: tok`);
+        response.destroy();
+        return;
+      }
+    }
+    response.end();
+  }
+}
+
+function json(response: ServerResponse, body: unknown): void {
+  response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(body));
+}
