--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -90,3 +90,9 @@
     And 6 requests of 1 piece with rank 0 arrive
     And the stage clock advances by 100 ms
     Then data centre "a" got at most 2 pieces a call and none of rank 0
+
+  Scenario: An upstream whose calls take the stated time is not slow beside a faster one
+    Given the upstream in data centre "a" took 1.2 times and the one in "b" 0.5 times the stated time
+    When a request with bulky results for data centre "a" arrives
+    And the stage clock advances by 10 ms
+    Then its pieces were sent to data centre "a"
--- /dev/null
+++ b/features/steps/route-deadlines.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { Then, When } from "@cucumber/cucumber";
+import { RouteDeadlines } from "../../src/forward/route-deadlines.js";
+import { routeOf } from "../support/forward-samples.js";
+
+interface DeadlineWorld {
+  deadlines: RouteDeadlines;
+  elapsed: number[];
+}
+
+When(
+  "first attempts come with deadlines of {int}, {int}, {int} and {int} ms",
+  function (this: DeadlineWorld, a: number, b: number, c: number, d: number) {
+    this.deadlines = RouteDeadlines.create();
+    this.elapsed = [a, b, c, d].map((ms) => this.deadlines.elapsedMs(routeOf({}), ms));
+  },
+);
+
+Then("none of them counts as repeated", function (this: DeadlineWorld) {
+  assert.ok(this.elapsed.every((ms) => ms === 0));
+});
+
+Then(
+  "an attempt with a deadline of {int} ms counts as begun {int} ms ago",
+  function (this: DeadlineWorld, deadline: number, ago: number) {
+    assert.equal(this.deadlines.elapsedMs(routeOf({}), deadline), ago);
+  },
+);
--- a/features/steps/stage-pool.ts
+++ b/features/steps/stage-pool.ts
@@ -181,3 +181,19 @@
     }
   },
 );
+
+Given(
+  "the upstream in data centre {string} took {float} times and the one in {string} {float} times the stated time",
+  function (this: PoolWorld, a: string, slower: number, b: string, faster: number) {
+    for (let at = 0; at < 4; at += 1) {
+      this.stages.standingOf(a).succeeded(slower);
+      this.stages.standingOf(b).succeeded(faster);
+    }
+  },
+);
+
+Then("its pieces were sent to data centre {string}", function (this: PoolWorld, at: string) {
+  const calls = this.stages.calls.filter(({ dataCentre }) => dataCentre === at);
+  const sent = calls.flatMap(({ pieces }) => pieces);
+  assert.ok(sent.some(({ owner }) => owner.submission.attemptId === "bulky"));
+});
--- a/src/forward/spare-upstreams.ts
+++ b/src/forward/spare-upstreams.ts
@@ -21,7 +21,8 @@
   readonly spare: readonly UpstreamEntry[];
   readonly usual: readonly UpstreamEntry[];
 } {
-  const typical = standings.typicalRatio(entries);
+  // Calls of small pieces are faster than stated, which makes no other upstream slow.
+  const typical = Math.max(1, standings.typicalRatio(entries));
   const callOfOthers = (entries.length - 1) * mostPieces;
   const isSpare = ({ id }: UpstreamEntry): boolean => {
     const standing = standings.of(id);
--- a/src/forward/stage-admission.ts
+++ b/src/forward/stage-admission.ts
@@ -3,6 +3,8 @@
 
 /** Time from the dispatch to an engine until the first event of an average prompt. */
 const ENGINE_MS = 300;
+/** Part of the slack that waits may take; the rest covers arrivals that are not known yet. */
+const SLACK_PART = 0.75;
 /** Wait that is always allowed: about one call. Shorter queues drain before a caller returns. */
 const LEAST_ALLOWED_MS = 500;
 /** Shortest time that a caller is told to stay away. */
@@ -40,7 +42,7 @@
   const paths = input.stages.map((_, at) => pathTo(input, at));
   const longest = paths.reduce((a, b) => (total(b) > total(a) ? b : a), { waitMs: 0, workMs: 0 });
   const slackMs = input.targetLeftMs - longest.workMs - ENGINE_MS;
-  const allowedMs = Math.max(LEAST_ALLOWED_MS, slackMs);
+  const allowedMs = Math.max(LEAST_ALLOWED_MS, SLACK_PART * slackMs);
   if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs, allowedMs };
   const excessMs = longest.waitMs - allowedMs + LEAST_ALLOWED_MS;
   // A caller that comes back after the target has passed can only be served late.
