Do not promise that a request has not run after it was sent

Ruled out: a resend (it reached one upstream only). Change: once a request was sent, an attempt that is ended by the time limit may have run.

--- a/features/front-path.feature
+++ b/features/front-path.feature
@@ -41,6 +41,12 @@
     Then the caller gets status 502
     And one request ran
 
+  Scenario: A request that may run once and whose time limit passes at the upstream may have run
+    Given all upstreams are "mute"
+    When a caller asks for "/once/1" with a deadline of 700 ms
+    Then the caller gets status 504
+    And one request ran
+
   Scenario: A request that may be repeated is tried elsewhere
     Given one upstream is "loses-answers"
     When 6 callers ask for "/plain/1"
--- a/features/steps/front-path.ts
+++ b/features/steps/front-path.ts
@@ -97,6 +97,13 @@
   this.reply = await hostOf(this).ask(path, { "nutmegstage-attempt-id": "request-1" });
 });
 
+When(
+  "a caller asks for {string} with a deadline of {int} ms",
+  async function (this: FrontWorld, path: string, ms: number) {
+    this.reply = await hostOf(this).ask(path, { "nutmegstage-deadline-ms": String(ms) });
+  },
+);
+
 When(
   "a caller asks the second daemon for {string}",
   async function (this: FrontWorld, path: string) {
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -113,6 +113,7 @@
     const standing = standings.of(entry.id);
     this.tried.add(entry.id);
     const started = timers.now();
+    let sent = false;
     standing.inFlight += 1;
     try {
       const streamed = route.repeatability === Repeatability.Stream;
@@ -135,6 +136,7 @@
           streamed,
           quietMs: this.quietMs(),
           sent: () => {
+            sent = true;
             this.expectRead(entry);
           },
           answering: () => {
@@ -156,6 +158,10 @@
       });
       if (end.kind === "relayed") this.noteSuccess(entry, timers.now() - started);
       return end;
+    } catch (error) {
+      // The time limit passed, or the caller left, while the upstream had the request.
+      if (sent) this.ran += 1;
+      throw this.mayHaveRun ? ServeError.from(error, ErrorKind.Internal).afterDispatch() : error;
     } finally {
       standing.inFlight -= 1;
     }
