--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -113,7 +113,7 @@
     const standing = standings.of(entry.id);
     this.tried.add(entry.id);
     const started = timers.now();
-    let sent = false;
+    const sending = { sent: false };
     standing.inFlight += 1;
     try {
       const streamed = route.repeatability === Repeatability.Stream;
@@ -136,7 +136,7 @@
           streamed,
           quietMs: this.quietMs(),
           sent: () => {
-            sent = true;
+            sending.sent = true;
             this.expectRead(entry);
           },
           answering: () => {
@@ -160,7 +160,7 @@
       return end;
     } catch (error) {
       // The time limit passed, or the caller left, while the upstream had the request.
-      if (sent) this.ran += 1;
+      if (sending.sent) this.ran += 1;
       throw this.mayHaveRun ? ServeError.from(error, ErrorKind.Internal).afterDispatch() : error;
     } finally {
       standing.inFlight -= 1;
