Replay a flood beyond the scarcest stage on the manual clock

Cause: the admission of floods had no test that replays its load. Change: a burst of eight times the usual rate before two stages, without admission, by the queues alone and with the backlog of admitted work.

--- /dev/null
+++ b/features/support/flood-replay.ts
@@ -0,0 +1,127 @@
+import { FluidBacklog } from "../../src/forward/fluid-backlog.js";
+import type { ServiceDefinition } from "../../src/forward/service-definition.js";
+import { admitStages } from "../../src/forward/stage-admission.js";
+import { StageLoads } from "../../src/forward/stage-loads.js";
+import type { StageSubmission } from "../../src/forward/stage-submission.js";
+import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { StageBench } from "./stage-bench.js";
+
+const UPSTREAMS = 3;
+const FIRST = { mostPieces: 60, callMs: 400, pieceMs: 5 };
+const SECOND = { mostPieces: 20, callMs: 200, pieceMs: 8 };
+const SECOND_PIECES = 4;
+const RANK = 6;
+const TARGET_MS = 4_000;
+const LEFT_MS = 8_000;
+const KEPT_MS = 4_000;
+const STEP_MS = 10;
+const LENGTH_MS = 20_000;
+const BURST = { fromMs: 2_000, toMs: 8_000, factor: 8 };
+const USUAL_PER_S = 30;
+/** Requests a second that the second stage makes in full calls. */
+export const SECOND_PER_S =
+  (1_000 * UPSTREAMS * SECOND.mostPieces) /
+  (SECOND.callMs + SECOND.mostPieces * SECOND.pieceMs) /
+  SECOND_PIECES;
+
+const STAGES = [
+  { service: "first", after: [], resultBytes: 0 },
+  { service: "second", after: [0], resultBytes: 0 },
+];
+
+/** How requests are admitted. */
+export enum FloodPolicy {
+  /** All of them. */
+  None = "none",
+  /** By the waits that the stages tell. */
+  Queues = "queues",
+  /** By these waits and the admitted work that has not reached the second stage. */
+  Backlog = "backlog",
+}
+
+/** What became of the requests of a replay. */
+export interface FloodFigures {
+  readonly refused: number;
+  readonly inTarget: number;
+  readonly missed: number;
+  /** Requests done in time while the burst lasted. */
+  readonly inBurst: number;
+}
+
+/** Replays the flood on a manual clock. */
+export async function replayFlood(policy: FloodPolicy, burst: boolean): Promise<FloodFigures> {
+  const timers = ManualTimers.create();
+  const stages = [
+    StageBench.create(UPSTREAMS, FIRST, timers),
+    StageBench.create(UPSTREAMS, SECOND, timers),
+  ];
+  const [first, second] = stages as [StageBench, StageBench];
+  const backlog = FluidBacklog.create(timers, () => (SECOND_PER_S * SECOND_PIECES) / 1_000);
+  const loads = StageLoads.create({ timers, directory: UpstreamDirectory.create({ timers }) });
+  const begun = new Map<string, number>();
+  const firstDone = new Map<string, number>();
+  let [due, sequence, refused, inTarget, missed, inBurst] = [0, 0, 0, 0, 0, 0];
+  const submission = (id: string, stage: number): Partial<StageSubmission> => {
+    const passedMs = timers.now() - (begun.get(id) ?? timers.now());
+    return {
+      attemptId: id,
+      stage,
+      rank: RANK,
+      pieces: stage === 0 ? 1 : SECOND_PIECES,
+      targetLeftMs: TARGET_MS - passedMs,
+      leftMs: LEFT_MS - passedMs,
+    };
+  };
+  const arrive = (): void => {
+    const admission = admitStages({
+      stages: STAGES,
+      pieces: [1, SECOND_PIECES],
+      services: serviceDefinitions(),
+      waitMs: ({ service }) => loads.waitMs(service, "any", RANK, 0),
+      targetLeftMs: TARGET_MS,
+    });
+    const tooLate =
+      admission.kind === "refused" ||
+      (policy === FloodPolicy.Backlog && backlog.waitMs("second", RANK) > admission.allowedMs);
+    if (policy !== FloodPolicy.None && tooLate) {
+      refused += 1;
+      return;
+    }
+    sequence += 1;
+    const id = `f${sequence}`;
+    begun.set(id, timers.now());
+    backlog.add("second", RANK, SECOND_PIECES);
+    const ticket = first.submit(submission(id, 0));
+    if (ticket.waits !== undefined) loads.note("first", id, ticket.waits);
+  };
+  for (let ms = 0; ms < LENGTH_MS; ms += STEP_MS) {
+    const inFlood = burst && ms >= BURST.fromMs && ms < BURST.toMs;
+    due += (USUAL_PER_S * (inFlood ? BURST.factor : 1) * STEP_MS) / 1_000;
+    for (; due >= 1; due -= 1) arrive();
+    await timers.advance(STEP_MS);
+    for (const { submission: done } of first.reports.splice(0)) {
+      firstDone.set(done.attemptId, timers.now());
+      const ticket = second.submit(submission(done.attemptId, 1));
+      if (ticket.waits !== undefined) loads.note("second", done.attemptId, ticket.waits);
+      if (ticket.kind === "refused") missed += 1;
+    }
+    for (const { submission: done, outcome } of second.reports.splice(0)) {
+      const start = begun.get(done.attemptId) ?? 0;
+      const inputsKept = timers.now() - (firstDone.get(done.attemptId) ?? 0) < KEPT_MS;
+      const served = outcome.kind === "made" && inputsKept && timers.now() - start < TARGET_MS;
+      if (served) inTarget += 1;
+      else missed += 1;
+      if (served && ms >= BURST.fromMs && ms < BURST.toMs) inBurst += 1;
+    }
+  }
+  return { refused, inTarget, missed, inBurst };
+}
+
+function serviceDefinitions(): ReadonlyMap<string, ServiceDefinition> {
+  const stage = { callsAtOnce: 1, resultBytes: 1_000_000_000, keptMs: KEPT_MS };
+  return new Map([
+    ["first", { name: "first", stage: { ...stage, ...FIRST } }],
+    ["second", { name: "second", stage: { ...stage, ...SECOND } }],
+  ]);
+}
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -26,7 +26,6 @@
 
 /** A stage pool before scripted upstreams, on a manual clock. */
 export class StageBench {
-  readonly timers = ManualTimers.create();
   readonly calls: MadeCall[] = [];
   readonly reports: { submission: StageSubmission; outcome: StageOutcome }[] = [];
   readonly accepted: StageSubmission[] = [];
@@ -42,6 +41,7 @@
   private constructor(
     upstreams: number,
     private readonly shape: Pick<StageCapacity, "mostPieces" | "callMs" | "pieceMs">,
+    readonly timers: ManualTimers,
   ) {
     this.entries = DATA_CENTRES.slice(0, upstreams).map((dataCentre, at) => ({
       id: `u${at}`,
@@ -82,8 +82,9 @@
   static create(
     upstreams: number,
     shape: Pick<StageCapacity, "mostPieces" | "callMs" | "pieceMs">,
+    timers = ManualTimers.create(),
   ): StageBench {
-    return new StageBench(upstreams, shape);
+    return new StageBench(upstreams, shape, timers);
   }
 
   submit(changes: Partial<StageSubmission>): StageTicket {
