Give the log output as a parameter of its own

Ruled out: load; the message names the part. Change: the output is a second parameter, which only the platform's daemon passes.

--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -106,7 +106,7 @@
     log: asFunction((parts: FrontCradle) => {
       const log = { format: "json" as const, level: frontSettings.logLevel, decisions: true };
       const settings = { log, instance: frontSettings.instance };
-      return createLogger({ settings, output: parts.logOutput });
+      return createLogger({ settings }, parts.logOutput);
     }).singleton(),
     decisionLines: asFunction(DecisionLines.create).singleton(),
     pauses: asFunction(PauseDetection.create).singleton(),
--- a/src/decision/logger.ts
+++ b/src/decision/logger.ts
@@ -12,14 +12,17 @@
 /** Keys of a consola entry that are not fields of the line. */
 const ENTRY_KEYS: ReadonlySet<string> = new Set(["date", "type", "args", "level", "tag"]);
 
-/** The process's log: JSON lines on standard output, or readable lines for a terminal. */
-export function createLogger(parts: {
-  settings: Pick<Settings, "log"> & { instance: Pick<Settings["instance"], "id"> };
-  /** Where lines go; standard output, written at once, if undefined. */
-  output?: LogOutput;
-}): ConsolaInstance {
+/**
+ * The process's log: JSON lines on standard output, or readable lines for a terminal. Lines go to
+ * `output`, or are written at once without one.
+ */
+export function createLogger(
+  parts: {
+    settings: Pick<Settings, "log"> & { instance: Pick<Settings["instance"], "id"> };
+  },
+  output?: LogOutput,
+): ConsolaInstance {
   const { log, instance } = parts.settings;
-  const { output } = parts;
   const write = (text: string): void => {
     if (output === undefined) process.stdout.write(`${text}\n`);
     else output.line(text);
