Answer work whose deadline has passed with deadline-exceeded

Cause: an instance that is woken after the deadline of a claim may read the answer to the claim before its timers run. Admission then compared the negative time left with the service time and answered deadline-unreachable. Inferred from the code; the scenario that failed beside load was not seen to fail again. Ruled out: a refusal on arrival, since the estimates of a fresh fleet are far below 1000 ms. Change: refusals and the queue answer deadline-exceeded once no time is left. Before: the new scenario got deadline-unreachable. After: deadline-exceeded.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -25,6 +25,11 @@
     When work "late" of rank "urgent" of team "agdal" arrives with 10 ms left
     Then it is refused as "deadline-unreachable" with outcome "not-run"
 
+  # Guards against "deadline-unreachable" from an instance that was frozen until after the deadline.
+  Scenario: Work whose deadline has passed is refused as such
+    When work "late" of rank "urgent" of team "agdal" arrives with -10 ms left
+    Then it is refused as "deadline-exceeded" with outcome "not-run"
+
   Scenario: Waiting work is answered when its deadline passes
     Given 2 attempts of rank "urgent" of team "agdal" run
     When work "w" of rank "urgent" of team "agdal" waits
--- a/src/admission/refusal.ts
+++ b/src/admission/refusal.ts
@@ -22,6 +22,9 @@
   leftMs: number,
   stages: readonly Estimate[],
 ): ServeError | undefined {
+  // An instance that was frozen may read the answer to a claim before its timers run.
+  if (leftMs <= 0)
+    return ServeError.create(ErrorKind.DeadlineExceeded, `${work.stage}: no time left`);
   let finishMs = 0;
   let slackMs = 0;
   for (const { waitMs, serviceMs } of stages) {
--- a/src/admission/service-pool.ts
+++ b/src/admission/service-pool.ts
@@ -136,9 +136,10 @@
       tier,
       costMs,
       abandoned: false,
-      refuse: () => {
+      refuse: (leftMs) => {
+        const kind = leftMs <= 0 ? ErrorKind.DeadlineExceeded : ErrorKind.DeadlineUnreachable;
         const detail = `${work.stage}: the time left is shorter than the service time`;
-        leave(ServeError.create(ErrorKind.DeadlineUnreachable, detail));
+        leave(ServeError.create(kind, detail));
       },
       start: (routed) => {
         signal.removeEventListener("abort", abort);
@@ -158,8 +159,9 @@
       const item = this.queue.pop(now);
       if (item === undefined) return;
       const { work } = item;
-      if (work.deadline - now < LEAST_PART * this.cost.of(work.rank).expected(work.costMs)) {
-        item.refuse();
+      const leftMs = work.deadline - now;
+      if (leftMs < LEAST_PART * this.cost.of(work.rank).expected(work.costMs)) {
+        item.refuse(leftMs);
         continue;
       }
       const routed = this.parts.router.choose(item.work, item.costMs, this.ownPart());
--- a/src/admission/waiting-work.ts
+++ b/src/admission/waiting-work.ts
@@ -10,8 +10,8 @@
   readonly costMs: number;
   /** Set when the caller gave up or the deadline passed. */
   abandoned: boolean;
-  /** Answers the caller that the work can no longer be served in time. */
-  readonly refuse: () => void;
+  /** Answers the caller that the work cannot be served in the `leftMs` until its deadline. */
+  readonly refuse: (leftMs: number) => void;
   /** Hands the work to an upstream; called at most once. */
   readonly start: (routed: Routed) => void;
 }
