Answer stage work that cannot meet its deadline at once

Cause: submissions stayed in the queue of a stage until their deadline although more urgent arrivals had taken all calls before it, and their callers were held to the end. An owner counted the admitted work of its shard against the whole capacity of later services, twice what it gets with two shards. A refusal after an owner that did not answer said that nothing ran. Change: the queue gives up what the work ahead leaves no time for; it says whether a call was made, so that the refusal is true; each shard has its own backlog; a silent owner makes the outcome uncertain.

--- /dev/null
+++ b/features/stage-owners.feature
@@ -0,0 +1,19 @@
+Feature: Handing stages to the instances that fill calls
+  Each request's stages go to one owner of its service and shard.
+
+  # Guards against a refusal that says nothing ran after a silent owner may have run a stage.
+  Scenario: A refusal after another owner did not answer says that the request may have run
+    Given an owner that does not answer and no room on this instance
+    When a stage is handed over
+    Then it is refused with outcome "may-have-run"
+
+  Scenario: A refusal by the owner says that nothing ran
+    Given no other instance and no room on this instance
+    When a stage is handed over
+    Then it is refused with outcome "not-run"
+
+  # Guards against admission of twice the work that the later service can do.
+  Scenario: Each shard of the first service admits its part of the work of a later service
+    Given 16 upstreams of a first and 8 of a later service
+    When requests of one shard arrive until one is refused
+    Then about half as many were admitted as with 8 upstreams of the first service
--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -96,3 +96,18 @@
     When a request with bulky results for data centre "a" arrives
     And the stage clock advances by 10 ms
     Then its pieces were sent to data centre "a"
+
+  # Guards against requests that are held to their deadline in the queue although they cannot run.
+  Scenario: A submission that urgent arrivals push beyond its deadline is answered at once
+    When 2 requests of 4 pieces arrive
+    And a request of rank 3 with 1500 ms left and 300 ms to come waits
+    And 40 requests of 1 piece with rank 0 arrive
+    And the stage clock advances by 300 ms
+    Then the waiting request has failed as "late" without a call
+
+  Scenario: A submission with room before its deadline keeps its place
+    When 2 requests of 4 pieces arrive
+    And a request of rank 3 with 1500 ms left and 300 ms to come waits
+    And 8 requests of 1 piece with rank 0 arrive
+    And the stage clock advances by 1000 ms
+    Then all requests have their results
--- /dev/null
+++ b/features/steps/stage-owners.ts
@@ -0,0 +1,156 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { ConsolaInstance } from "consola";
+import { ErrorKind } from "../../src/error/error-kind.js";
+import { ServeError } from "../../src/error/serve-error.js";
+import { DecisionLines } from "../../src/forward/decision-lines.js";
+import { FleetBudget } from "../../src/forward/fleet-budget.js";
+import { RouteView } from "../../src/forward/route-view.js";
+import type { StageCaller } from "../../src/forward/stage-caller.js";
+import { StageDispatch } from "../../src/forward/stage-dispatch.js";
+import { StageLoads } from "../../src/forward/stage-loads.js";
+import { StagePools } from "../../src/forward/stage-pools.js";
+import { shardOf } from "../../src/forward/stage-shard.js";
+import type { StageSubmission } from "../../src/forward/stage-submission.js";
+import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
+import { UpstreamStandings } from "../../src/forward/upstream-standings.js";
+import { MemberState } from "../../src/peer/member-state.js";
+import type { Members } from "../../src/peer/members.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { configurationOf, entryOf } from "../support/forward-samples.js";
+import { MemoryPeers } from "../support/memory-peers.js";
+
+const CAPACITY = {
+  callsAtOnce: 1,
+  mostPieces: 10,
+  callMs: 200,
+  pieceMs: 20,
+  resultBytes: 1_000_000,
+  keptMs: 4_000,
+};
+const ALLOWED_MS = 1_000;
+/** Rounding to whole requests at two admissions. */
+const TOLERANCE = 2;
+
+interface OwnersWorld {
+  peers: string[];
+  error: unknown;
+  admitted: number;
+}
+
+function submissionOf(fields: Partial<StageSubmission>): StageSubmission {
+  return {
+    service: "first",
+    attemptId: "r",
+    stage: 0,
+    run: 0,
+    pieces: 1,
+    key: "key",
+    rank: 0,
+    targetLeftMs: 60_000,
+    leftMs: 60_000,
+    afterMs: 0,
+    later: [],
+    allowedMs: ALLOWED_MS,
+    resultBytes: 0,
+    movedBytes: 0,
+    ...fields,
+  };
+}
+
+function partsWith(counts: Readonly<Record<string, number>>, peers: readonly string[]) {
+  const timers = ManualTimers.create();
+  const directory = UpstreamDirectory.create({ timers });
+  const entries = Object.entries(counts).flatMap(([service, count]) =>
+    Array.from({ length: count }, (_, at) => entryOf({ id: `${service}-${at}`, service })),
+  );
+  directory.apply(
+    entries.map((entry) => [entry.id, entry]),
+    0,
+  );
+  const routeView = RouteView.create();
+  const service = { engine: undefined, stage: CAPACITY };
+  const services = new Map([
+    ["first", { name: "first", ...service }],
+    ["later", { name: "later", ...service }],
+  ]);
+  routeView.adopt(configurationOf({ services: services as never }));
+  const members = {
+    self: "self",
+    all: () => peers.map((id) => ({ id, state: MemberState.Alive })),
+  } as unknown as Members;
+  const memory = new MemoryPeers();
+  const log = { info: () => undefined, warn: () => undefined } as unknown as ConsolaInstance;
+  const budgetBounds = { ratio: 0.2, slack: 50, windowMs: 10_000 };
+  const parts = {
+    timers,
+    self: "self",
+    members,
+    peerCalls: memory,
+    peerMethods: memory.methodsOf("self"),
+    routeView,
+    directory,
+    standings: UpstreamStandings.create({ timers, directory }),
+    stageCaller: { call: () => new Promise(() => undefined) } as unknown as StageCaller,
+    fleetBudget: FleetBudget.create({ timers, budgetBounds, liveInstances: () => 1 }),
+    decisionLines: DecisionLines.create({ log, timers }),
+    stageLoads: StageLoads.create({ timers, directory }),
+  };
+  return { ...parts, stagePools: StagePools.create(parts) };
+}
+
+function admittedBy(firstUpstreams: number): number {
+  const parts = partsWith({ first: firstUpstreams, later: 8 }, []);
+  const shard = shardOf("r0", firstUpstreams);
+  let admitted = 0;
+  for (let at = 0; ; at += 1) {
+    const attemptId = `r${at}`;
+    if (shardOf(attemptId, firstUpstreams) !== shard) continue;
+    const later = [{ service: "later", pieces: 4 }];
+    const { kind } = parts.stagePools.submit(submissionOf({ attemptId, later }), "self");
+    if (kind === "refused") return admitted;
+    admitted += 1;
+  }
+}
+
+Given(
+  /^(an owner that does not answer|no other instance) and no room on this instance$/,
+  function (this: OwnersWorld, other: string) {
+    this.peers = other === "no other instance" ? [] : ["silent"];
+  },
+);
+
+Given("16 upstreams of a first and 8 of a later service", function (this: OwnersWorld) {
+  this.admitted = 0;
+});
+
+When("a stage is handed over", async function (this: OwnersWorld) {
+  const parts = partsWith({ first: 1 }, this.peers);
+  const dispatch = StageDispatch.create(parts);
+  // The key is one that the silent instance owns, where there is one.
+  for (let at = 0; at < 50 && this.error === undefined; at += 1) {
+    const submission = submissionOf({ attemptId: `r${at}`, leftMs: 100 });
+    try {
+      await dispatch.run(submission, new AbortController().signal);
+    } catch (error) {
+      this.error = error;
+    }
+  }
+});
+
+When("requests of one shard arrive until one is refused", function (this: OwnersWorld) {
+  this.admitted = admittedBy(16);
+});
+
+Then("it is refused with outcome {string}", function (this: OwnersWorld, outcome: string) {
+  const error = ServeError.from(this.error, ErrorKind.Internal);
+  assert.deepEqual([error.kind, error.outcome], [ErrorKind.Overloaded, outcome]);
+});
+
+Then(
+  "about half as many were admitted as with 8 upstreams of the first service",
+  function (this: OwnersWorld) {
+    const alone = admittedBy(8);
+    assert.ok(Math.abs(2 * this.admitted - alone) <= TOLERANCE, `${this.admitted} of ${alone}`);
+  },
+);
--- a/features/steps/stage-pool.ts
+++ b/features/steps/stage-pool.ts
@@ -69,6 +69,14 @@
   },
 );
 
+When(
+  "a request of rank {int} with {int} ms left and {int} ms to come waits",
+  function (this: PoolWorld, rank: number, leftMs: number, afterMs: number) {
+    this.ticket = this.stages.submit({ rank, leftMs, afterMs, attemptId: "waiting" });
+    assert.equal(this.ticket.kind, "accepted");
+  },
+);
+
 When("a request with {int} ms left arrives", function (this: PoolWorld, ms: number) {
   this.ticket = this.stages.submit({ leftMs: ms });
 });
@@ -139,6 +147,16 @@
   },
 );
 
+Then(
+  "the waiting request has failed as {string} without a call",
+  function (this: PoolWorld, reason: string) {
+    const report = this.stages.reports.find(({ submission }) => {
+      return submission.attemptId === "waiting";
+    });
+    assert.deepEqual(report?.outcome, { kind: "failed", reason, begun: false });
+  },
+);
+
 Then("its pieces were not sent", function (this: PoolWorld) {
   const sent = this.stages.calls.flatMap(({ pieces }) => pieces);
   assert.ok(sent.every(({ owner }) => owner.submission.attemptId !== "bulky"));
--- a/src/forward/queued-submission.ts
+++ b/src/forward/queued-submission.ts
@@ -13,6 +13,8 @@
   readonly makers: string[];
   /** Failed calls that a piece of the submission was part of. */
   failures: number;
+  /** Whether a piece was part of a call. */
+  begun: boolean;
   ended: boolean;
   /** How it ended; undefined while it waits and after it was cancelled. */
   outcome: StageOutcome | undefined;
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -1,4 +1,5 @@
 import { ErrorKind } from "../error/error-kind.js";
+import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
 import { rendezvousMember } from "../order/rendezvous.js";
 import { MemberState } from "../peer/member-state.js";
@@ -70,17 +71,20 @@
     const targetEnd = timers.now() + submission.targetLeftMs;
     const done = new Promise<StageOutcome>((resolve) => this.pending.set(key, resolve));
     let owner: string | undefined;
+    const doubt = { raised: false };
     try {
       while (timers.now() < end) {
         signal.throwIfAborted();
         const now = timers.now();
         const current = { ...submission, leftMs: end - now, targetLeftMs: targetEnd - now };
-        const accepted = await this.submit(current);
+        const accepted = await this.submit(current, doubt);
         ({ owner } = accepted);
         const patienceMs = OVERDUE_FACTOR * accepted.expectedMs + OVERDUE_SLACK_MS;
         const overdue = timers.sleep(Math.min(patienceMs, end - now), signal);
         const outcome = await Promise.race([done, overdue]);
+        if (outcome?.kind === "failed") return { ...outcome, begun: outcome.begun || doubt.raised };
         if (outcome !== undefined) return outcome;
+        doubt.raised = true;
       }
       throw ServeError.create(ErrorKind.DeadlineExceeded, "the stage was not done in time");
     } finally {
@@ -103,28 +107,33 @@
     if (resolve !== undefined) resolve(report.outcome);
   }
 
+  /** Raises the doubt if an instance that did not answer may have queued the submission. */
   private async submit(
     submission: StageSubmission,
+    doubt: { raised: boolean },
   ): Promise<{ owner: string; expectedMs: number }> {
     const { self, stagePools } = this.parts;
     const owners = this.owners(submission.service, submission.attemptId);
     for (const owner of owners.slice(0, MOST_REMOTE_TRIES)) {
       if (owner === self) break;
       const ticket = await this.submitTo(owner, submission);
-      if (ticket !== undefined) return this.accepted(owner, submission, ticket);
+      if (ticket !== undefined) return this.accepted(owner, submission, ticket, doubt);
+      doubt.raised = true;
     }
-    return this.accepted(self, submission, stagePools.submit(submission, self));
+    return this.accepted(self, submission, stagePools.submit(submission, self), doubt);
   }
 
   private accepted(
     owner: string,
     { service, attemptId }: StageSubmission,
     ticket: StageTicket,
+    doubt: { readonly raised: boolean },
   ): { owner: string; expectedMs: number } {
     if (ticket.waits !== undefined) this.parts.stageLoads.note(service, attemptId, ticket.waits);
     if (ticket.kind === "accepted") return { owner, expectedMs: ticket.expectedMs };
     throw ServeError.create(ErrorKind.Overloaded, "a stage has no room before the deadline", {
       retryAfterMs: ticket.retryAfterMs,
+      outcome: doubt.raised ? Outcome.MayHaveRun : Outcome.NotRun,
     });
   }
 
--- a/src/forward/stage-forecast.ts
+++ b/src/forward/stage-forecast.ts
@@ -1,6 +1,7 @@
 import { DecayedSum } from "../admission/decayed-sum.js";
 import type { Timers } from "../time/timers.js";
 import type { StageCapacity } from "./service-definition.js";
+import { fullCallMs, piecesPerMs } from "./stage-pace.js";
 import { type StageWaits, WAIT_RANKS } from "./stage-wait.js";
 
 /** Window of the rate of arrivals; a few calls long, and short against a burst of seconds. */
@@ -46,17 +47,17 @@
 
   waits(input: ForecastInput): StageWaits {
     const { capacity, upstreams, ratio } = input;
-    const fullMs = ratio * (capacity.callMs + capacity.mostPieces * capacity.pieceMs);
-    const piecesPerMs = (upstreams * capacity.mostPieces) / fullMs;
+    const fullMs = ratio * fullCallMs(capacity);
+    const rate = piecesPerMs(capacity, upstreams) / ratio;
     const bytesPerMs = (upstreams * capacity.resultBytes) / (fullMs + HELD_MS);
     const busyMs = input.allBusy ? fullMs / (upstreams + 1) : 0;
     const small: number[] = [];
     const bulky: number[] = [];
     let urgentPerMs = 0;
     for (let rank = 0; rank < WAIT_RANKS; rank += 1) {
-      const share = Math.max(LEAST_SHARE, 1 - urgentPerMs / piecesPerMs);
+      const share = Math.max(LEAST_SHARE, 1 - urgentPerMs / rate);
       const { pieces, bytes } = input.ahead(rank);
-      const smallMs = busyMs + pieces / (piecesPerMs * share);
+      const smallMs = busyMs + pieces / (rate * share);
       small.push(Math.round(smallMs));
       bulky.push(Math.round(Math.max(smallMs, busyMs + bytes / (bytesPerMs * share))));
       urgentPerMs += this.arrivals[rank]?.rate(this.timers.now()) ?? 0;
--- a/src/forward/stage-outcome.ts
+++ b/src/forward/stage-outcome.ts
@@ -11,7 +11,12 @@
     /** Data centre that keeps most of them. */
     dataCentre: z.string().optional(),
   }),
-  z.object({ kind: z.literal("failed"), reason: z.enum(PieceFailure) }),
+  z.object({
+    kind: z.literal("failed"),
+    reason: z.enum(PieceFailure),
+    /** Whether a piece was part of a call; if not, nothing of the stage ran. */
+    begun: z.boolean(),
+  }),
 ]);
 
 /** How a submission ended. */
--- /dev/null
+++ b/src/forward/stage-pace.ts
@@ -0,0 +1,16 @@
+import type { StageCapacity } from "./service-definition.js";
+
+/** Time of a call with `pieces` pieces, or a full one, as the capacity states it, in ms. */
+export function callMsOf({ callMs, mostPieces, pieceMs }: StageCapacity, pieces: number): number {
+  return callMs + Math.min(mostPieces, pieces) * pieceMs;
+}
+
+/** Time of a full call as the capacity states it, in ms. */
+export function fullCallMs(capacity: StageCapacity): number {
+  return callMsOf(capacity, capacity.mostPieces);
+}
+
+/** Pieces that `upstreams` upstreams make in a millisecond with full calls. */
+export function piecesPerMs(capacity: StageCapacity, upstreams: number): number {
+  return (upstreams * capacity.mostPieces) / fullCallMs(capacity);
+}
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -1,4 +1,5 @@
 import { ErrorKind } from "../error/error-kind.js";
+import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import { PieceFailure } from "./piece-result.js";
@@ -158,10 +159,13 @@
     const signal = AbortSignal.any([this.task.signal, this.stop.signal]);
     this.submissions += 1;
     try {
-      return await this.parts.stageDispatch.run(submission, signal);
+      const outcome = await this.parts.stageDispatch.run(submission, signal);
+      if (outcome.kind === "failed" && !outcome.begun) this.submissions -= 1;
+      return outcome;
     } catch (error) {
-      // A refused submission was not queued.
-      if (error instanceof ServeError && error.kind === ErrorKind.Overloaded) this.submissions -= 1;
+      // A refused submission was not queued, unless an instance before did not answer.
+      const refused = error instanceof ServeError && error.kind === ErrorKind.Overloaded;
+      if (refused && error.outcome === Outcome.NotRun) this.submissions -= 1;
       throw error;
     }
   }
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -8,6 +8,7 @@
 import { StageForecast } from "./stage-forecast.js";
 import type { StageOutcome, StageTicket } from "./stage-outcome.js";
 import { type CallRoom, StageQueue } from "./stage-queue.js";
+import { callMsOf, piecesPerMs } from "./stage-pace.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
 import { type StageWaits, waitOf } from "./stage-wait.js";
 import { splitSpare } from "./spare-upstreams.js";
@@ -70,9 +71,9 @@
     }
     const key = submissionKey(submission);
     const waits = this.waits(capacity);
-    const ownMs =
-      capacity.callMs + Math.min(capacity.mostPieces, submission.pieces) * capacity.pieceMs;
-    const expectedMs = waitOf(waits, submission.rank, submission.resultBytes) + ownMs;
+    const { rank, resultBytes, pieces } = submission;
+    const ownMs = callMsOf(capacity, pieces);
+    const expectedMs = waitOf(waits, rank, resultBytes) + ownMs;
     const known = this.book.find(key);
     if (known !== undefined) {
       // The submitter did not get the results.
@@ -82,7 +83,7 @@
     if (expectedMs + submission.afterMs > submission.leftMs) {
       return { kind: "refused", retryAfterMs: expectedMs, waits };
     }
-    this.forecast.arrived(submission.rank, submission.pieces);
+    this.forecast.arrived(rank, pieces);
     const queued = this.book.open(submission);
     this.queue.add(queued.handles.map((_, piece) => ({ owner: queued, piece })));
     this.fill();
@@ -103,46 +104,44 @@
   }
 
   private waits(capacity: StageCapacity): StageWaits {
-    const reachable = this.reachable();
+    const { standings } = this.parts;
+    const reachable = standings.reachable(this.parts.upstreams());
     return this.forecast.waits({
       capacity,
       upstreams: Math.max(1, reachable.length),
-      ratio: this.parts.standings.typicalRatio(reachable),
+      ratio: standings.typicalRatio(reachable),
       allBusy: this.running.busy >= reachable.length,
       ahead: (rank) => this.queue.ahead(rank),
     });
   }
 
-  private reachable(): UpstreamEntry[] {
-    return this.parts.upstreams().filter(({ id }) => !this.parts.standings.of(id).avoided);
-  }
-
   /** Starts a call at each idle upstream for which pieces wait. */
   private fill(): void {
-    const { timers } = this.parts;
+    const { timers, standings } = this.parts;
     const capacity = this.parts.capacity();
     if (capacity === undefined) return;
-    for (const late of this.queue.expire(timers.now())) this.book.fail(late, PieceFailure.Late);
+    const reachable = standings.reachable(this.parts.upstreams());
+    const late = this.queue.expire(timers.now(), {
+      callMs: capacity.callMs,
+      piecesPerMs:
+        piecesPerMs(capacity, reachable.length) / Math.max(1, standings.typicalRatio(reachable)),
+    });
+    for (const owner of late) this.book.fail(owner, PieceFailure.Late);
     if (this.queue.size === 0) return;
-    const reachable = this.reachable();
     const { spare, usual } = splitSpare({
       entries: reachable,
-      standings: this.parts.standings,
+      standings,
       mostPieces: capacity.mostPieces,
       waiting: this.queue.size,
     });
     const dataCentres = new Set(usual.map(({ dataCentre }) => dataCentre));
     for (const entry of usual) {
-      this.fillCall(entry, capacity, {
-        mostPieces: capacity.mostPieces,
-        probe: false,
-        dataCentres,
-      });
+      const { mostPieces } = capacity;
+      this.fillCall(entry, capacity, { mostPieces, probe: false, dataCentres });
     }
     for (const entry of spare) {
       // A few waiting pieces are done sooner by the next upstream that becomes free.
-      if (this.queue.size <= capacity.mostPieces || !this.parts.standings.of(entry.id).claimProbe())
-        continue;
+      if (this.queue.size <= capacity.mostPieces || !standings.of(entry.id).claimProbe()) continue;
       this.fillCall(entry, capacity, { mostPieces: PROBE_PIECES, probe: true, dataCentres });
     }
     if (this.queue.size > 0) this.wakeLater();
@@ -154,10 +153,10 @@
     room: Omit<CallRoom, "dataCentre" | "resultBytes">,
   ): void {
     if (this.queue.size === 0 || !this.running.isFree(entry.id)) return;
-    const { dataCentre } = entry;
     const resultBytes = this.rooms.of(entry.id).free(capacity.resultBytes);
-    const now = this.parts.timers.now();
-    const pieces = this.queue.take({ ...room, dataCentre, resultBytes }, now);
+    const callRoom = { ...room, dataCentre: entry.dataCentre, resultBytes };
+    const pieces = this.queue.take(callRoom, this.parts.timers.now());
+    for (const { owner } of pieces) owner.begun = true;
     if (pieces.length > 0) void this.call(entry, pieces, capacity);
   }
 
@@ -179,7 +178,7 @@
   ): Promise<void> {
     const { timers, stageCaller } = this.parts;
     const ratio = this.parts.standings.of(entry.id).ratio ?? 1;
-    const expectedMs = ratio * (capacity.callMs + pieces.length * capacity.pieceMs);
+    const expectedMs = ratio * callMsOf(capacity, pieces.length);
     const endRunning = this.running.begin(entry.id, expectedMs, () => {
       this.fill();
     });
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -10,7 +10,8 @@
 import type { StageCaller } from "./stage-caller.js";
 import { type StageOutcome, type StageTicket, stageOutcomeSchema } from "./stage-outcome.js";
 import { StagePool } from "./stage-pool.js";
-import { shardOf, shardUpstreams } from "./stage-shard.js";
+import { piecesPerMs } from "./stage-pace.js";
+import { shardOf, shardUpstreams, shardsOf } from "./stage-shard.js";
 import {
   type StageSubmission,
   type SubmissionIdentity,
@@ -57,12 +58,11 @@
   private readonly pools = new Map<string, StagePool>();
   /** Submitting instance by submission. */
   private readonly submitters = new Map<string, string>();
-  private readonly backlog: FluidBacklog;
+  /** Admitted work by the shard of its first stage; each shard gets its part of later services. */
+  private readonly backlogs = new Map<string, FluidBacklog>();
   private local: (report: StageReport) => void = () => undefined;
 
-  private constructor(private readonly parts: Parts) {
-    this.backlog = FluidBacklog.create(parts.timers, (service) => this.piecesPerMs(service));
-  }
+  private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): StagePools {
     const pools = new StagePools(parts);
@@ -115,25 +115,36 @@
   /** Refuses a request for which the later stages have no room; they do not know of it yet. */
   private admitted(submission: StageSubmission): StageTicket {
     const { rank, later, allowedMs, pieces } = submission;
-    const laterMs = later.map(({ service }) => this.backlog.waitMs(service, rank));
+    const backlog = this.backlogOf(submission);
+    const laterMs = later.map(({ service }) => backlog.waitMs(service, rank));
     const waitMs = Math.max(0, ...laterMs);
     if (waitMs > allowedMs) return { kind: "refused", retryAfterMs: waitMs - allowedMs };
     const ticket = this.pool(submission).submit(submission);
     if (ticket.kind === "accepted") {
-      for (const each of later) this.backlog.add(each.service, rank, each.pieces);
-      if (later.length > 0) this.backlog.add(submission.service, rank, pieces);
+      for (const each of later) backlog.add(each.service, rank, each.pieces);
+      if (later.length > 0) backlog.add(submission.service, rank, pieces);
     }
     return ticket;
   }
 
+  private backlogOf({ service, attemptId }: StageSubmission): FluidBacklog {
+    const upstreams = this.parts.directory.serving(service).length;
+    const shards = shardsOf(upstreams);
+    const key = `${service}/${shardOf(attemptId, upstreams)}/${shards}`;
+    let backlog = this.backlogs.get(key);
+    if (backlog === undefined) {
+      backlog = FluidBacklog.create(this.parts.timers, (later) => this.piecesPerMs(later) / shards);
+      this.backlogs.set(key, backlog);
+    }
+    return backlog;
+  }
+
   /** Pieces that the upstreams of a service make in a millisecond, over all requests. */
   private piecesPerMs(service: string): number {
     const { directory, routeView } = this.parts;
     const capacity = routeView.configuration?.services.get(service)?.stage;
     if (capacity === undefined) return 0;
-    const { callMs, pieceMs, mostPieces } = capacity;
-    const upstreams = directory.serving(service).length;
-    return (FILLED_PART * upstreams * mostPieces) / (callMs + mostPieces * pieceMs);
+    return FILLED_PART * piecesPerMs(capacity, directory.serving(service).length);
   }
 
   cancel(submission: SubmissionIdentity & Pick<StageSubmission, "service">): void {
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -19,6 +19,13 @@
   readonly dataCentres: ReadonlySet<string>;
 }
 
+/** How fast the upstreams of a queue work. */
+export interface QueuePace {
+  /** Least time of a call in ms. */
+  readonly callMs: number;
+  readonly piecesPerMs: number;
+}
+
 /**
  * The pieces of all instances that wait for one service. Fills each call by rank, then deadline.
  * Answers the load pattern of many small requests for upstreams whose calls cost the same whether
@@ -55,12 +62,23 @@
     return { pieces, bytes };
   }
 
-  /** Drops the pieces of ended submissions and returns submissions whose deadline has passed. */
-  expire(now: number): QueuedSubmission[] {
+  /**
+   * Drops the pieces of ended submissions, and of those whose deadline cannot be met any more
+   * behind the work ahead of them; returns the latter. Answers the load pattern of urgent arrivals
+   * that push admitted work back until it could only be late.
+   */
+  expire(now: number, { callMs, piecesPerMs }: QueuePace): QueuedSubmission[] {
     const late = new Set<QueuedSubmission>();
-    this.waiting = this.waiting.filter(({ owner }) => {
-      if (owner.ended) return false;
-      if (owner.deadlineMs > now) return true;
+    const live = this.waiting.filter(({ owner }) => !owner.ended);
+    live.sort((a, b) => byUrgency(a.owner, b.owner));
+    let ahead = 0;
+    this.waiting = live.filter(({ owner }) => {
+      if (late.has(owner)) return false;
+      const leftMs = owner.deadlineMs - now - owner.submission.afterMs;
+      if (ahead / piecesPerMs + callMs <= leftMs) {
+        ahead += 1;
+        return true;
+      }
       late.add(owner);
       return false;
     });
@@ -117,6 +135,10 @@
   return Math.max(0, Math.min(MOST_PATIENCE_MS, PATIENCE_PART * (targetMs - enqueuedMs)));
 }
 
+function byUrgency(a: QueuedSubmission, b: QueuedSubmission): number {
+  return a.submission.rank - b.submission.rank || a.deadlineMs - b.deadlineMs;
+}
+
 function before(a: QueuedSubmission, b: QueuedSubmission, room: CallRoom): number {
   if (a.submission.rank !== b.submission.rank) return a.submission.rank - b.submission.rank;
   const remote = Number(isRemote(a, room)) - Number(isRemote(b, room));
--- a/src/forward/stage-shard.ts
+++ b/src/forward/stage-shard.ts
@@ -6,15 +6,16 @@
 
 /** Shard of a service with `upstreams` upstreams that serves a request. */
 export function shardOf(attemptId: string, upstreams: number): number {
-  return hashes.h32(attemptId) % shards(upstreams);
+  return hashes.h32(attemptId) % shardsOf(upstreams);
 }
 
 /** The upstreams of one shard, from all upstreams of the service ordered by id. */
 export function shardUpstreams<Item>(all: readonly Item[], shard: number): Item[] {
-  const count = shards(all.length);
+  const count = shardsOf(all.length);
   return all.filter((_, at) => at % count === shard % count);
 }
 
-function shards(upstreams: number): number {
+/** Shards that a service with `upstreams` upstreams is divided into. */
+export function shardsOf(upstreams: number): number {
   return Math.max(1, Math.ceil(upstreams / UPSTREAMS_PER_SHARD));
 }
--- a/src/forward/submission-book.ts
+++ b/src/forward/submission-book.ts
@@ -40,6 +40,7 @@
       handles: Array.from({ length: submission.pieces }),
       makers: [],
       failures: 0,
+      begun: false,
       ended: false,
       outcome: undefined,
     };
@@ -71,7 +72,7 @@
   fail(owner: QueuedSubmission, reason: PieceFailure): void {
     if (owner.ended) return;
     this.receivers.unused(made(owner));
-    this.end(owner, { kind: "failed", reason });
+    this.end(owner, { kind: "failed", reason, begun: owner.begun });
   }
 
   private end(owner: QueuedSubmission, outcome: StageOutcome): void {
--- a/src/forward/upstream-standings.ts
+++ b/src/forward/upstream-standings.ts
@@ -29,6 +29,11 @@
     return standing;
   }
 
+  /** The upstreams that could be reached lately. */
+  reachable(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
+    return entries.filter(({ id }) => !this.of(id).avoided);
+  }
+
   /** The lower median of the ratios; an upstream without fresh results counts as expected. */
   typicalRatio(entries: readonly UpstreamEntry[]): number {
     const ratios = entries.map(({ id }) => this.of(id).ratio ?? 1).sort((a, b) => a - b);
