Add a soak of daemons as processes under random disturbances

Change: soak/ runs daemons as processes before stand-ins of store and upstreams, with links between them that delay, reset, cut one way or go silent, and with signals in series, and checks the promises from what callers and upstreams saw.

--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -4,6 +4,7 @@
 import { RequestDialect } from "../../platform/request-dialect.js";
 import { StoreClient } from "../../platform/store-client.js";
 import { freePorts } from "../../standin/free-ports.js";
+import { platformConfiguration } from "../../standin/platform-configuration.js";
 import { PlatformStore } from "../../standin/platform-store.js";
 import { PlatformUpstream } from "../../standin/platform-upstream.js";
 import { StoreGate } from "./store-gate.js";
@@ -59,7 +60,7 @@
 
   configure(keys: readonly string[]): void {
     this.version += VERSION_STEP;
-    this.store.put("op", "config", configuration(this.version, keys));
+    this.store.put("op", "config", platformConfiguration(this.version, keys));
   }
 
   async startDaemon(): Promise<Running> {
@@ -130,46 +131,3 @@
     }
   }
 }
-
-function configuration(version: number, keys: readonly string[]): unknown {
-  const route = {
-    host: "a.example",
-    "timeout-ms": 6_000,
-    "target-latency-ms": 400,
-    priority: 1,
-    "max-attempts": 2,
-    anonymous: false,
-    service: "pool",
-  };
-  const stream = { ...route, kind: "streaming", service: "pool" };
-  return {
-    version,
-    routes: [
-      { ...route, name: "plain", prefix: "/plain/", kind: "idempotent" },
-      { ...route, name: "once", prefix: "/once/", kind: "non_idempotent", "max-attempts": 1 },
-      {
-        ...stream,
-        name: "staged",
-        prefix: "/stream/staged/",
-        stages: [{ service: "pool", after: [], bytes: 1_000 }],
-      },
-      { ...stream, name: "resumable", prefix: "/stream/resumable/", resumable: true },
-    ],
-    services: [
-      {
-        name: "pool",
-        pieces: {
-          slots: 1,
-          queue: 2,
-          batch: 4,
-          "call-ms": 20,
-          "item-ms": 1,
-          "headroom-mb": 10,
-          "handle-s": 4,
-        },
-      },
-    ],
-    tenants: [{ name: "team-1", "api-keys": keys, priority: 0 }],
-    limits: { "max-body-bytes": 1_000_000, "idle-timeout-ms": 10_000 },
-  };
-}
--- /dev/null
+++ b/soak/fault-link.ts
@@ -0,0 +1,98 @@
+import { once } from "node:events";
+import { type AddressInfo, type Server, type Socket, connect, createServer } from "node:net";
+import type { Timers } from "../src/time/timers.js";
+import { LinkState } from "./link-state.js";
+
+/** Above the time limit of a connection attempt to an upstream and below that of a request. */
+const DELAY_MS = 400;
+
+/** A TCP relay on loopback whose connections can be delayed, reset, cut one way or silenced. */
+export class FaultLink {
+  private current = LinkState.Open;
+  private readonly sockets = new Set<Socket>();
+
+  private constructor(
+    private readonly timers: Timers,
+    private readonly server: Server,
+    private readonly target: number,
+  ) {}
+
+  /** Relays connections to a port on 127.0.0.1. */
+  static async create(timers: Timers, target: number): Promise<FaultLink> {
+    const server = createServer({ noDelay: true, allowHalfOpen: true });
+    const link = new FaultLink(timers, server, target);
+    server.on("connection", (near) => {
+      link.join(near);
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return link;
+  }
+
+  /** Port on which the link accepts connections. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  get state(): LinkState {
+    return this.current;
+  }
+
+  /** Applies to present and new connections; `Resetting` ends the present ones. */
+  set state(state: LinkState) {
+    this.current = state;
+    if (state !== LinkState.Resetting) return;
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+    await once(this.server, "close");
+  }
+
+  private join(near: Socket): void {
+    if (this.current === LinkState.Resetting) {
+      near.resetAndDestroy();
+      return;
+    }
+    const far = connect({
+      host: "127.0.0.1",
+      port: this.target,
+      noDelay: true,
+      allowHalfOpen: true,
+    });
+    this.pass(near, far, LinkState.CutForward);
+    this.pass(far, near, LinkState.CutBack);
+  }
+
+  /** Passes bytes, the end and a reset of one side on to the other one. */
+  private pass(from: Socket, to: Socket, cut: LinkState): void {
+    this.sockets.add(from);
+    let order = Promise.resolve();
+    const later = (action: () => void): void => {
+      const { current } = this;
+      if (current === cut || current === LinkState.Silent) return;
+      const delayMs = current === LinkState.Delayed ? DELAY_MS : 0;
+      // Keeps the order of bytes when the delay changes between two of them.
+      order = Promise.all([order, delayMs > 0 ? this.timers.sleep(delayMs) : undefined]).then(
+        action,
+      );
+    };
+    from.on("data", (bytes) => {
+      later(() => void to.write(bytes));
+    });
+    from.on("end", () => {
+      later(() => void to.end());
+    });
+    from.on("error", () => {
+      later(() => void to.resetAndDestroy());
+    });
+    from.on("close", () => {
+      this.sockets.delete(from);
+      later(() => {
+        to.destroySoon();
+      });
+    });
+  }
+}
--- /dev/null
+++ b/soak/fault-plan.ts
@@ -0,0 +1,72 @@
+import type { RandomSource } from "../src/random/random-source.js";
+import { StoreMode } from "../standin/platform-store.js";
+import { UpstreamMode } from "../standin/platform-upstream.js";
+import { LinkState } from "./link-state.js";
+import { DaemonSignal, LinkSide, type PlannedFault, type SoakFault } from "./soak-fault.js";
+
+/** Mean time between two disturbances in ms; they last longer, so that they overlap. */
+const MEAN_GAP_MS = 400;
+const LEAST_MS = 300;
+const MEAN_MS = 1_500;
+const LONGEST_MS = 6_000;
+/** Share of disturbances that come again at once, on other targets. */
+const SERIES_SHARE = 0.25;
+const SERIES_GAP_MS = 400;
+
+const HARMED = Object.values(LinkState).filter((state) => state !== LinkState.Open);
+const UNWELL = Object.values(UpstreamMode).filter((mode) => mode !== UpstreamMode.Serving);
+const AWAY = [StoreMode.Busy, StoreMode.Silent];
+
+/** Sizes of the fleet that a plan is drawn for. */
+export interface PlanSize {
+  readonly daemons: number;
+  readonly upstreams: number;
+  /** Time from the first to the last disturbance. */
+  readonly lengthMs: number;
+}
+
+/** Draws disturbances that come in series and overlap. */
+export function drawPlan(random: RandomSource, size: PlanSize): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = random.exponential(MEAN_GAP_MS);
+  while (atMs < size.lengthMs) {
+    const forMs = Math.min(LONGEST_MS, LEAST_MS + random.exponential(MEAN_MS));
+    const fault = drawFault(random, size);
+    plan.push({ atMs, forMs, fault });
+    if (random.fraction() < SERIES_SHARE && "target" in fault) {
+      const target = (fault.target + 1) % (ofUpstream(fault) ? size.upstreams : size.daemons);
+      plan.push({ atMs: atMs + SERIES_GAP_MS, forMs, fault: { ...fault, target } });
+    }
+    atMs += random.exponential(MEAN_GAP_MS);
+  }
+  return plan.sort((a, b) => a.atMs - b.atMs);
+}
+
+function ofUpstream(fault: SoakFault): boolean {
+  if (fault.kind === "link") return fault.side === LinkSide.Upstream;
+  return fault.kind === "upstream" || fault.kind === "leaving";
+}
+
+function drawFault(random: RandomSource, size: PlanSize): SoakFault {
+  const pick = <Item>(items: readonly Item[]): Item => {
+    const item = items[random.below(items.length)];
+    if (item === undefined) throw new Error("nothing to pick from");
+    return item;
+  };
+  const daemon = random.below(size.daemons);
+  const upstream = random.below(size.upstreams);
+  const draws: (() => SoakFault)[] = [
+    () => ({ kind: "signal", signal: pick(Object.values(DaemonSignal)), target: daemon }),
+    () => {
+      const side = pick(Object.values(LinkSide));
+      const target = side === LinkSide.Upstream ? upstream : daemon;
+      return { kind: "link", side, state: pick(HARMED), target };
+    },
+    () => ({ kind: "store", mode: pick(AWAY) }),
+    () => ({ kind: "history" }),
+    () => ({ kind: "upstream", mode: pick(UNWELL), target: upstream }),
+    () => ({ kind: "leaving", target: upstream }),
+    () => ({ kind: "key" }),
+  ];
+  return pick(draws)();
+}
--- /dev/null
+++ b/soak/soak-daemon.ts
@@ -0,0 +1,84 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import type { Timers } from "../src/time/timers.js";
+
+const PROGRAM = "dist/platform/main.js";
+
+/** A daemon as a process of its own, started again under the same addresses. */
+export class SoakDaemon {
+  private child: ChildProcess | undefined;
+  private readonly ends: string[] = [];
+  private ending = false;
+  private startedMs = 0;
+
+  private constructor(
+    private readonly timers: Timers,
+    private readonly settingsFile: string,
+    private readonly logFile: string,
+  ) {}
+
+  /** Starts the daemon; its log is written to the directory. */
+  static async create(
+    timers: Timers,
+    directory: string,
+    name: string,
+    settings: unknown,
+  ): Promise<SoakDaemon> {
+    const settingsFile = join(directory, `${name}.json`);
+    await writeFile(settingsFile, JSON.stringify(settings));
+    const daemon = new SoakDaemon(timers, settingsFile, join(directory, `${name}.log`));
+    daemon.start();
+    return daemon;
+  }
+
+  /** How processes of the daemon ended that nobody asked to end. */
+  get ownEnds(): readonly string[] {
+    return this.ends;
+  }
+
+  get running(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Time since the last start in ms. */
+  get upMs(): number {
+    return this.timers.now() - this.startedMs;
+  }
+
+  start(): void {
+    this.ending = false;
+    this.startedMs = this.timers.now();
+    const child = spawn(process.execPath, [PROGRAM, "--settings", this.settingsFile], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    const log = createWriteStream(this.logFile, { flags: "a" });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    child.once("exit", (code, signal) => {
+      if (!this.ending) this.ends.push(`exit code ${String(code)}, signal ${String(signal)}`);
+      this.child = undefined;
+      log.end();
+    });
+    this.child = child;
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.child?.kill(name);
+  }
+
+  /** Ends the process and resolves with its exit code, null if a signal ended it. */
+  async end(name: "SIGTERM" | "SIGKILL"): Promise<number | null> {
+    const { child } = this;
+    if (child === undefined) return null;
+    this.ending = true;
+    const exited = once(child, "exit") as Promise<[number | null]>;
+    child.kill(name);
+    // A frozen process acts on the signal only once it runs again.
+    child.kill("SIGCONT");
+    const [code] = await exited;
+    return code;
+  }
+}
--- /dev/null
+++ b/soak/soak-fault.ts
@@ -0,0 +1,44 @@
+import type { UpstreamMode } from "../standin/platform-upstream.js";
+import type { StoreMode } from "../standin/platform-store.js";
+import type { LinkState } from "./link-state.js";
+
+/** Parts of the fleet whose links can be harmed. */
+export enum LinkSide {
+  Callers = "callers",
+  Store = "store",
+  Upstream = "upstream",
+}
+
+/** Signals that a daemon gets from outside. */
+export enum DaemonSignal {
+  /** SIGKILL, then a start. */
+  Kill = "kill",
+  /** SIGTERM, then a start. */
+  Stop = "stop",
+  /** SIGSTOP, then SIGCONT. */
+  Freeze = "freeze",
+  /** SIGHUP. */
+  Reload = "reload",
+}
+
+/** One disturbance; `target` is the number of a daemon or an upstream. */
+export type SoakFault =
+  | { readonly kind: "signal"; readonly signal: DaemonSignal; readonly target: number }
+  | {
+      readonly kind: "link";
+      readonly side: LinkSide;
+      readonly state: LinkState;
+      readonly target: number;
+    }
+  | { readonly kind: "store"; readonly mode: StoreMode }
+  | { readonly kind: "history" }
+  | { readonly kind: "upstream"; readonly mode: UpstreamMode; readonly target: number }
+  | { readonly kind: "leaving"; readonly target: number }
+  | { readonly kind: "key" };
+
+/** A disturbance and its time from the start of the traffic, in ms. */
+export interface PlannedFault {
+  readonly atMs: number;
+  readonly forMs: number;
+  readonly fault: SoakFault;
+}
--- /dev/null
+++ b/soak/soak-request.ts
@@ -0,0 +1,30 @@
+/** What a request asks for; its path names the route. */
+export enum RequestKind {
+  Repeatable = "plain",
+  Once = "once",
+  Staged = "stream/staged",
+  Resumable = "stream/resumable",
+}
+
+/** A request of a caller and what the caller got. */
+export interface SoakRequest {
+  readonly id: string;
+  readonly kind: RequestKind;
+  /** Number of the daemon that got it. */
+  readonly daemon: number;
+  readonly key: string;
+  /** Times since the epoch in ms. */
+  readonly sentMs: number;
+  readonly endedMs: number;
+  /** 0 if the connection ended without a status. */
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the answer ended as complete. */
+  readonly whole: boolean;
+}
+
+/** Whether a request may run at most once. */
+export function runsOnce(kind: RequestKind): boolean {
+  return kind === RequestKind.Once || kind === RequestKind.Staged;
+}
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -22,6 +22,10 @@
 
 /** A request as an upstream got it. */
 export interface SeenRequest {
+  /** Time since the epoch in ms. */
+  readonly atMs: number;
+  /** Id that the upstream had. */
+  readonly upstream: string;
   readonly method: string;
   readonly url: string;
   readonly headers: IncomingMessage["headers"];
@@ -45,11 +49,16 @@
     private readonly server: Server,
   ) {}
 
-  static async create(id: string, port: number): Promise<PlatformUpstream> {
+  /** `address` is where others reach it; a link may stand before its port. */
+  static async create(
+    id: string,
+    port: number,
+    address = `127.0.0.1:${port}`,
+  ): Promise<PlatformUpstream> {
     const server = createServer((request, response) => {
       void upstream.answer(request, response);
     });
-    const upstream = new PlatformUpstream(id, `127.0.0.1:${port}`, server);
+    const upstream = new PlatformUpstream(id, address, server);
     await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
     return upstream;
   }
@@ -69,7 +78,7 @@
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks).toString();
     const { method = "", url = "", headers } = request;
-    const seen = { method, url, headers, body };
+    const seen = { atMs: Date.now(), upstream: this.id, method, url, headers, body };
     this.seen.push(seen);
     if (headers["nutmegstage-expect-replica"] !== this.id && url !== "/nutmegstage/stage-free") {
       response.writeHead(421, { "nutmegstage-replica-id": this.id }).end();
