Handle signals from the start of the process on

The modules of a program are all loaded before the first one runs, so the handlers came after them. Ruled out: an import that comes first, for the same reason. Change: the program registers handlers for signals and loads the rest then; early signals are handed on. Before: a process that got SIGHUP 200 ms after its start ended. After: it becomes ready, and with SIGTERM it ends with code 0 (features/front-program.feature).

--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -15,6 +15,14 @@
 const READY_MS = 5_000;
 const POLL_MS = 50;
 
+interface DaemonPorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly peers: number;
+  readonly metrics: number;
+  readonly store?: number;
+}
+
 /** A daemon of the platform and the ports of what it listens on. */
 interface Running {
   readonly daemon: FrontDaemon;
@@ -63,18 +71,17 @@
     this.store.put("op", "config", platformConfiguration(this.version, keys));
   }
 
-  async startDaemon(): Promise<Running> {
-    const [callers = 0, readiness = 0, peers = 0, metrics = 0, gatePort = 0] = await freePorts(5);
-    const gate = await StoreGate.create(gatePort, this.storePort);
+  /** Settings of a daemon before the stand-ins; the store has its own port unless one is given. */
+  settingsOf(id: string, ports: DaemonPorts): unknown {
     const at = (port: number): string => `127.0.0.1:${port}`;
-    const settings = frontSettingsSchema.parse({
-      instance: { id: `i${this.daemons.length}`, dataCentre: "a" },
-      callers: at(callers),
-      readiness: at(readiness),
-      peers: at(peers),
+    return {
+      instance: { id, dataCentre: "a" },
+      callers: at(ports.callers),
+      readiness: at(ports.readiness),
+      peers: at(ports.peers),
       peerSecret: "secret-of-the-tests",
-      metrics: at(metrics),
-      store: at(gatePort),
+      metrics: at(ports.metrics),
+      store: at(ports.store ?? this.storePort),
       seeds: "",
       bounds: {
         drainMs: 2_000,
@@ -84,7 +91,14 @@
         budgetSlack: 50,
       },
       logLevel: "error",
-    });
+    };
+  }
+
+  async startDaemon(): Promise<Running> {
+    const [callers = 0, readiness = 0, peers = 0, metrics = 0, gatePort = 0] = await freePorts(5);
+    const gate = await StoreGate.create(gatePort, this.storePort);
+    const ports = { callers, readiness, peers, metrics, store: gatePort };
+    const settings = frontSettingsSchema.parse(this.settingsOf(`i${this.daemons.length}`, ports));
     const daemon = FrontDaemon.create(settings, {
       dialect: RequestDialect.create(),
       rowDecoder: PlatformRowDecoder.create(),
--- a/src/daemon/early-signals.ts
+++ b/src/daemon/early-signals.ts
@@ -1,8 +1,8 @@
 type Handled = "SIGTERM" | "SIGINT" | "SIGHUP";
 
 /**
- * Signals from the moment this module is loaded, which has to be before all others: a signal without
- * a handler ends the process, and loading the program takes some hundred ms.
+ * The signals of a process from the moment of creation. A signal without a handler ends the process,
+ * so this is created before the rest of the program is loaded.
  */
 export class EarlySignals {
   private readonly early: Handled[] = [];
@@ -27,6 +27,3 @@
     for (const signal of this.early.splice(0)) handler(signal);
   }
 }
-
-/** The signals of this process. */
-export const earlySignals = EarlySignals.create();
