Keep stage work with owners that run the longest

Ruled out: results released too early; the handles were made 4.2 s before their use. Change: only the half of the instances that run the longest are owners; a submitter stays with the owner that accepted its pieces; an instance that is about to stop gives away what it has not begun.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -17,3 +17,19 @@
     Given 16 upstreams of a first and 8 of a later service
     When requests of one shard arrive until one is refused
     Then about half as many were admitted as with 8 upstreams of the first service
+
+  # Guards against two owners that fill calls for the same upstreams while instances are restarted.
+  Scenario: An instance that has just started does not become an owner
+    Given 8 instances of which "late" started last
+    Then "late" owns none of 100 services
+
+  Scenario: An owner that accepted a stage stays the owner while it can be reached
+    Given 8 instances of which "late" started last
+    Then an owner that accepted a stage before comes first, unless it did not answer
+
+  # Guards against work that waits at an instance that is about to stop.
+  Scenario: An instance that is about to stop gives its waiting work away
+    Given 2 upstreams of a service and an instance with 3 submissions that wait
+    When the instance is about to stop
+    Then the 3 submissions are reported as moved
+    And a further submission of another instance is declined
--- a/features/steps/stage-owners.ts
+++ b/features/steps/stage-owners.ts
@@ -9,7 +9,8 @@
 import type { StageCaller } from "../../src/forward/stage-caller.js";
 import { StageDispatch } from "../../src/forward/stage-dispatch.js";
 import { StageLoads } from "../../src/forward/stage-loads.js";
-import { StagePools } from "../../src/forward/stage-pools.js";
+import { StageOwners } from "../../src/forward/stage-owners.js";
+import { StagePools, type StageReport } from "../../src/forward/stage-pools.js";
 import { shardOf } from "../../src/forward/stage-shard.js";
 import type { StageSubmission } from "../../src/forward/stage-submission.js";
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
@@ -36,6 +37,9 @@
   peers: string[];
   error: unknown;
   admitted: number;
+  owners: StageOwners;
+  pools: StagePools;
+  reports: StageReport[];
 }
 
 function submissionOf(fields: Partial<StageSubmission>): StageSubmission {
@@ -77,7 +81,7 @@
   routeView.adopt(configurationOf({ services: services as never }));
   const members = {
     self: "self",
-    all: () => peers.map((id) => ({ id, state: MemberState.Alive })),
+    all: () => peers.map((id) => ({ id, incarnation: 1, state: MemberState.Alive })),
   } as unknown as Members;
   const memory = new MemoryPeers();
   const log = { info: () => undefined, warn: () => undefined } as unknown as ConsolaInstance;
@@ -96,7 +100,8 @@
     decisionLines: DecisionLines.create({ log, timers }),
     stageLoads: StageLoads.create({ timers, directory }),
   };
-  return { ...parts, stagePools: StagePools.create(parts) };
+  const stageOwners = StageOwners.create({ ...parts, incarnation: 1 });
+  return { ...parts, stageOwners, stagePools: StagePools.create({ ...parts, stageOwners }) };
 }
 
 function admittedBy(firstUpstreams: number): number {
@@ -154,3 +159,64 @@
     assert.ok(Math.abs(2 * this.admitted - alone) <= TOLERANCE, `${this.admitted} of ${alone}`);
   },
 );
+
+Given("8 instances of which {string} started last", function (this: OwnersWorld, late: string) {
+  const others = ["a", "b", "c", "d", "e", "f"].map((id) => ({ id, incarnation: 10 }));
+  const all = [...others, { id: late, incarnation: 20 }];
+  const members = {
+    self: "self",
+    all: () => all.map((each) => ({ ...each, state: MemberState.Alive })),
+  } as unknown as Members;
+  const timers = ManualTimers.create();
+  const directory = UpstreamDirectory.create({ timers });
+  this.owners = StageOwners.create({ timers, self: "self", incarnation: 10, members, directory });
+});
+
+Then("{string} owns none of {int} services", function (this: OwnersWorld, id: string, n: number) {
+  const services = Array.from({ length: n }, (_, at) => `service-${at}`);
+  const first = new Set(services.map((service) => this.owners.of(service, "r")[0]));
+  assert.ok(!first.has(id));
+  assert.ok(first.size > 1);
+});
+
+Then(
+  "an owner that accepted a stage before comes first, unless it did not answer",
+  function (this: OwnersWorld) {
+    const [usual] = this.owners.of("service", "r");
+    assert.equal(this.owners.of("service", "r", "late")[0], "late");
+    this.owners.distrust("late");
+    assert.equal(this.owners.of("service", "r", "late")[0], usual);
+  },
+);
+
+Given(
+  "2 upstreams of a service and an instance with 3 submissions that wait",
+  function (this: OwnersWorld) {
+    const parts = partsWith({ first: 2 }, ["other"]);
+    this.pools = parts.stagePools;
+    this.reports = [];
+    this.pools.reportTo((report) => this.reports.push(report));
+    // Two full calls are in progress; the others wait.
+    for (let at = 0; at < 5; at += 1) {
+      const pieces = at < 2 ? CAPACITY.mostPieces : 1;
+      this.pools.submit(submissionOf({ attemptId: `r${at}`, pieces }), "self");
+    }
+  },
+);
+
+When("the instance is about to stop", function (this: OwnersWorld) {
+  this.pools.handOver();
+});
+
+Then("the {int} submissions are reported as moved", function (this: OwnersWorld, count: number) {
+  const moved = this.reports.filter(({ outcome }) => outcome.kind === "moved");
+  assert.equal(moved.length, count);
+  assert.equal(this.reports.length, count);
+});
+
+Then("a further submission of another instance is declined", function (this: OwnersWorld) {
+  assert.throws(
+    () => this.pools.submit(submissionOf({ attemptId: "r9" }), "other"),
+    (error) => error instanceof ServeError && error.kind === ErrorKind.NotReady,
+  );
+});
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -20,6 +20,7 @@
 import { StageCaller } from "../forward/stage-caller.js";
 import { StageDispatch } from "../forward/stage-dispatch.js";
 import { StageLoads } from "../forward/stage-loads.js";
+import { StageOwners } from "../forward/stage-owners.js";
 import { StagePools } from "../forward/stage-pools.js";
 import { StatusServer } from "../forward/status-server.js";
 import { StoreInstanceList } from "../forward/store-instance-list.js";
@@ -73,6 +74,7 @@
   readonly stageCaller: StageCaller;
   readonly stageLoads: StageLoads;
   readonly routeDeadlines: RouteDeadlines;
+  readonly stageOwners: StageOwners;
   readonly stagePools: StagePools;
   readonly stageDispatch: StageDispatch;
   readonly storeView: StoreView;
@@ -135,6 +137,7 @@
     stageCaller: asFunction(StageCaller.create).singleton(),
     stageLoads: asFunction(StageLoads.create).singleton(),
     routeDeadlines: asFunction(() => RouteDeadlines.create()).singleton(),
+    stageOwners: asFunction(StageOwners.create).singleton(),
     stagePools: asFunction(StagePools.create).singleton(),
     stageDispatch: asFunction(StageDispatch.create).singleton(),
     storeView: asFunction(StoreView.create).singleton(),
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -73,6 +73,7 @@
     readiness.block(UnreadyReason.Draining);
     frontServer.startClosing();
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
+    stagePools.handOver();
     await timers.sleep(BALANCER_LAG_MS - LEAVE_MS);
     readiness.refuseRequests();
     while ((frontServer.inProgress > 0 || stagePools.inProgress > 0) && timers.now() < end) {
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -1,47 +1,42 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
-import { rendezvousMember } from "../order/rendezvous.js";
-import { MemberState } from "../peer/member-state.js";
-import type { Members } from "../peer/members.js";
 import type { PeerCalls } from "../peer/peer-calls.js";
 import { PeerMethod } from "../peer/peer-method.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { StageLoads } from "./stage-loads.js";
-import { type StageOutcome, type StageTicket, stageTicketSchema } from "./stage-outcome.js";
+import {
+  type StageEnd,
+  type StageOutcome,
+  type StageTicket,
+  stageTicketSchema,
+} from "./stage-outcome.js";
+import type { StageOwners } from "./stage-owners.js";
 import { type StagePools, type StageReport, stageReportSchema } from "./stage-pools.js";
-import { shardOf } from "./stage-shard.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
-import type { UpstreamDirectory } from "./upstream-directory.js";
 
 /** Time limit of a call to the instance that fills the calls; a few round trips in a region. */
 const SUBMIT_MS = 500;
 /** Results are asked for again when they are this much later than expected. */
 const OVERDUE_FACTOR = 1.5;
 const OVERDUE_SLACK_MS = 400;
-/** Time for which an instance that did not answer gets no submissions. */
-const DISTRUST_MS = 2_000;
-/** Other instances that are tried before this one fills the calls itself. */
-const MOST_REMOTE_TRIES = 2;
 
 interface Parts {
   readonly timers: Timers;
   readonly self: string;
-  readonly members: Members;
+  readonly stageOwners: StageOwners;
   readonly peerCalls: PeerCalls;
   readonly peerMethods: PeerMethods;
   readonly stagePools: StagePools;
   readonly stageLoads: StageLoads;
-  readonly directory: UpstreamDirectory;
   readonly decisionLines: DecisionLines;
 }
 
 /** Hands the stages of this instance's requests to the instances that fill the calls. */
 export class StageDispatch {
   private readonly pending = new Map<string, (outcome: StageOutcome) => void>();
-  private readonly distrustedUntil = new Map<string, number>();
 
   private constructor(private readonly parts: Parts) {}
 
@@ -64,12 +59,12 @@
    * Has the pieces of a stage made. Throws `Overloaded` if they cannot be made in time, and the
    * signal's reason when it aborts.
    */
-  async run(submission: StageSubmission, signal: AbortSignal): Promise<StageOutcome> {
+  async run(submission: StageSubmission, signal: AbortSignal): Promise<StageEnd> {
     const { timers } = this.parts;
     const key = submissionKey(submission);
     const end = timers.now() + submission.leftMs;
     const targetEnd = timers.now() + submission.targetLeftMs;
-    const done = new Promise<StageOutcome>((resolve) => this.pending.set(key, resolve));
+    let done = this.next(key);
     let owner: string | undefined;
     const doubt = { raised: false };
     try {
@@ -77,14 +72,23 @@
         signal.throwIfAborted();
         const now = timers.now();
         const current = { ...submission, leftMs: end - now, targetLeftMs: targetEnd - now };
-        const accepted = await this.submit(current, doubt);
+        const accepted = await this.submit(current, doubt, owner);
         ({ owner } = accepted);
         const patienceMs = OVERDUE_FACTOR * accepted.expectedMs + OVERDUE_SLACK_MS;
         const overdue = timers.sleep(Math.min(patienceMs, end - now), signal);
         const outcome = await Promise.race([done, overdue]);
-        if (outcome?.kind === "failed") return { ...outcome, begun: outcome.begun || doubt.raised };
-        if (outcome !== undefined) return outcome;
-        doubt.raised = true;
+        switch (outcome?.kind) {
+          case "made":
+            return outcome;
+          case "failed":
+            return { ...outcome, begun: outcome.begun || doubt.raised };
+          case "moved":
+            owner = undefined;
+            done = this.next(key);
+            break;
+          case undefined:
+            doubt.raised = true;
+        }
       }
       throw ServeError.create(ErrorKind.DeadlineExceeded, "the stage was not done in time");
     } finally {
@@ -96,12 +100,17 @@
   /** Frees the memory of results that are no longer needed. */
   release(service: string, attemptId: string, handles: readonly string[]): void {
     if (handles.length === 0) return;
-    const [owner] = this.owners(service, attemptId);
+    const [owner] = this.parts.stageOwners.of(service, attemptId);
     if (owner === undefined || owner === this.parts.self) {
       this.parts.stagePools.release(service, handles);
     } else void this.tell(owner, PeerMethod.StageRelease, { service, handles });
   }
 
+  /** The next report about a submission. */
+  private next(key: string): Promise<StageOutcome> {
+    return new Promise((resolve) => this.pending.set(key, resolve));
+  }
+
   private receive(report: StageReport): void {
     const resolve = this.pending.get(submissionKey(report));
     if (resolve !== undefined) resolve(report.outcome);
@@ -111,14 +120,14 @@
   private async submit(
     submission: StageSubmission,
     doubt: { raised: boolean },
+    previous: string | undefined,
   ): Promise<{ owner: string; expectedMs: number }> {
-    const { self, stagePools } = this.parts;
-    const owners = this.owners(submission.service, submission.attemptId);
-    for (const owner of owners.slice(0, MOST_REMOTE_TRIES)) {
+    const { self, stagePools, stageOwners } = this.parts;
+    const { service, attemptId } = submission;
+    for (const owner of stageOwners.of(service, attemptId, previous)) {
       if (owner === self) break;
-      const ticket = await this.submitTo(owner, submission);
+      const ticket = await this.submitTo(owner, submission, doubt);
       if (ticket !== undefined) return this.accepted(owner, submission, ticket, doubt);
-      doubt.raised = true;
     }
     return this.accepted(self, submission, stagePools.submit(submission, self), doubt);
   }
@@ -137,17 +146,20 @@
     });
   }
 
-  /** Undefined if the instance did not answer. */
+  /** Undefined if the instance did not answer, or takes no submissions. */
   private async submitTo(
     owner: string,
     submission: StageSubmission,
+    doubt: { raised: boolean },
   ): Promise<StageTicket | undefined> {
-    const { peerCalls, timers, decisionLines } = this.parts;
+    const { peerCalls, stageOwners, decisionLines } = this.parts;
     try {
       const result = await peerCalls.call(owner, PeerMethod.StageSubmit, submission, SUBMIT_MS);
       return stageTicketSchema.parse(result);
     } catch (error) {
-      this.distrustedUntil.set(owner, timers.now() + DISTRUST_MS);
+      stageOwners.distrust(owner);
+      const declined = error instanceof ServeError && error.kind === ErrorKind.NotReady;
+      if (!declined) doubt.raised = true;
       const { attemptId, stage } = submission;
       const fields = { attempt: attemptId, stage, owner, detail: String(error) };
       decisionLines.write("submission not accepted", fields);
@@ -155,28 +167,6 @@
     }
   }
 
-  /** Instances in the order in which they should fill the calls for a request. */
-  private owners(service: string, attemptId: string): string[] {
-    const { members, self, directory, timers } = this.parts;
-    const now = timers.now();
-    const live = members
-      .all()
-      .filter(({ id, state }) => {
-        return state === MemberState.Alive && (this.distrustedUntil.get(id) ?? 0) <= now;
-      })
-      .map(({ id }) => id);
-    let candidates = [...live, self];
-    const key = `${service}/${shardOf(attemptId, directory.serving(service).length)}`;
-    const ordered: string[] = [];
-    while (candidates.length > 0 && ordered.length < MOST_REMOTE_TRIES) {
-      const next = rendezvousMember(key, candidates);
-      if (next === undefined) break;
-      ordered.push(next);
-      candidates = candidates.filter((each) => each !== next);
-    }
-    return ordered;
-  }
-
   private async cancel(owner: string, submission: StageSubmission): Promise<void> {
     const { service, attemptId, stage, run } = submission;
     const cancelled = { service, attemptId, stage, run };
--- a/src/forward/stage-outcome.ts
+++ b/src/forward/stage-outcome.ts
@@ -17,11 +17,16 @@
     /** Whether a piece was part of a call; if not, nothing of the stage ran. */
     begun: z.boolean(),
   }),
+  /** The instance is about to stop and has begun nothing; another one should fill the calls. */
+  z.object({ kind: z.literal("moved") }),
 ]);
 
 /** How a submission ended. */
 export type StageOutcome = z.output<typeof stageOutcomeSchema>;
 
+/** How a submission ended for its request. */
+export type StageEnd = Exclude<StageOutcome, { kind: "moved" }>;
+
 /** Schema of the answer to a submission. */
 export const stageTicketSchema = z.discriminatedUnion("kind", [
   /** `expectedMs` is the time until the results are expected. */
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -7,7 +7,7 @@
 import type { Route } from "./route.js";
 import type { ServiceDefinition } from "./service-definition.js";
 import type { StageDispatch } from "./stage-dispatch.js";
-import type { StageOutcome } from "./stage-outcome.js";
+import type { StageEnd } from "./stage-outcome.js";
 import type { StageSubmission } from "./stage-submission.js";
 import { BULKY_BYTES } from "./stage-wait.js";
 import { finalStages } from "./stage-definition.js";
@@ -155,7 +155,7 @@
     }, 0);
   }
 
-  private async dispatch(submission: StageSubmission): Promise<StageOutcome> {
+  private async dispatch(submission: StageSubmission): Promise<StageEnd> {
     const signal = AbortSignal.any([this.task.signal, this.stop.signal]);
     this.submissions += 1;
     try {
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -16,8 +16,6 @@
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamStandings } from "./upstream-standings.js";
 
-/** Failed calls after which a submission is given up; three upstreams failed it by then. */
-const MOST_FAILURES = 3;
 /** Time after which an upstream that refused a call is tried again; a fraction of a call. */
 const BUSY_RETRY_MS = 60;
 /** Time for which an upstream that has no room for results gets no call. */
@@ -62,7 +60,7 @@
     return new StagePool(parts);
   }
 
-  /** Queues a submission unless its deadline cannot be met; a repeated one is queued once. */
+  /** Queues a submission unless its deadline cannot be met; a repeated one is only reported again. */
   submit(submission: StageSubmission): StageTicket {
     const capacity = this.parts.capacity();
     const upstreams = this.parts.upstreams().length;
@@ -76,7 +74,6 @@
     const expectedMs = waitOf(waits, rank, resultBytes) + ownMs;
     const known = this.book.find(key);
     if (known !== undefined) {
-      // The submitter did not get the results.
       if (known.outcome !== undefined) this.parts.ended(submission, known.outcome);
       return { kind: "accepted", expectedMs, waits };
     }
@@ -95,6 +92,11 @@
     this.book.cancel(key);
   }
 
+  /** Gives up the submissions of which nothing has begun, for another instance. */
+  handOver(): void {
+    for (const owner of this.queue.untouched) this.book.move(owner);
+  }
+
   /** Frees the memory of results. */
   release(handles: readonly string[]): void {
     this.parts.stageCaller.release(handles, (handle) => {
@@ -240,8 +242,7 @@
   private again(pieces: readonly QueuedPiece[]): void {
     for (const owner of new Set(pieces.map((piece) => piece.owner))) {
       if (owner.ended) continue;
-      owner.failures += 1;
-      if (owner.failures >= MOST_FAILURES || !this.parts.takeFurther()) {
+      if (this.book.failedOften(owner) || !this.parts.takeFurther()) {
         this.book.fail(owner, PieceFailure.Failed);
       } else this.queue.add(pieces.filter((piece) => piece.owner === owner));
     }
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -1,4 +1,6 @@
 import { z } from "zod";
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
 import type { PeerCalls } from "../peer/peer-calls.js";
 import { PeerMethod } from "../peer/peer-method.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
@@ -11,6 +13,7 @@
 import { type StageOutcome, type StageTicket, stageOutcomeSchema } from "./stage-outcome.js";
 import { StagePool } from "./stage-pool.js";
 import { piecesPerMs } from "./stage-pace.js";
+import type { StageOwners } from "./stage-owners.js";
 import { shardOf, shardUpstreams, shardsOf } from "./stage-shard.js";
 import {
   type StageSubmission,
@@ -49,6 +52,7 @@
   readonly directory: UpstreamDirectory;
   readonly standings: UpstreamStandings;
   readonly stageCaller: StageCaller;
+  readonly stageOwners: StageOwners;
   readonly fleetBudget: FleetBudget;
   readonly decisionLines: DecisionLines;
 }
@@ -92,7 +96,17 @@
     return this.submitters.size;
   }
 
+  /** Gives the work that has not begun to other instances, as this one is about to stop. */
+  handOver(): void {
+    this.parts.stageOwners.retire();
+    for (const pool of this.pools.values()) pool.handOver();
+  }
+
+  /** Throws `NotReady` for submissions of other instances once this one is about to stop. */
   submit(submission: StageSubmission, from: string): StageTicket {
+    if (this.parts.stageOwners.leaving && from !== this.parts.self) {
+      throw ServeError.create(ErrorKind.NotReady, "this instance is about to stop");
+    }
     const key = submissionKey(submission);
     // A repeated submission that has ended is reported while it is submitted.
     this.submitters.set(key, from);
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -46,6 +46,12 @@
     return this.waiting.length;
   }
 
+  /** Submissions that wait and of which no piece was part of a call. */
+  get untouched(): ReadonlySet<QueuedSubmission> {
+    const owners = this.waiting.map(({ owner }) => owner);
+    return new Set(owners.filter(({ ended, begun }) => !ended && !begun));
+  }
+
   add(pieces: readonly QueuedPiece[]): void {
     this.waiting.push(...pieces);
   }
--- a/src/forward/submission-book.ts
+++ b/src/forward/submission-book.ts
@@ -4,6 +4,8 @@
 import type { StageOutcome } from "./stage-outcome.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
 
+/** Failed calls after which a submission is given up; three upstreams failed it by then. */
+const MOST_FAILURES = 3;
 /** Time for which a finished submission is remembered, for a repeated submission of it. */
 const REMEMBERED_MS = 5_000;
 
@@ -68,6 +70,12 @@
     this.end(owner, { kind: "made", handles, dataCentre: mostFrequent(owner.makers) });
   }
 
+  /** Counts a failed call; returns whether the submission should be given up. */
+  failedOften(owner: QueuedSubmission): boolean {
+    owner.failures += 1;
+    return owner.failures >= MOST_FAILURES;
+  }
+
   /** Ends a submission without its results. */
   fail(owner: QueuedSubmission, reason: PieceFailure): void {
     if (owner.ended) return;
@@ -75,6 +83,13 @@
     this.end(owner, { kind: "failed", reason, begun: owner.begun });
   }
 
+  /** Ends a submission of which nothing has begun, so that another instance takes it. */
+  move(owner: QueuedSubmission): void {
+    owner.ended = true;
+    this.known.delete(submissionKey(owner.submission));
+    this.receivers.ended(owner.submission, { kind: "moved" });
+  }
+
   private end(owner: QueuedSubmission, outcome: StageOutcome): void {
     owner.ended = true;
     owner.outcome = outcome;
