Keep an owner of stage calls whose answer was late once

Ruled out: members that were suspected (no such line in the log until 10 s). Change: the second late answer within 2 s counts; a refused connection counts at once.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -33,3 +33,11 @@
     When the instance is about to stop
     Then the 3 submissions are reported as moved
     And a further submission of another instance is declined
+
+  # Guards against a second owner whenever a slow owner misses the time limit of one call.
+  Scenario: An owner whose answer was late once stays the owner
+    Given 8 instances of which "late" started last
+    When the owner of a service is late once
+    Then it still owns the service
+    When the owner of a service is late once
+    Then another instance owns the service
--- a/features/steps/stage-owners.ts
+++ b/features/steps/stage-owners.ts
@@ -40,6 +40,7 @@
   owners: StageOwners;
   pools: StagePools;
   reports: StageReport[];
+  owner: string | undefined;
 }
 
 function submissionOf(fields: Partial<StageSubmission>): StageSubmission {
@@ -220,3 +221,16 @@
     (error) => error instanceof ServeError && error.kind === ErrorKind.NotReady,
   );
 });
+
+When("the owner of a service is late once", function (this: OwnersWorld) {
+  [this.owner] = this.owners.of("service", "r");
+  this.owners.late(this.owner ?? "");
+});
+
+Then("it still owns the service", function (this: OwnersWorld) {
+  assert.equal(this.owners.of("service", "r")[0], this.owner);
+});
+
+Then("another instance owns the service", function (this: OwnersWorld) {
+  assert.notEqual(this.owners.of("service", "r")[0], this.owner);
+});
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -152,12 +152,14 @@
     submission: StageSubmission,
     doubt: { raised: boolean },
   ): Promise<StageTicket | undefined> {
-    const { peerCalls, stageOwners, decisionLines } = this.parts;
+    const { peerCalls, stageOwners, decisionLines, timers } = this.parts;
+    const askedMs = timers.now();
     try {
       const result = await peerCalls.call(owner, PeerMethod.StageSubmit, submission, SUBMIT_MS);
       return stageTicketSchema.parse(result);
     } catch (error) {
-      stageOwners.distrust(owner);
+      if (timers.now() - askedMs >= SUBMIT_MS) stageOwners.late(owner);
+      else stageOwners.distrust(owner);
       const declined = error instanceof ServeError && error.kind === ErrorKind.NotReady;
       if (!declined) doubt.raised = true;
       const { attemptId, stage } = submission;
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -30,6 +30,8 @@
  */
 export class StageOwners {
   private readonly distrustedUntil = new Map<string, number>();
+  /** Times of the last late answers, by instance. */
+  private readonly lateMs = new Map<string, number>();
   private retired = false;
 
   private constructor(private readonly parts: Parts) {}
@@ -48,6 +50,18 @@
     this.retired = true;
   }
 
+  /**
+   * Notes an answer that did not come in time; the second one in a short time counts as no answer.
+   * An instance with a third of a core is silent for half a second while it reads a configuration,
+   * and all submitters would hand its queue to a second owner.
+   */
+  late(instance: string): void {
+    const now = this.parts.timers.now();
+    const again = now - (this.lateMs.get(instance) ?? -Infinity) < DISTRUST_MS;
+    this.lateMs.set(instance, now);
+    if (again) this.distrust(instance);
+  }
+
   /** Passes over an instance that did not answer, for some time. */
   distrust(instance: string): void {
     this.distrustedUntil.set(instance, this.parts.timers.now() + DISTRUST_MS);
