Count calls at once, and forget the standing of a replaced process

Cause: fields of decoded entries and configurations were not used: an upstream that had started again under its id kept the standing of the process before, and a stage service with several calls at once would have got one. Others had no use at all. Change: both are used; tokens, cache sizes and header limits that nothing read are gone. Before: two new scenarios failed. After: they pass.

--- a/features/forward-decisions.feature
+++ b/features/forward-decisions.feature
@@ -34,6 +34,16 @@
     And 20 requests with prefix "p" are placed
     Then all went to the first engine
 
+  # Guards against troubles of an earlier process that keep a new one out of use.
+  Scenario: An upstream that has started again under its id is used at once
+    Given 8 engines
+    When 20 requests with prefix "p" are placed
+    Then all went to one engine
+    When that engine cannot be reached
+    And that engine has started again under its id
+    And 20 requests with prefix "p" are placed
+    Then all went to the first engine
+
   Scenario: An engine that is much slower than the others loses its prefixes but for probes
     Given 8 engines
     And all engines answer at the same pace
--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -111,3 +111,14 @@
     And 8 requests of 1 piece with rank 0 arrive
     And the stage clock advances by 1000 ms
     Then all requests have their results
+
+  Scenario: An upstream that runs two calls at once gets two, and the next one in time
+    Given upstreams run 2 calls at once
+    When 4 requests of 4 pieces arrive
+    And the stage clock advances by 1 ms
+    Then 4 calls were made
+    When 4 requests of 4 pieces arrive
+    And the stage clock advances by 200 ms
+    Then 4 calls were made
+    When the stage clock advances by 35 ms
+    Then 6 calls were made
--- a/features/steps/forward-placement.ts
+++ b/features/steps/forward-placement.ts
@@ -54,6 +54,12 @@
   assert.deepEqual(new Set(this.placed), new Set([this.first]));
 });
 
+When("that engine has started again under its id", function (this: PlacementWorld) {
+  const entry = this.directory.find(this.first);
+  assert.ok(entry !== undefined);
+  this.directory.apply([[entry.id, { ...entry, startedMs: entry.startedMs + 1 }]], 0);
+});
+
 When("that engine cannot be reached", function (this: PlacementWorld) {
   this.standings.of(this.first).unreachable();
 });
--- a/features/steps/front-program.ts
+++ b/features/steps/front-program.ts
@@ -14,36 +14,36 @@
 
 interface ProgramWorld {
   front: FrontHost;
-  directory: string | undefined;
-  program: SoakDaemon | undefined;
+  logDirectory: string | undefined;
+  daemonProcess: SoakDaemon | undefined;
   readiness: number;
   exit: Promise<number | null> | undefined;
 }
 
 After(async function (this: ProgramWorld) {
-  await this.program?.end("SIGKILL");
-  if (this.directory !== undefined) await rm(this.directory, { recursive: true });
+  await this.daemonProcess?.end("SIGKILL");
+  if (this.logDirectory !== undefined) await rm(this.logDirectory, { recursive: true });
 });
 
 When(
   /^a daemon process is started and gets (SIGHUP|SIGTERM) after (\d+) ms$/,
   async function (this: ProgramWorld, signal: "SIGHUP" | "SIGTERM", ms: string) {
     const timers = SystemTimers.create();
-    this.directory = await mkdtemp(join(tmpdir(), "front-program-"));
+    this.logDirectory = await mkdtemp(join(tmpdir(), "front-program-"));
     const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
     const settings = this.front.settingsOf("program", { callers, readiness, peers, metrics });
     this.readiness = readiness;
-    this.program = await SoakDaemon.create(timers, this.directory, "program", settings);
+    this.daemonProcess = await SoakDaemon.create(timers, this.logDirectory, "program", settings);
     await timers.sleep(Number(ms));
-    if (signal === "SIGHUP") this.program.signal(signal);
-    else this.exit = this.program.end(signal);
+    if (signal === "SIGHUP") this.daemonProcess.signal(signal);
+    else this.exit = this.daemonProcess.end(signal);
   },
 );
 
 Then("the daemon process becomes ready", async function (this: ProgramWorld) {
   const end = Date.now() + READY_MS;
   while (!(await this.front.ready(this.readiness))) {
-    assert.deepEqual(this.program?.ownEnds, []);
+    assert.deepEqual(this.daemonProcess?.ownEnds, []);
     assert.ok(Date.now() < end, "not ready in time");
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   }
--- a/features/steps/stage-pool.ts
+++ b/features/steps/stage-pool.ts
@@ -35,6 +35,10 @@
   },
 );
 
+Given("upstreams run {int} calls at once", function (this: PoolWorld, calls: number) {
+  this.stages.callsAtOnce = calls;
+});
+
 Given("upstreams have memory for {int} results", function (this: PoolWorld, count: number) {
   this.stages.memoryBytes = count * RESULT_BYTES;
 });
--- a/features/support/forward-samples.ts
+++ b/features/support/forward-samples.ts
@@ -45,7 +45,7 @@
     services: new Map(),
     teams: new Map(),
     keysNeeded: false,
-    limits: { bodyBytes: 1_000_000, headerBytes: 16_384, headerMs: 10_000, idleMs: 60_000 },
+    limits: { bodyBytes: 1_000_000, headerMs: 10_000, idleMs: 60_000 },
     ...fields,
   };
 }
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -33,6 +33,7 @@
   next: CallAnswer["kind"] = "results";
   furtherAttempts = 0;
   memoryBytes = LARGE_BYTES;
+  callsAtOnce = 1;
   private readonly entries: UpstreamEntry[];
   private readonly pool: StagePool;
   private readonly standings: UpstreamStandings;
@@ -67,7 +68,7 @@
       upstreams: () => this.entries,
       capacity: () => ({
         ...this.shape,
-        callsAtOnce: 1,
+        callsAtOnce: this.callsAtOnce,
         resultBytes: this.memoryBytes,
         keptMs: KEPT_MS,
       }),
--- a/src/forward/forward-configuration.ts
+++ b/src/forward/forward-configuration.ts
@@ -5,7 +5,6 @@
 /** What a caller may send. */
 export interface CallerLimits {
   readonly bodyBytes: number;
-  readonly headerBytes: number;
   readonly headerMs: number;
   readonly idleMs: number;
 }
--- a/src/forward/request-attributes.ts
+++ b/src/forward/request-attributes.ts
@@ -7,7 +7,6 @@
   readonly deadlineMs: number | undefined;
   readonly key: string | undefined;
   readonly promptParts: readonly PromptPart[];
-  readonly promptTokens: number;
   /** Number of pieces of each stage; 0 omits the stage. */
   readonly pieces: readonly number[];
   readonly pieceKey: string | undefined;
--- a/src/forward/running-calls.ts
+++ b/src/forward/running-calls.ts
@@ -2,8 +2,8 @@
 
 /** Time before the probable end of a call at which the next one is sent: a round trip. */
 const LEAD_MS = 25;
-/** Calls sent to an upstream at most: the one in progress and the next one. */
-const MOST_CALLS = 2;
+/** Calls sent to an upstream beyond those that it runs at once. */
+const MOST_AHEAD = 1;
 
 interface RunningCall {
   /** Time at which it probably ends, on the monotonic clock in ms. */
@@ -26,22 +26,24 @@
   }
 
   /** Whether the upstream is idle, or will be when a call reaches it. */
-  isFree(id: string): boolean {
+  isFree(id: string, callsAtOnce: number): boolean {
     const calls = this.byUpstream.get(id) ?? [];
-    if (calls.length >= MOST_CALLS) return false;
+    if (calls.length >= callsAtOnce + MOST_AHEAD) return false;
     const now = this.timers.now();
     // A call that is overdue shows that the upstream is slow or hangs.
-    return calls.every(({ endMs }) => Math.abs(endMs - now) <= LEAD_MS);
+    const held = calls.filter(({ endMs }) => Math.abs(endMs - now) > LEAD_MS);
+    return held.length < callsAtOnce;
   }
 
   /**
    * Counts a call that probably takes `expectedMs`, until the returned function is called; calls
    * `freeSoon` when the next one may be sent.
    */
-  begin(id: string, expectedMs: number, freeSoon: () => void): () => void {
+  begin(id: string, callsAtOnce: number, expectedMs: number, freeSoon: () => void): () => void {
     const { timers } = this;
     const before = this.byUpstream.get(id) ?? [];
-    const startMs = Math.max(timers.now(), ...before.map(({ endMs }) => endMs));
+    const ends = before.map(({ endMs }) => endMs).sort((a, b) => b - a);
+    const startMs = Math.max(timers.now(), ends[callsAtOnce - 1] ?? 0);
     const call: RunningCall = { endMs: startMs + expectedMs };
     this.byUpstream.set(id, [...before, call]);
     const next = timers.after(Math.max(0, call.endMs - LEAD_MS - timers.now()), freeSoon);
--- a/src/forward/service-definition.ts
+++ b/src/forward/service-definition.ts
@@ -1,5 +1,6 @@
 /** Limits of one upstream of a service that runs stage calls. */
 export interface StageCapacity {
+  /** Calls that it runs at the same time. */
   readonly callsAtOnce: number;
   readonly mostPieces: number;
   /** Time of a call without its pieces, in ms. */
@@ -15,8 +16,6 @@
 /** Limits of one engine of a service. */
 export interface EngineCapacity {
   readonly slots: number;
-  /** Tokens of running requests and cached prompt parts. */
-  readonly cacheTokens: number;
 }
 
 /** A service that routes and stages name. */
--- a/src/forward/stage-forecast.ts
+++ b/src/forward/stage-forecast.ts
@@ -50,7 +50,7 @@
     const fullMs = ratio * fullCallMs(capacity);
     const rate = piecesPerMs(capacity, upstreams) / ratio;
     const bytesPerMs = (upstreams * capacity.resultBytes) / (fullMs + HELD_MS);
-    const busyMs = input.allBusy ? fullMs / (upstreams + 1) : 0;
+    const busyMs = input.allBusy ? fullMs / (upstreams * capacity.callsAtOnce + 1) : 0;
     const small: number[] = [];
     const bulky: number[] = [];
     let urgentPerMs = 0;
--- a/src/forward/stage-pace.ts
+++ b/src/forward/stage-pace.ts
@@ -12,5 +12,6 @@
 
 /** Pieces that `upstreams` upstreams make in a millisecond with full calls. */
 export function piecesPerMs(capacity: StageCapacity, upstreams: number): number {
-  return (upstreams * capacity.mostPieces) / fullCallMs(capacity);
+  const { callsAtOnce, mostPieces } = capacity;
+  return (upstreams * callsAtOnce * mostPieces) / fullCallMs(capacity);
 }
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -154,7 +154,7 @@
     capacity: StageCapacity,
     room: Omit<CallRoom, "dataCentre" | "resultBytes">,
   ): void {
-    if (this.queue.size === 0 || !this.running.isFree(entry.id)) return;
+    if (this.queue.size === 0 || !this.running.isFree(entry.id, capacity.callsAtOnce)) return;
     const resultBytes = this.rooms.of(entry.id).free(capacity.resultBytes);
     const callRoom = { ...room, dataCentre: entry.dataCentre, resultBytes };
     const pieces = this.queue.take(callRoom, this.parts.timers.now());
@@ -181,7 +181,7 @@
     const { timers, stageCaller } = this.parts;
     const ratio = this.parts.standings.of(entry.id).ratio ?? 1;
     const expectedMs = ratio * callMsOf(capacity, pieces.length);
-    const endRunning = this.running.begin(entry.id, expectedMs, () => {
+    const endRunning = this.running.begin(entry.id, capacity.callsAtOnce, expectedMs, () => {
       this.fill();
     });
     const bytes = pieces.reduce((sum, { owner }) => sum + owner.submission.resultBytes, 0);
--- a/src/forward/upstream-directory.ts
+++ b/src/forward/upstream-directory.ts
@@ -32,13 +32,6 @@
     return this.byService.get(service) ?? [];
   }
 
-  /** Whether the upstream is listed and not leaving. */
-  mayServe(id: string): boolean {
-    this.expire();
-    const known = this.known.get(id);
-    return known !== undefined && !known.entry.draining;
-  }
-
   /** Time for which an upstream is still slow after its start, in ms. */
   coldMs(id: string): number {
     const known = this.known.get(id);
--- a/src/forward/upstream-standings.ts
+++ b/src/forward/upstream-standings.ts
@@ -9,6 +9,8 @@
 /** The standing of each upstream. */
 export class UpstreamStandings {
   private readonly byId = new Map<string, UpstreamStanding>();
+  /** Start of the process that a standing is about, by id. */
+  private readonly startedMs = new Map<string, number>();
 
   private constructor(
     private readonly timers: Timers,
@@ -20,10 +22,13 @@
   }
 
   of(id: string): UpstreamStanding {
+    const startedMs = this.directory.find(id)?.startedMs ?? this.startedMs.get(id) ?? 0;
     let standing = this.byId.get(id);
-    if (standing === undefined) {
+    // An upstream that has started again under its id knows nothing of its troubles before.
+    if (standing === undefined || startedMs !== this.startedMs.get(id)) {
       if (this.byId.size >= MOST_STANDINGS) this.dropUnlisted();
       standing = UpstreamStanding.create(this.timers);
+      this.startedMs.set(id, startedMs);
       this.byId.set(id, standing);
     }
     return standing;
@@ -43,7 +48,9 @@
   private dropUnlisted(): void {
     const listed = new Set(this.directory.ids);
     for (const [id, { inFlight }] of this.byId) {
-      if (inFlight === 0 && !listed.has(id)) this.byId.delete(id);
+      if (inFlight > 0 || listed.has(id)) continue;
+      this.byId.delete(id);
+      this.startedMs.delete(id);
     }
   }
 }
