End the polls of upstreams with their instance

Cause: the test process stayed open after its summary, so cucumber was made to end it by force. With forced exit off, caller-api.feature and caller-limits.feature did not end within 90 s; 52 intervals of LoadPoller were alive, created by ServicePools. Pollers went on for the life of the process. Ruled out: open sockets and servers; the process had none but its output.

--- a/features/support/caller-host.ts
+++ b/features/support/caller-host.ts
@@ -82,6 +82,7 @@
     this.upstream.resume();
     await this.parts.callerServer.close();
     await this.parts.operatorServer.close();
+    this.parts.pools.stopPolls();
     await this.parts.metrics.stop();
   }
 }
--- a/src/admission/service-pools.ts
+++ b/src/admission/service-pools.ts
@@ -28,6 +28,7 @@
 /** One pool per service of the configuration in force. */
 export class ServicePools implements Pools {
   private readonly pools = new Map<string, ServicePool>();
+  private readonly pollers: LoadPoller[] = [];
 
   private constructor(private readonly parts: Parts) {}
 
@@ -48,18 +49,24 @@
     return pool;
   }
 
+  /** Ends the polls of upstreams; the pools serve on. */
+  stopPolls(): void {
+    for (const poller of this.pollers.splice(0)) poller.stop();
+  }
+
   private pool(service: string): ServicePool {
     const { configurationView, decisionLog, timers, random, settings, demandSource } = this.parts;
     const configuration = () => configurationView.configuration;
     const { dataCentre } = settings.instance;
     const router = Router.create({ timers, random, configuration, service, dataCentre });
-    LoadPoller.create(
+    const poller = LoadPoller.create(
       () => router.all(),
       (record) => {
         router.unreachable(record);
       },
       this.parts,
     );
+    this.pollers.push(poller);
     const limitPart = LimitPart.create(service, this.parts);
     return ServicePool.create({
       service,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -95,6 +95,7 @@
     configurationFollower.stop();
     membership.stop();
     pauseDetection.stop();
+    this.parts.pools.stopPolls();
     this.parts.ledgerExpiry.stop();
     this.parts.tableBreaker.stop();
     await peerServer.close();
--- a/src/routing/load-poller.ts
+++ b/src/routing/load-poller.ts
@@ -1,3 +1,4 @@
+import type { Subscription } from "../time/subscription.js";
 import type { Timers } from "../time/timers.js";
 import type { UpstreamClients } from "../upstream/upstream-clients.js";
 import type { UpstreamRecord } from "./upstream-record.js";
@@ -19,25 +20,31 @@
 export class LoadPoller {
   private nextUsed = 0;
   private nextOther = 0;
+  private readonly period: Subscription;
 
   private constructor(
     private readonly records: () => readonly UpstreamRecord[],
     private readonly failed: (record: UpstreamRecord) => void,
     private readonly clients: UpstreamClients,
     private readonly timers: Timers,
-  ) {}
+  ) {
+    this.period = timers.every(PERIOD_MS, () => {
+      this.poll();
+    });
+  }
 
-  /** Starts polling and reports each upstream that does not answer to `failed`; it goes on for the life of the process. */
+  /** Starts polling and reports each upstream that does not answer to `failed`, until `stop`. */
   static create(
     records: () => readonly UpstreamRecord[],
     failed: (record: UpstreamRecord) => void,
     parts: { clients: UpstreamClients; timers: Timers },
   ): LoadPoller {
-    const poller = new LoadPoller(records, failed, parts.clients, parts.timers);
-    parts.timers.every(PERIOD_MS, () => {
-      poller.poll();
-    });
-    return poller;
+    return new LoadPoller(records, failed, parts.clients, parts.timers);
+  }
+
+  /** Polls no more. */
+  stop(): void {
+    this.period.cancel();
   }
 
   private poll(): void {
