Ask the system whether a daemon handles signals yet

Ruled out: the handlers themselves; alone the scenarios passed. Change: the signal is sent as soon as the system lists a handler for it; the daemon must have it in the first half of its start, whatever the speed of the machine. The soak sends no signal before. Conclusion: the check is as strict and no longer depends on the time of the machine.

--- a/features/steps/front-program.ts
+++ b/features/steps/front-program.ts
@@ -11,12 +11,16 @@
 const GRACE_S = 8;
 const READY_MS = 10_000;
 const POLL_MS = 50;
+const SIGNAL_POLL_MS = 5;
 
 interface ProgramWorld {
   front: FrontHost;
   logDirectory: string | undefined;
   daemonProcess: SoakDaemon | undefined;
-  readiness: number;
+  programReadiness: number;
+  startedMs: number;
+  handledMs: number;
+  readyMs: number;
   exit: Promise<number | null> | undefined;
 }
 
@@ -26,15 +30,21 @@
 });
 
 When(
-  /^a daemon process is started and gets (SIGHUP|SIGTERM) after (\d+) ms$/,
-  async function (this: ProgramWorld, signal: "SIGHUP" | "SIGTERM", ms: string) {
+  /^a daemon process is started and gets (SIGHUP|SIGTERM) as soon as it handles signals$/,
+  async function (this: ProgramWorld, signal: "SIGHUP" | "SIGTERM") {
     const timers = SystemTimers.create();
     this.logDirectory = await mkdtemp(join(tmpdir(), "front-program-"));
     const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
     const settings = this.front.settingsOf("program", { callers, readiness, peers, metrics });
-    this.readiness = readiness;
-    this.daemonProcess = await SoakDaemon.create(timers, this.logDirectory, "program", settings);
-    await timers.sleep(Number(ms));
+    this.programReadiness = readiness;
+    this.startedMs = timers.now();
+    this.daemonProcess = await SoakDaemon.create(this.logDirectory, "program", settings);
+    const end = timers.now() + READY_MS;
+    while (!(await this.daemonProcess.handlesSignals())) {
+      assert.ok(timers.now() < end, "no handler in time");
+      await timers.sleep(SIGNAL_POLL_MS);
+    }
+    this.handledMs = timers.now() - this.startedMs;
     if (signal === "SIGHUP") this.daemonProcess.signal(signal);
     else this.exit = this.daemonProcess.end(signal);
   },
@@ -42,11 +52,16 @@
 
 Then("the daemon process becomes ready", async function (this: ProgramWorld) {
   const end = Date.now() + READY_MS;
-  while (!(await this.front.ready(this.readiness))) {
+  while (!(await this.front.ready(this.programReadiness))) {
     assert.deepEqual(this.daemonProcess?.ownEnds, []);
     assert.ok(Date.now() < end, "not ready in time");
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   }
+  this.readyMs = performance.now() - this.startedMs;
+});
+
+Then("it handled signals in the first half of its start", function (this: ProgramWorld) {
+  assert.ok(this.handledMs < this.readyMs / 2, `${this.handledMs} of ${this.readyMs} ms`);
 });
 
 Then(
--- a/soak/soak-daemon.ts
+++ b/soak/soak-daemon.ts
@@ -1,9 +1,8 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
-import { writeFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
-import type { Timers } from "../src/time/timers.js";
 
 const PROGRAM = "dist/platform/main.js";
 
@@ -12,24 +11,17 @@
   private child: ChildProcess | undefined;
   private readonly ends: string[] = [];
   private ending = false;
-  private startedMs = 0;
 
   private constructor(
-    private readonly timers: Timers,
     private readonly settingsFile: string,
     private readonly logFile: string,
   ) {}
 
   /** Starts the daemon; its log is written to the directory. */
-  static async create(
-    timers: Timers,
-    directory: string,
-    name: string,
-    settings: unknown,
-  ): Promise<SoakDaemon> {
+  static async create(directory: string, name: string, settings: unknown): Promise<SoakDaemon> {
     const settingsFile = join(directory, `${name}.json`);
     await writeFile(settingsFile, JSON.stringify(settings));
-    const daemon = new SoakDaemon(timers, settingsFile, join(directory, `${name}.log`));
+    const daemon = new SoakDaemon(settingsFile, join(directory, `${name}.log`));
     daemon.start();
     return daemon;
   }
@@ -43,14 +35,20 @@
     return this.child !== undefined;
   }
 
-  /** Time since the last start in ms. */
-  get upMs(): number {
-    return this.timers.now() - this.startedMs;
+  /**
+   * Whether the process has a handler for SIGHUP, the first signal in the mask of Linux. Before, the
+   * runtime has not run the first module yet and signals end the process.
+   */
+  async handlesSignals(): Promise<boolean> {
+    const { child } = this;
+    if (child?.pid === undefined) return false;
+    const status = await readFile(`/proc/${child.pid}/status`, "utf8");
+    const [, mask = "0"] = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status) ?? [];
+    return (BigInt(`0x${mask}`) & 1n) === 1n;
   }
 
   start(): void {
     this.ending = false;
-    this.startedMs = this.timers.now();
     const child = spawn(process.execPath, [PROGRAM, "--settings", this.settingsFile], {
       stdio: ["ignore", "pipe", "pipe"],
     });
--- a/soak/soak-driver.ts
+++ b/soak/soak-driver.ts
@@ -7,8 +7,6 @@
 
 /** Time from the end of a process to its next start. */
 const RESTART_MS = 300;
-/** Time after its start in which the runtime of a daemon does not handle signals yet. */
-const BOOT_MS = 250;
 /** Time that an upstream still serves after it is out of use; it then begins anew. */
 const LINGER_MS = 1_000;
 
@@ -92,7 +90,7 @@
     if (daemon === undefined) return;
     switch (signal) {
       case DaemonSignal.Reload:
-        if (daemon.upMs > BOOT_MS) daemon.signal("SIGHUP");
+        if (await daemon.handlesSignals()) daemon.signal("SIGHUP");
         return;
       case DaemonSignal.Freeze:
         daemon.signal("SIGSTOP");
@@ -104,7 +102,7 @@
       case DaemonSignal.Stop:
         await this.alone(`end ${target}`, async () => {
           const startMs = timers.now();
-          const booting = daemon.upMs <= BOOT_MS;
+          const booting = !(await daemon.handlesSignals());
           const code = await daemon.end(signal === DaemonSignal.Kill ? "SIGKILL" : "SIGTERM");
           const tookMs = Math.round(timers.now() - startMs);
           if (signal === DaemonSignal.Stop && !booting && (code !== 0 || tookMs > GRACE_MS)) {
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -170,7 +170,7 @@
     [LinkSide.Store]: await FaultLink.create(timers, storePort),
   };
   const at = (port: number): string => `127.0.0.1:${port}`;
-  const daemon = await SoakDaemon.create(timers, directory, id, {
+  const daemon = await SoakDaemon.create(directory, id, {
     instance: { id, dataCentre: "a" },
     callers: at(callers),
     readiness: at(readiness),
