Keep the start of a process in its standing

Cause: the standings kept a second map of start times beside that of the standings, with the same keys. Ruled out: taking the start from the directory alone; an upstream that is no longer listed keeps its standing. Change: a standing knows the start of the process that it is about. Before and after: the scenarios of features/forward-decisions.feature pass.

--- a/src/forward/upstream-standing.ts
+++ b/src/forward/upstream-standing.ts
@@ -29,10 +29,14 @@
   private lastResult = -Infinity;
   private lastProbe = -Infinity;
 
-  private constructor(private readonly timers: Timers) {}
+  private constructor(
+    private readonly timers: Timers,
+    readonly startedMs: number,
+  ) {}
 
-  static create(timers: Timers): UpstreamStanding {
-    return new UpstreamStanding(timers);
+  /** `startedMs` is the start of the upstream's process in ms since the epoch. */
+  static create(timers: Timers, startedMs: number): UpstreamStanding {
+    return new UpstreamStanding(timers, startedMs);
   }
 
   /** Time to the answer in ms, relative to what was expected; undefined without fresh results. */
--- a/src/forward/upstream-standings.ts
+++ b/src/forward/upstream-standings.ts
@@ -9,8 +9,6 @@
 /** The standing of each upstream. */
 export class UpstreamStandings {
   private readonly byId = new Map<string, UpstreamStanding>();
-  /** Start of the process that a standing is about, by id. */
-  private readonly startedMs = new Map<string, number>();
 
   private constructor(
     private readonly timers: Timers,
@@ -22,13 +20,12 @@
   }
 
   of(id: string): UpstreamStanding {
-    const startedMs = this.directory.find(id)?.startedMs ?? this.startedMs.get(id) ?? 0;
     let standing = this.byId.get(id);
+    const startedMs = this.directory.find(id)?.startedMs ?? standing?.startedMs ?? 0;
     // An upstream that has started again under its id knows nothing of its troubles before.
-    if (standing === undefined || startedMs !== this.startedMs.get(id)) {
+    if (standing?.startedMs !== startedMs) {
       if (this.byId.size >= MOST_STANDINGS) this.dropUnlisted();
-      standing = UpstreamStanding.create(this.timers);
-      this.startedMs.set(id, startedMs);
+      standing = UpstreamStanding.create(this.timers, startedMs);
       this.byId.set(id, standing);
     }
     return standing;
@@ -48,9 +45,7 @@
   private dropUnlisted(): void {
     const listed = new Set(this.directory.ids);
     for (const [id, { inFlight }] of this.byId) {
-      if (inFlight > 0 || listed.has(id)) continue;
-      this.byId.delete(id);
-      this.startedMs.delete(id);
+      if (inFlight === 0 && !listed.has(id)) this.byId.delete(id);
     }
   }
 }
