Name what earlier calls of a submission left open

Cause: a reader could not tell what a doubt that is raised means, nor that failedOften counts a failure; a comment had lost its header when that was removed. Ruled out: returning the uncertainty with each ticket, which three callers would only pass on. Change: names only, and the comment is gone. Before and after: the scenarios of stage owners and pools pass. Conclusion: same behaviour.

--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -34,6 +34,12 @@
   readonly decisionLines: DecisionLines;
 }
 
+/** The calls for one submission before the present one. */
+interface Earlier {
+  /** Whether an instance that did not answer may have queued the submission. */
+  unanswered: boolean;
+}
+
 /** Hands the stages of this instance's requests to the instances that fill the calls. */
 export class StageDispatch {
   private readonly pending = new Map<string, (outcome: StageOutcome) => void>();
@@ -66,13 +72,13 @@
     const targetEnd = timers.now() + submission.targetLeftMs;
     let done = this.next(key);
     let owner: string | undefined;
-    const doubt = { raised: false };
+    const earlier = { unanswered: false };
     try {
       while (timers.now() < end) {
         signal.throwIfAborted();
         const now = timers.now();
         const current = { ...submission, leftMs: end - now, targetLeftMs: targetEnd - now };
-        const accepted = await this.submit(current, doubt, owner);
+        const accepted = await this.submit(current, earlier, owner);
         ({ owner } = accepted);
         const patienceMs = OVERDUE_FACTOR * accepted.expectedMs + OVERDUE_SLACK_MS;
         const overdue = timers.sleep(Math.min(patienceMs, end - now), signal);
@@ -81,13 +87,13 @@
           case "made":
             return outcome;
           case "failed":
-            return { ...outcome, begun: outcome.begun || doubt.raised };
+            return { ...outcome, begun: outcome.begun || earlier.unanswered };
           case "moved":
             owner = undefined;
             done = this.next(key);
             break;
           case undefined:
-            doubt.raised = true;
+            earlier.unanswered = true;
         }
       }
       throw ServeError.create(ErrorKind.DeadlineExceeded, "the stage was not done in time");
@@ -116,33 +122,32 @@
     if (resolve !== undefined) resolve(report.outcome);
   }
 
-  /** Raises the doubt if an instance that did not answer may have queued the submission. */
   private async submit(
     submission: StageSubmission,
-    doubt: { raised: boolean },
+    earlier: Earlier,
     previous: string | undefined,
   ): Promise<{ owner: string; expectedMs: number }> {
     const { self, stagePools, stageOwners } = this.parts;
     const { service, attemptId } = submission;
     for (const owner of stageOwners.of(service, attemptId, previous)) {
       if (owner === self) break;
-      const ticket = await this.submitTo(owner, submission, doubt);
-      if (ticket !== undefined) return this.accepted(owner, submission, ticket, doubt);
+      const ticket = await this.submitTo(owner, submission, earlier);
+      if (ticket !== undefined) return this.accepted(owner, submission, ticket, earlier);
     }
-    return this.accepted(self, submission, stagePools.submit(submission, self), doubt);
+    return this.accepted(self, submission, stagePools.submit(submission, self), earlier);
   }
 
   private accepted(
     owner: string,
     { service, attemptId }: StageSubmission,
     ticket: StageTicket,
-    doubt: { readonly raised: boolean },
+    earlier: Readonly<Earlier>,
   ): { owner: string; expectedMs: number } {
     if (ticket.waits !== undefined) this.parts.stageLoads.note(service, attemptId, ticket.waits);
     if (ticket.kind === "accepted") return { owner, expectedMs: ticket.expectedMs };
     throw ServeError.create(ErrorKind.Overloaded, "a stage has no room before the deadline", {
       retryAfterMs: ticket.retryAfterMs,
-      outcome: doubt.raised ? Outcome.MayHaveRun : Outcome.NotRun,
+      outcome: earlier.unanswered ? Outcome.MayHaveRun : Outcome.NotRun,
     });
   }
 
@@ -150,7 +155,7 @@
   private async submitTo(
     owner: string,
     submission: StageSubmission,
-    doubt: { raised: boolean },
+    earlier: Earlier,
   ): Promise<StageTicket | undefined> {
     const { peerCalls, stageOwners, decisionLines, timers } = this.parts;
     const askedMs = timers.now();
@@ -161,7 +166,7 @@
       if (timers.now() - askedMs >= SUBMIT_MS) stageOwners.late(owner);
       else stageOwners.distrust(owner);
       const declined = error instanceof ServeError && error.kind === ErrorKind.NotReady;
-      if (!declined) doubt.raised = true;
+      if (!declined) earlier.unanswered = true;
       const { attemptId, stage } = submission;
       const fields = { attempt: attemptId, stage, owner, detail: String(error) };
       decisionLines.write("submission not accepted", fields);
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -242,7 +242,7 @@
   private again(pieces: readonly QueuedPiece[]): void {
     for (const owner of new Set(pieces.map((piece) => piece.owner))) {
       if (owner.ended) continue;
-      if (this.book.failedOften(owner) || !this.parts.takeFurther()) {
+      if (this.book.noteFailure(owner) || !this.parts.takeFurther()) {
         this.book.fail(owner, PieceFailure.Failed);
       } else this.queue.add(pieces.filter((piece) => piece.owner === owner));
     }
--- a/src/forward/submission-book.ts
+++ b/src/forward/submission-book.ts
@@ -71,7 +71,7 @@
   }
 
   /** Counts a failed call; returns whether the submission should be given up. */
-  failedOften(owner: QueuedSubmission): boolean {
+  noteFailure(owner: QueuedSubmission): boolean {
     owner.failures += 1;
     return owner.failures >= MOST_FAILURES;
   }
