Share the choice of several members and the list of silent ones

Cause: the readers of the store and the owners of stage calls each had their own loop for the first members of rendezvous hashing, their own map of instances that did not answer, and their own filter of live members, which the lease keeper had as well. Ruled out: keeping them apart for other times; both passed an instance over for 2 s. Change: rendezvousMembers, Distrust and aliveMembers; what an answer of a reader is good for is an enum. Before and after: 71 scenarios of stages, readers, decisions and the daemon before stand-ins pass. Conclusion: same behaviour.

--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -1,4 +1,5 @@
-import { MemberState } from "../peer/member-state.js";
+import { aliveMembers } from "../peer/alive-members.js";
+import { Distrust } from "../peer/distrust.js";
 import type { Members } from "../peer/members.js";
 import type { PeerCalls } from "../peer/peer-calls.js";
 import { PeerMethod } from "../peer/peer-method.js";
@@ -22,10 +23,8 @@
 const NEWS_WAIT_MS = 500;
 /** Time beside it for the answer of a reader; many round trips in a region. */
 const NEWS_MS = 300;
-/** Time for which a reader that did not answer, or is behind, is not asked. */
-const DISTRUST_MS = 2_000;
-/** A read that waited shows the rows as they were this long before its answer at the latest. */
-const ANSWER_MS = 250;
+/** Longest time that an answer is taken to have been under way; many round trips in a region. */
+const UNDERWAY_MS = 250;
 /** Stands for "never" in an answer, since JSON has no infinity; 400 days. */
 const NEVER_MS = 34_560_000_000;
 
@@ -37,6 +36,16 @@
   readonly pauseMs: number;
 }
 
+/** What an answer of another instance is good for. */
+enum Told {
+  /** The rows are now current. */
+  Current,
+  /** There are rows that have to be read from the store. */
+  TooLarge,
+  /** No answer, or rows that are not fresh. */
+  Nothing,
+}
+
 interface Parts {
   readonly self: string;
   readonly timers: Timers;
@@ -54,7 +63,9 @@
 export class RowFollower {
   readonly cache = RowCache.create();
   private readonly teller: RowTeller;
-  private readonly distrustedUntil = new Map<string, number>();
+  /** Readers that did not answer, or are behind. */
+  private readonly unfit: Distrust;
+  /** Time at which the rows were current at least. */
   private currentMs = -Infinity;
   private readonly ended = new AbortController();
   private failures = 0;
@@ -66,6 +77,7 @@
     private readonly pace: ReadPace,
     private readonly changed: (changes: readonly RowChange[]) => readonly string[],
   ) {
+    this.unfit = Distrust.create(parts.timers);
     this.teller = RowTeller.create(parts.timers, {
       cache: this.cache,
       ageMs: () => parts.timers.now() - this.currentMs,
@@ -116,17 +128,15 @@
 
   /** Returns false if this instance has to read the store itself. */
   private async askReader(): Promise<boolean> {
-    const { timers, self } = this.parts;
+    const { self } = this.parts;
     if (this.cache.version < 0) return false;
     const readers = storeReaders(this.table, [...this.alive(), self]);
     if (readers.includes(self)) return false;
-    const now = timers.now();
-    const reader = readers.find((each) => (this.distrustedUntil.get(each) ?? 0) <= now);
+    const reader = readers.find((each) => !this.unfit.has(each));
     if (reader === undefined) return false;
-    const answeredWith = await this.ask(reader, NEWS_WAIT_MS, false);
-    if (answeredWith === "news") return true;
-    if (answeredWith === "stale") this.distrustedUntil.set(reader, timers.now() + DISTRUST_MS);
-    return false;
+    const told = await this.ask(reader, NEWS_WAIT_MS, false);
+    if (told === Told.Nothing) this.unfit.add(reader);
+    return told === Told.Current;
   }
 
   /** Returns the pause in ms until the next read. */
@@ -147,8 +157,7 @@
   }
 
   private alive(): string[] {
-    const members = this.parts.members.all();
-    return members.filter(({ state }) => state === MemberState.Alive).map(({ id }) => id);
+    return aliveMembers(this.parts.members).map(({ id }) => id);
   }
 
   private async readStore(): Promise<void> {
@@ -159,7 +168,7 @@
       const result = await rowFeed.changes(table, cache.version, this.pace.waitMs);
       if (result.kind === "changes") {
         this.take(cache.change(result.changes, result.version));
-        this.currentMs = Math.max(startedMs, timers.now() - ANSWER_MS);
+        this.currentMs = Math.max(startedMs, timers.now() - UNDERWAY_MS);
         return;
       }
       this.log("store forgot its history", { version: cache.version });
@@ -168,15 +177,8 @@
     this.currentMs = startedMs;
   }
 
-  /**
-   * Takes over what another instance knows. "stale" if it did not answer or its rows are old,
-   * "large" if the rows have to be read from the store.
-   */
-  private async ask(
-    peer: string,
-    waitMs: number,
-    whole: boolean,
-  ): Promise<"news" | "large" | "stale"> {
+  /** Takes over what another instance knows. */
+  private async ask(peer: string, waitMs: number, whole: boolean): Promise<Told> {
     const { peerCalls, timers } = this.parts;
     const params: RowQuery = { table: this.table, after: this.cache.version, waitMs, whole };
     const askedMs = timers.now();
@@ -185,7 +187,7 @@
       const result = await peerCalls.call(peer, PeerMethod.StoreRows, params, limitMs);
       const { version, changes, ageMs, sinceFailureMs } = rowNewsSchema.parse(result);
       const fresh = ageMs < FRESH_MS;
-      if (changes === null) return fresh ? "large" : "stale";
+      if (changes === null) return fresh ? Told.TooLarge : Told.Nothing;
       const real = this.cache.change(
         changes.map(([key, text]): RowChange => [key, text ?? undefined]),
         version,
@@ -193,13 +195,12 @@
       const now = timers.now();
       this.lastFailureMs = Math.max(this.lastFailureMs, now - sinceFailureMs);
       this.take(real);
-      // The time of the answer's journey is not known, so the time of the question counts.
-      this.currentMs = Math.max(this.currentMs, Math.max(askedMs, now - ANSWER_MS) - ageMs);
+      this.currentMs = Math.max(this.currentMs, Math.max(askedMs, now - UNDERWAY_MS) - ageMs);
       if (whole && real.length > 0) this.log("rows from another instance", { peer, version });
-      return fresh ? "news" : "stale";
+      return fresh ? Told.Current : Told.Nothing;
     } catch (error) {
       this.log("no rows from another instance", { peer, detail: String(error) });
-      return "stale";
+      return Told.Nothing;
     }
   }
 
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -98,7 +98,7 @@
 
   /** Gives the work that has not begun to other instances, as this one is about to stop. */
   handOver(): void {
-    this.parts.stageOwners.retire();
+    this.parts.stageOwners.leave();
     for (const pool of this.pools.values()) pool.handOver();
   }
 
--- a/src/order/lease-keeper.ts
+++ b/src/order/lease-keeper.ts
@@ -1,5 +1,5 @@
 import type { ConsolaInstance } from "consola";
-import { MemberState } from "../peer/member-state.js";
+import { aliveMembers } from "../peer/alive-members.js";
 import type { Members } from "../peer/members.js";
 import type { Table } from "../table/table.js";
 import type { Settings } from "../settings/settings.js";
@@ -81,8 +81,7 @@
 
   private stepAll(): void {
     const { members } = this.parts;
-    const alive = members.all().filter(({ state }) => state === MemberState.Alive);
-    const ids = [members.self, ...alive.map(({ id }) => id)];
+    const ids = [members.self, ...aliveMembers(members).map(({ id }) => id)];
     for (const [group, entry] of this.entries) {
       if (rendezvousMember(group, ids) !== members.self) entry.lease.drop();
       else if (!entry.stepping) void this.step(group, entry);
