Handle early signals in the product's own daemon as well

Cause: nutmegstaged registered its handlers after all modules were loaded, like the daemon of the platform before; SIGTERM in its first 300 ms ended it without its graceful stop. Ruled out: SIGHUP; this daemon has no handler for it and keeps the default effect.

--- a/src/daemon/early-signals.ts
+++ b/src/program/early-signals.ts
@@ -1,15 +1,13 @@
-type Handled = "SIGTERM" | "SIGINT" | "SIGHUP";
-
 /**
  * The signals of a process from the moment of creation. A signal without a handler ends the process,
  * so this is created before the rest of the program is loaded.
  */
-export class EarlySignals {
+export class EarlySignals<Handled extends NodeJS.Signals> {
   private readonly early: Handled[] = [];
   private handler: ((signal: Handled) => void) | undefined;
 
-  private constructor() {
-    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"] as const) {
+  private constructor(signals: readonly Handled[]) {
+    for (const signal of signals) {
       process.on(signal, () => {
         if (this.handler === undefined) this.early.push(signal);
         else this.handler(signal);
@@ -17,8 +15,10 @@
     }
   }
 
-  static create(): EarlySignals {
-    return new EarlySignals();
+  static create<Handled extends NodeJS.Signals>(
+    signals: readonly Handled[],
+  ): EarlySignals<Handled> {
+    return new EarlySignals(signals);
   }
 
   /** Hands all signals to the handler, those that have come already first. */
