Stop gracefully on SIGHUP in the product's own daemon

Cause: the runtime itself handles SIGTERM and SIGINT from the start, by ending the process, so the system's mask does not tell whether the program handles them; a scenario that waited for SIGTERM in the mask sent it too early (exit without a code). SIGHUP ended this daemon without its graceful stop. Ruled out: a fixed time after the start, which depends on the machine. Before: SIGTERM sent with its bit in the mask ended both programs by the signal.

--- a/src/program/daemon-program.ts
+++ b/src/program/daemon-program.ts
@@ -5,7 +5,7 @@
 import { runChecked } from "./run-checked.js";
 
 /** Runs the daemon as its command line says. */
-export async function runDaemon(earlySignals: EarlySignals<"SIGTERM" | "SIGINT">): Promise<void> {
+export async function runDaemon(earlySignals: EarlySignals): Promise<void> {
   const program = new Command("nutmegstaged").description("Entry daemon of nutmegstage");
 
   program
@@ -17,6 +17,7 @@
       const started = daemon.start();
       // A signal during the start takes effect after it; a second one must not end the process.
       const stop = (): void => void started.then(() => daemon.stop()).then(() => process.exit(0));
+      // SIGHUP stops gracefully as well: its settings are read once, and a terminal may be gone.
       earlySignals.handle(stop);
       await started;
     });
