--- a/features/daemon-programs.feature
+++ b/features/daemon-programs.feature
@@ -1,5 +1,5 @@
-Feature: The program of a daemon on the platform
-  The daemon runs as a process of its own.
+Feature: The programs of the daemons
+  Each daemon runs as a process of its own.
 
   Background:
     Given a platform with the upstreams "u1" and "u2" and a daemon
@@ -13,3 +13,7 @@
   Scenario: A stop is asked for during the start
     When a daemon process is started and gets SIGTERM as soon as it handles signals
     Then the daemon process ends with code 0 within its grace period
+
+  Scenario: A stop of the product's own daemon is asked for during the start
+    When a daemon of the product is started and gets SIGTERM as soon as it handles signals
+    Then the daemon process ends with code 0 within its grace period
--- a/features/steps/daemon-programs.ts
+++ b/features/steps/daemon-programs.ts
@@ -3,9 +3,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { After, Then, When } from "@cucumber/cucumber";
-import { SoakDaemon } from "../../soak/soak-daemon.js";
 import { SystemTimers } from "../../src/time/system-timers.js";
+import { DaemonProcess, DaemonProgram } from "../../standin/daemon-process.js";
 import { freePorts } from "../../standin/free-ports.js";
+import { PlatformSite } from "../../standin/platform-site.js";
 import type { FrontHost } from "../support/front-host.js";
 
 const GRACE_S = 8;
@@ -16,7 +17,7 @@
 interface ProgramWorld {
   front: FrontHost;
   logDirectory: string | undefined;
-  daemonProcess: SoakDaemon | undefined;
+  daemonProcess: DaemonProcess | undefined;
   programReadiness: number;
   startedMs: number;
   handledMs: number;
@@ -29,30 +30,62 @@
   if (this.logDirectory !== undefined) await rm(this.logDirectory, { recursive: true });
 });
 
+/** Starts a program and sends the signal as soon as it handles signals. */
+async function startAndSignal(
+  world: ProgramWorld,
+  program: DaemonProgram,
+  settings: unknown,
+  signal: "SIGHUP" | "SIGTERM",
+): Promise<void> {
+  const timers = SystemTimers.create();
+  world.logDirectory = await mkdtemp(join(tmpdir(), "daemon-program-"));
+  world.startedMs = timers.now();
+  const started = await DaemonProcess.create(program, world.logDirectory, "program", settings);
+  world.daemonProcess = started;
+  const end = timers.now() + READY_MS;
+  while (!(await started.handlesSignals())) {
+    assert.deepEqual(started.ownEnds, []);
+    assert.ok(timers.now() < end, "no handler in time");
+    await timers.sleep(SIGNAL_POLL_MS);
+  }
+  world.handledMs = timers.now() - world.startedMs;
+  if (signal === "SIGHUP") started.signal(signal);
+  else world.exit = started.end(signal);
+}
+
 When(
   /^a daemon process is started and gets (SIGHUP|SIGTERM) as soon as it handles signals$/,
   async function (this: ProgramWorld, signal: "SIGHUP" | "SIGTERM") {
-    const timers = SystemTimers.create();
-    this.logDirectory = await mkdtemp(join(tmpdir(), "front-program-"));
-    const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
-    const settings = this.front.settingsOf("program", { callers, readiness, peers, metrics });
-    this.programReadiness = readiness;
-    this.startedMs = timers.now();
-    this.daemonProcess = await SoakDaemon.create(this.logDirectory, "program", settings);
-    const end = timers.now() + READY_MS;
-    while (!(await this.daemonProcess.handlesSignals())) {
-      assert.ok(timers.now() < end, "no handler in time");
-      await timers.sleep(SIGNAL_POLL_MS);
-    }
-    this.handledMs = timers.now() - this.startedMs;
-    if (signal === "SIGHUP") this.daemonProcess.signal(signal);
-    else this.exit = this.daemonProcess.end(signal);
+    const { site } = this.front;
+    const ports = { ...(await PlatformSite.daemonPorts()), store: site.storePort };
+    this.programReadiness = ports.readiness;
+    const settings = site.settingsOf("program", ports, "info");
+    await startAndSignal(this, DaemonProgram.Platform, settings, signal);
+  },
+);
+
+When(
+  "a daemon of the product is started and gets SIGTERM as soon as it handles signals",
+  async function (this: ProgramWorld) {
+    const [callers = 0, peers = 0, operators = 0] = await freePorts(3);
+    const at = (port: number): object => ({ host: "127.0.0.1", port });
+    const away = { endpoint: "http://127.0.0.1:1" };
+    const settings = {
+      instance: { id: "a", dataCentre: "fes-a" },
+      callers: at(callers),
+      peers: { ...at(peers), secret: "a-secret-between-peers" },
+      operators: { ...at(operators), credentials: [{ name: "amal", digest: "0".repeat(64) }] },
+      table: { ...away, accessKeyId: "local", secretAccessKey: "local" },
+      instanceList: away,
+      bounds: { graceMs: GRACE_S * 1_000 },
+    };
+    await startAndSignal(this, DaemonProgram.Own, settings, "SIGTERM");
   },
 );
 
 Then("the daemon process becomes ready", async function (this: ProgramWorld) {
   const end = Date.now() + READY_MS;
-  while (!(await this.front.ready(this.programReadiness))) {
+  while (!(await PlatformSite.isReady(this.programReadiness))) {
     assert.deepEqual(this.daemonProcess?.ownEnds, []);
     assert.ok(Date.now() < end, "not ready in time");
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
--- a/features/steps/front-path.ts
+++ b/features/steps/front-path.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { LinkState } from "../../standin/link-state.js";
+import type { PlatformAnswer } from "../../standin/platform-caller.js";
 import { StoreMode } from "../../standin/platform-store.js";
 import type { PlatformUpstream, UpstreamMode } from "../../standin/platform-upstream.js";
-import type { FrontAnswer } from "../support/front-caller.js";
 import { FrontHost } from "../support/front-host.js";
 
 const EVENTS = ["1", "2", "3", "4", "5"];
@@ -12,8 +13,8 @@
 
 interface FrontWorld {
   front: FrontHost | undefined;
-  reply: FrontAnswer;
-  replies: FrontAnswer[];
+  reply: PlatformAnswer;
+  replies: PlatformAnswer[];
 }
 
 function hostOf(world: FrontWorld): FrontHost {
@@ -31,18 +32,18 @@
   assert.ok(condition());
 }
 
-function eventIds({ body }: FrontAnswer): string[] {
+function eventIds({ body }: PlatformAnswer): string[] {
   return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id ?? "");
 }
 
 function upstreamOf(world: FrontWorld, id: string): PlatformUpstream {
-  const upstream = hostOf(world).upstreams.find((each) => each.id === id);
+  const upstream = hostOf(world).site.upstreams.find((each) => each.id === id);
   assert.ok(upstream !== undefined);
   return upstream;
 }
 
 function requestsOf(upstream: PlatformUpstream): PlatformUpstream["ran"] {
-  return upstream.ran.filter(({ url }) => !url.startsWith("/nutmegstage/"));
+  return upstream.ran.filter(({ control }) => !control);
 }
 
 After(async function (this: FrontWorld) {
@@ -57,7 +58,7 @@
 );
 
 Given("all upstreams are {string}", function (this: FrontWorld, mode: UpstreamMode) {
-  for (const upstream of hostOf(this).upstreams) upstream.mode = mode;
+  for (const upstream of hostOf(this).site.upstreams) upstream.mode = mode;
 });
 
 Given("one upstream is {string}", function (this: FrontWorld, mode: UpstreamMode) {
@@ -65,7 +66,7 @@
 });
 
 Given("upstreams answer after {int} ms", function (this: FrontWorld, ms: number) {
-  for (const upstream of hostOf(this).upstreams) upstream.delayMs = ms;
+  for (const upstream of hostOf(this).site.upstreams) upstream.delayMs = ms;
 });
 
 Given(
@@ -81,26 +82,25 @@
     const host = hostOf(this);
     const second = await host.startDaemon();
     await pause(FLEET_MS);
-    second.gate.closed = true;
+    second.storeLink.state = LinkState.Resetting;
   },
 );
 
 When(
   "a caller asks for a stream with {int} pieces",
   async function (this: FrontWorld, pieces: number) {
-    const headers = { "nutmegstage-pieces": String(pieces), "nutmegstage-piece-key": "k" };
-    this.reply = await hostOf(this).ask("/stream/staged/1", headers);
+    this.reply = await hostOf(this).ask("/stream/staged/1", { pieces, pieceKey: "k" });
   },
 );
 
 When("a caller asks for {string}", async function (this: FrontWorld, path: string) {
-  this.reply = await hostOf(this).ask(path, { "nutmegstage-attempt-id": "request-1" });
+  this.reply = await hostOf(this).ask(path, { id: "request-1" });
 });
 
 When(
   "a caller asks for {string} with a deadline of {int} ms",
   async function (this: FrontWorld, path: string, ms: number) {
-    this.reply = await hostOf(this).ask(path, { "nutmegstage-deadline-ms": String(ms) });
+    this.reply = await hostOf(this).ask(path, { deadlineMs: ms });
   },
 );
 
@@ -118,43 +118,40 @@
 
 When("{int} callers ask for resumable streams", async function (this: FrontWorld, count: number) {
   const host = hostOf(this);
-  const ask = (): Promise<FrontAnswer> => host.ask("/stream/resumable/1");
+  const ask = (): Promise<PlatformAnswer> => host.ask("/stream/resumable/1");
   this.replies = await Promise.all(Array.from({ length: count }, ask));
 });
 
 When("{string} registers as leaving", function (this: FrontWorld, id: string) {
-  hostOf(this).register(upstreamOf(this, id), "draining");
+  hostOf(this).site.leave(upstreamOf(this, id));
 });
 
 When("the store has entries that cannot be read", function (this: FrontWorld) {
-  const { store } = hostOf(this);
-  store.put("servers", "x1", { service: "pool", address: 7, zone: "a", state: "ready" });
-  store.put("servers", "x2", "text");
-  store.put("servers", "x3", { service: "pool", address: "127.0.0.1:1", zone: "a", state: "odd" });
+  hostOf(this).site.registerUnreadable();
 });
 
 When("a configuration without the key is written", function (this: FrontWorld) {
-  hostOf(this).configure(["another-key"]);
+  hostOf(this).site.configure("another-key");
 });
 
 When(
   "the store is silent while a configuration without the key is written",
   async function (this: FrontWorld) {
-    const host = hostOf(this);
-    host.store.mode = StoreMode.Silent;
-    host.configure(["another-key"]);
+    const { site } = hostOf(this);
+    site.store.mode = StoreMode.Silent;
+    site.configure("another-key");
     await pause(FLEET_MS);
   },
 );
 
 When("the store forgets its history and answers again", function (this: FrontWorld) {
-  const { store } = hostOf(this);
+  const { store } = hostOf(this).site;
   store.forgetHistory();
   store.mode = StoreMode.Serving;
 });
 
 When("the store is busy", function (this: FrontWorld) {
-  hostOf(this).store.mode = StoreMode.Busy;
+  hostOf(this).site.store.mode = StoreMode.Busy;
 });
 
 When("{int} ms pass in real time", async function (this: FrontWorld, ms: number) {
@@ -173,17 +170,17 @@
 Then(
   "the engine got the handles of both pieces and the team of the key, and no key",
   function (this: FrontWorld) {
-    const [run] = hostOf(this).upstreams.flatMap((upstream) => requestsOf(upstream));
+    const [run] = hostOf(this).site.upstreams.flatMap((upstream) => requestsOf(upstream));
     assert.ok(run !== undefined);
-    assert.equal(String(run.headers["nutmegstage-inputs"]).split(",").length, 2);
-    assert.equal(run.headers["nutmegstage-tenant"], "team-1");
-    assert.equal(run.headers["x-api-key"], undefined);
-    assert.ok(Number(run.headers["nutmegstage-deadline-ms"]) <= 6_000);
+    assert.equal(run.inputs.length, 2);
+    assert.equal(run.team, "team-1");
+    assert.equal(run.key, undefined);
+    assert.ok(run.leftMs <= 6_000);
   },
 );
 
 Then("the results are released", async function (this: FrontWorld) {
-  const { upstreams } = hostOf(this);
+  const { upstreams } = hostOf(this).site;
   await until(() => upstreams.flatMap(({ released }) => released).length === 2, RELEASED_MS);
 });
 
@@ -200,7 +197,7 @@
 );
 
 Then("the answer is signed by the upstream", function (this: FrontWorld) {
-  assert.match(String(this.reply.headers["nutmegstage-replica-stamp"]), /^stamp-u[12]$/);
+  assert.match(String(this.reply.signature), /^stamp-u[12]$/);
 });
 
 Then("the caller's connection is cut", function (this: FrontWorld) {
@@ -222,12 +219,12 @@
 });
 
 Then(/^(one|no) request ran$/, function (this: FrontWorld, count: string) {
-  const ran = hostOf(this).upstreams.flatMap((upstream) => requestsOf(upstream));
+  const ran = hostOf(this).site.upstreams.flatMap((upstream) => requestsOf(upstream));
   assert.equal(ran.length, count === "one" ? 1 : 0);
 });
 
 Then("{string} ran nothing", function (this: FrontWorld, id: string) {
-  const upstream = hostOf(this).upstreams[id === "u1" ? 0 : 1];
+  const upstream = hostOf(this).site.upstreams[id === "u1" ? 0 : 1];
   assert.ok(upstream !== undefined);
   assert.equal(requestsOf(upstream).length, 0);
 });
@@ -236,6 +233,6 @@
   "the caller gets status {int} and a time to come back",
   function (this: FrontWorld, status: number) {
     assert.equal(this.reply.status, status);
-    assert.ok(Number(this.reply.headers["retry-after"]) > 0);
+    assert.ok((this.reply.retryAfterMs ?? 0) > 0);
   },
 );
--- a/features/steps/front-stop.ts
+++ b/features/steps/front-stop.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
-import type { FrontAnswer } from "../support/front-caller.js";
+import type { PlatformAnswer } from "../../standin/platform-caller.js";
+import { PlatformSite } from "../../standin/platform-site.js";
 import type { FrontHost } from "../support/front-host.js";
 
 const POLL_MS = 25;
@@ -8,7 +9,7 @@
 
 interface StopWorld {
   front: FrontHost | undefined;
-  reply: FrontAnswer;
+  reply: PlatformAnswer;
 }
 
 function hostOf(world: StopWorld): FrontHost {
@@ -24,10 +25,10 @@
   "a caller asks for a stream with 0 pieces and the daemon stops meanwhile",
   async function (this: StopWorld) {
     const host = hostOf(this);
-    const asked = host.ask("/stream/staged/1", { "nutmegstage-pieces": "0" });
+    const asked = host.ask("/stream/staged/1", { pieces: 0 });
     await pause(REQUEST_SENT_MS);
     const stopped = host.first.daemon.stop();
-    assert.equal(await host.ready(host.first.readiness), false);
+    assert.equal(await PlatformSite.isReady(host.first.readiness), false);
     this.reply = await asked;
     await stopped;
   },
@@ -36,12 +37,12 @@
 When(
   "a caller asks for {string} and leaves after {int} ms",
   async function (this: StopWorld, path: string, ms: number) {
-    this.reply = await hostOf(this).ask(path, {}, hostOf(this).first, ms);
+    this.reply = await hostOf(this).ask(path, { signal: AbortSignal.timeout(ms) });
   },
 );
 
 Then("the daemon is unready and then gone", async function (this: StopWorld) {
-  assert.equal(await hostOf(this).ready(hostOf(this).first.readiness), false);
+  assert.equal(await PlatformSite.isReady(hostOf(this).first.readiness), false);
 });
 
 Then(
--- a/features/steps/front-store.ts
+++ b/features/steps/front-store.ts
@@ -22,13 +22,13 @@
 When(
   "{int} ms pass in real time with reads of the store counted",
   async function (this: StoreWorld, ms: number) {
-    const { store } = this.front;
+    const { store } = this.front.site;
     store.reads = 0;
     await pause(ms);
   },
 );
 
 Then("the store got at most {int} reads", function (this: StoreWorld, most: number) {
-  const { reads } = this.front.store;
+  const { reads } = this.front.site.store;
   assert.ok(reads > 0 && reads <= most, `${reads} reads`);
 });
--- a/features/steps/peer-calls.ts
+++ b/features/steps/peer-calls.ts
@@ -6,8 +6,9 @@
 import { ServeError } from "../../src/error/serve-error.js";
 import type { PeerClients } from "../../src/peer/peer-clients.js";
 import { PeerMethod } from "../../src/peer/peer-method.js";
+import { SystemTimers } from "../../src/time/system-timers.js";
+import { FaultLink } from "../../standin/fault-link.js";
 import { PeerHost } from "../support/peer-host.js";
-import { Relay } from "../support/relay.js";
 
 const TARGET = "tunis-a-1";
 const CALL_MS = 2_000;
@@ -16,7 +17,7 @@
 const PAUSE_MS = 5;
 
 let host: PeerHost | undefined;
-let relay: Relay | undefined;
+let relay: FaultLink | undefined;
 let peer: PeerClients;
 let failures: ServeError[] = [];
 let closed: Promise<unknown>;
@@ -69,7 +70,7 @@
 });
 
 After(async () => {
-  relay?.close();
+  void relay?.stop();
   relay = undefined;
   failures = [];
   await host?.close();
@@ -139,13 +140,13 @@
 });
 
 Given("a peer with open connections through a relay", async () => {
-  relay = await Relay.create(served().port);
+  relay = await FaultLink.create(SystemTimers.create(), served().port);
   peer = served().clientsAs("tunis-a-2", relay.url);
   await Promise.all(Array.from({ length: 8 }, () => probe(peer)));
 });
 
 When("the relay stops forwarding on its open connections", () => {
-  relay?.silence();
+  relay?.silencePresent();
 });
 
 Then(/^(?:the peer's|its next) call is answered within (\d+) ms$/, async (limit: string) => {
--- /dev/null
+++ b/features/steps/soak-checks.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { checkPromises } from "../../soak/promise-check.js";
+import type { KeyChange, Leaving } from "../../soak/soak-fleet.js";
+import type { RequestKind, SoakRequest } from "../../soak/soak-request.js";
+import { TroubleLog } from "../../soak/trouble-log.js";
+import type { SeenRequest } from "../../standin/platform-upstream.js";
+
+const ID = "r1";
+const KEY = "key-0";
+const SENT_MS = 100_000;
+const ENDED_MS = 100_050;
+const EVENTS = [1, 2, 3, 4, 5];
+
+interface ChecksWorld {
+  asked: SoakRequest;
+  runs: SeenRequest[];
+  keys: KeyChange[];
+  leavings: Leaving[];
+  troubles: TroubleLog;
+}
+
+function streamOf(events: readonly number[]): string {
+  return events.map((event) => `id: ${event}\ndata: token\n\n`).join("");
+}
+
+function change(world: ChecksWorld, fields: Partial<SoakRequest>): void {
+  world.asked = { ...world.asked, ...fields };
+}
+
+function changeRun(world: ChecksWorld, fields: Partial<SeenRequest>): void {
+  world.runs = world.runs.map((run) => ({ ...run, ...fields }));
+}
+
+function findings(world: ChecksWorld): string[] {
+  const { runs, keys, leavings, troubles, asked } = world;
+  return checkPromises({ ran: runs, keys, leavings, troubles }, [asked]);
+}
+
+Given(
+  "a request of kind {string} that was answered well and ran once",
+  function (this: ChecksWorld, kind: RequestKind) {
+    this.asked = {
+      id: ID,
+      kind,
+      daemon: 0,
+      key: KEY,
+      sentMs: SENT_MS,
+      endedMs: ENDED_MS,
+      status: 200,
+      body: kind.startsWith("stream/") ? streamOf(EVENTS) : `answer to ${ID}`,
+      whole: true,
+      answered: ID,
+      signature: "stamp-u1",
+      retryAfterMs: undefined,
+    };
+    this.runs = [
+      {
+        atMs: SENT_MS + 10,
+        upstream: "u1",
+        method: "POST",
+        url: `/${kind}/${ID}`,
+        body: `body of ${ID}`,
+        control: false,
+        attemptId: ID,
+        team: "team-1",
+        key: undefined,
+        leftMs: 1_000,
+        inputs: [],
+      },
+    ];
+    this.keys = [{ key: KEY, fromMs: 0 }];
+    this.leavings = [];
+    this.troubles = TroubleLog.create();
+  },
+);
+
+When("it runs a second time", function (this: ChecksWorld) {
+  this.runs = [...this.runs, ...this.runs];
+});
+
+When("it was answered {int}", function (this: ChecksWorld, status: number) {
+  change(this, { status });
+});
+
+When("its answer names another request", function (this: ChecksWorld) {
+  change(this, { answered: "r2" });
+});
+
+When("its answer is not signed", function (this: ChecksWorld) {
+  change(this, { signature: undefined });
+});
+
+When("its answer is incomplete and ends as complete", function (this: ChecksWorld) {
+  change(this, { body: "answer" });
+});
+
+When("an event is missing", function (this: ChecksWorld) {
+  change(this, { body: streamOf(EVENTS.filter((event) => event !== 3)) });
+});
+
+When("another request runs", function (this: ChecksWorld) {
+  this.runs = [...this.runs, ...this.runs.map((run) => ({ ...run, attemptId: "r2" }))];
+});
+
+When("it runs with another body", function (this: ChecksWorld) {
+  changeRun(this, { body: "another body" });
+});
+
+When("it runs with its key", function (this: ChecksWorld) {
+  changeRun(this, { key: KEY });
+});
+
+When("its key was removed {int} s before", function (this: ChecksWorld, seconds: number) {
+  this.keys.push({ key: "key-1", fromMs: SENT_MS - seconds * 1_000 });
+});
+
+When("its upstream had left {int} s before", function (this: ChecksWorld, seconds: number) {
+  this.leavings.push({ upstream: "u1", fromMs: SENT_MS - seconds * 1_000 });
+});
+
+When("its daemon was disturbed a second before", function (this: ChecksWorld) {
+  this.troubles.begin("daemon 0", SENT_MS - 1_000)(SENT_MS - 900);
+});
+
+Then("the checks find nothing", function (this: ChecksWorld) {
+  assert.deepEqual(findings(this), []);
+});
+
+Then("the checks find {string}", function (this: ChecksWorld, finding: string) {
+  const found = findings(this);
+  assert.ok(
+    found.some((each) => each.includes(finding)),
+    found.join("; "),
+  );
+});
--- a/features/steps/upstream-calls.ts
+++ b/features/steps/upstream-calls.ts
@@ -75,7 +75,7 @@
 });
 
 When("the relay goes silent", function (this: ScenarioWorld) {
-  trial(this).relay.silence();
+  trial(this).relay.silencePresent();
 });
 
 When(/^(\d+) upstream calls? (?:is|are) made$/, async function (this: ScenarioWorld, n: string) {
@@ -101,7 +101,7 @@
   async function (this: ScenarioWorld, count: number) {
     const made = calls(this, count);
     await delay(SILENCE_AFTER_MS);
-    trial(this).relay.silence();
+    trial(this).relay.silencePresent();
     await made;
   },
 );
--- a/features/support/upstream-trial.ts
+++ b/features/support/upstream-trial.ts
@@ -11,7 +11,7 @@
 import { Child } from "../../standin/child.js";
 import { type EngineFaults, noEngineFaults } from "../../standin/engine-faults.js";
 import { freePorts } from "../../standin/free-ports.js";
-import { Relay } from "../../standin/relay.js";
+import { FaultLink } from "../../standin/fault-link.js";
 import { StandinKind } from "../../standin/standin-kind.js";
 import { UpstreamServer } from "../../standin/upstream-server.js";
 
@@ -38,14 +38,17 @@
 
   private constructor(
     readonly upstream: UpstreamServer,
-    readonly relay: Relay,
+    readonly relay: FaultLink,
     private address: string,
   ) {}
 
   static async create(): Promise<UpstreamTrial> {
     const upstream = UpstreamServer.create("upstream");
     await upstream.server.listen({ host: "127.0.0.1", port: 0 });
-    const relay = await Relay.create((upstream.server.server.address() as AddressInfo).port);
+    const relay = await FaultLink.create(
+      SystemTimers.create(),
+      (upstream.server.server.address() as AddressInfo).port,
+    );
     return new UpstreamTrial(upstream, relay, relay.url);
   }
 
--- a/soak/promise-check.ts
+++ b/soak/promise-check.ts
@@ -1,5 +1,7 @@
+import { siteBounds } from "../standin/platform-site.js";
 import type { SeenRequest } from "../standin/platform-upstream.js";
-import { DRAIN_MS, type SoakFleet } from "./soak-fleet.js";
+import type { KeyChange, Leaving } from "./soak-fleet.js";
+import type { TroubleLog } from "./trouble-log.js";
 import { RequestKind, type SoakRequest, runsOnce } from "./soak-request.js";
 
 /** Statuses that promise that the request has not run and never will. */
@@ -15,83 +17,91 @@
 const CLOCK_MS = 100;
 const TEAM = "team-1";
 
+/** What upstreams saw, and what changed around them. */
+export interface Witness {
+  /** Requests that upstreams ran. */
+  readonly ran: readonly SeenRequest[];
+  readonly keys: readonly KeyChange[];
+  readonly leavings: readonly Leaving[];
+  readonly troubles: TroubleLog;
+}
+
 /** Compares what callers and upstreams saw with the promises; returns the broken ones. */
-export function checkPromises(fleet: SoakFleet, requests: readonly SoakRequest[]): string[] {
+export function checkPromises(witness: Witness, requests: readonly SoakRequest[]): string[] {
   const sent = new Map(requests.map((request) => [request.id, request]));
   const runs = new Map<string, SeenRequest[]>();
   const findings: string[] = [];
-  for (const run of fleet.upstreams.flatMap(({ ran }) => ran)) {
-    if (run.url.startsWith("/nutmegstage/")) continue;
-    const id = String(run.headers["nutmegstage-attempt-id"]);
+  for (const run of witness.ran) {
+    if (run.control) continue;
+    const id = run.attemptId;
     runs.set(id, [...(runs.get(id) ?? []), run]);
     const request = sent.get(id);
-    if (request === undefined) findings.push(`UNASKED: ${id} ran and no caller sent it`);
-    else findings.push(...checkRun(fleet, request, run));
+    if (request === undefined) findings.push(`${id} ran and no caller sent it`);
+    else findings.push(...checkRun(witness, request, run));
   }
   for (const request of requests) {
-    findings.push(...checkAnswer(fleet, request, runs.get(request.id) ?? []));
+    findings.push(...checkAnswer(witness, request, runs.get(request.id) ?? []));
   }
   return findings;
 }
 
-function checkRun(fleet: SoakFleet, request: SoakRequest, run: SeenRequest): string[] {
+function checkRun(witness: Witness, request: SoakRequest, run: SeenRequest): string[] {
   const { id, kind, key } = request;
   const findings: string[] = [];
-  const { headers } = run;
   if (run.url !== `/${kind}/${id}` || run.body !== `body of ${id}` || run.method !== "POST") {
-    findings.push(`UNASKED: ${id} ran with another method, path or body`);
+    findings.push(`${id} ran with another method, path or body`);
   }
-  if (headers["x-api-key"] !== undefined || headers["nutmegstage-tenant"] !== TEAM) {
-    findings.push(`UNASKED: ${id} ran with the key or for another team`);
+  if (run.key !== undefined || run.team !== TEAM) {
+    findings.push(`${id} ran with the key or for another team`);
   }
-  const next = fleet.keys.findIndex((each) => each.key === key) + 1;
-  const removedMs = fleet.keys[next]?.fromMs ?? Infinity;
-  if (request.sentMs > removedMs + APPLY_MS + CLOCK_MS && inTouch(fleet, request)) {
-    findings.push(`CONFIG: ${id} ran with a key that was removed`);
+  const next = witness.keys.findIndex((each) => each.key === key) + 1;
+  const removedMs = witness.keys[next]?.fromMs ?? Infinity;
+  if (request.sentMs > removedMs + APPLY_MS + CLOCK_MS && inTouch(witness, request)) {
+    findings.push(`${id} ran with a key that was removed`);
   }
-  for (const { upstream, fromMs } of fleet.leavings) {
-    const lateMs = run.atMs - fromMs - DRAIN_MS - CLOCK_MS;
-    if (upstream === run.upstream && lateMs > 0 && inTouch(fleet, request)) {
-      findings.push(`DRAIN: ${id} ran ${lateMs} ms too late at ${upstream}`);
+  for (const { upstream, fromMs } of witness.leavings) {
+    const lateMs = run.atMs - fromMs - siteBounds.drainMs - CLOCK_MS;
+    if (upstream === run.upstream && lateMs > 0 && inTouch(witness, request)) {
+      findings.push(`${id} ran ${lateMs} ms too late at ${upstream}`);
     }
   }
   return findings;
 }
 
 function checkAnswer(
-  fleet: SoakFleet,
+  witness: Witness,
   request: SoakRequest,
   runs: readonly SeenRequest[],
 ): string[] {
   const { id, kind, status } = request;
   const findings: string[] = [];
-  if (runsOnce(kind) && runs.length > 1) findings.push(`TWICE: ${id} ran ${runs.length} times`);
+  if (runsOnce(kind) && runs.length > 1) findings.push(`${id} ran ${runs.length} times`);
   if (runsOnce(kind) && PROMISES.has(status) && runs.length > 0) {
-    findings.push(`REFUSED: ${id} was answered ${status} and ran`);
+    findings.push(`${id} was answered ${status} and ran`);
   }
   if (status === OK && request.whole) findings.push(...checkContent(request));
-  const current = fleet.keys.findLast(({ fromMs }) => fromMs <= request.sentMs);
+  const current = witness.keys.findLast(({ fromMs }) => fromMs <= request.sentMs);
   const known = current?.key === request.key && request.sentMs > current.fromMs + APPLY_MS;
-  if (status === UNAUTHORIZED && known && inTouch(fleet, request)) {
-    findings.push(`DENIED: ${id} was answered ${status} with a valid key`);
+  if (status === UNAUTHORIZED && known && inTouch(witness, request)) {
+    findings.push(`${id} was answered ${status} with a valid key`);
   }
   return findings;
 }
 
-function checkContent({ id, kind, headers, body }: SoakRequest): string[] {
+function checkContent({ id, kind, answered, signature, body }: SoakRequest): string[] {
   const findings: string[] = [];
-  if (headers["nutmegstage-attempt-id"] !== id) findings.push(`MIXED: ${id} got another answer`);
-  if (headers["nutmegstage-replica-stamp"] === undefined) findings.push(`MIXED: ${id} unsigned`);
+  if (answered !== id) findings.push(`${id} got another answer`);
+  if (signature === undefined) findings.push(`${id} unsigned`);
   const streamed = kind === RequestKind.Staged || kind === RequestKind.Resumable;
-  if (!streamed && body !== `answer to ${id}`) findings.push(`MIXED: ${id} got "${body}"`);
+  if (!streamed && body !== `answer to ${id}`) findings.push(`${id} got "${body}"`);
   const events = [...body.matchAll(/^id: (\d+)$/gm)].map(([, event]) => event);
   if (streamed && events.join() !== EVENTS.join()) {
-    findings.push(`ORDER: ${id} ended as complete with the events ${events.join()}`);
+    findings.push(`${id} ended as complete with the events ${events.join()}`);
   }
   return findings;
 }
 
 /** Whether the bounds hold for the daemon that got a request. */
-function inTouch(fleet: SoakFleet, { daemon, sentMs, endedMs }: SoakRequest): boolean {
-  return fleet.troubles.calm([`daemon ${daemon}`, "store"], sentMs - CONTACT_MS, endedMs);
+function inTouch(witness: Witness, { daemon, sentMs, endedMs }: SoakRequest): boolean {
+  return witness.troubles.calm([`daemon ${daemon}`, "store"], sentMs - CONTACT_MS, endedMs);
 }
--- a/soak/soak-caller.ts
+++ b/soak/soak-caller.ts
@@ -1,6 +1,7 @@
-import { Agent, type ClientRequest, request } from "node:http";
+import { Agent } from "node:http";
 import type { RandomSource } from "../src/random/random-source.js";
 import type { Timers } from "../src/time/timers.js";
+import { askPlatform } from "../standin/platform-caller.js";
 import { RequestKind, type SoakRequest } from "./soak-request.js";
 
 const DEADLINE_MS = 4_000;
@@ -8,7 +9,6 @@
 const PATIENCE_MS = 5_000;
 const MEAN_PAUSE_MS = 60;
 const MOST_PIECES = 3;
-const MS_PER_SECOND = 1_000;
 
 interface Parts {
   readonly timers: Timers;
@@ -37,9 +37,8 @@
   async run(signal: AbortSignal): Promise<void> {
     const { timers, random } = this.parts;
     while (!signal.aborted) {
-      const { headers } = await this.ask();
-      const awayMs = Number(headers["retry-after"] ?? 0) * MS_PER_SECOND;
-      await timers.sleep(awayMs + random.exponential(MEAN_PAUSE_MS));
+      const { retryAfterMs = 0 } = await this.ask();
+      await timers.sleep(retryAfterMs + random.exponential(MEAN_PAUSE_MS));
     }
     for (const agent of this.agents) agent.destroy();
   }
@@ -55,48 +54,29 @@
     return answer;
   }
 
-  private send(id: string, kind: RequestKind, daemon: number): Promise<SoakRequest> {
+  private async send(id: string, kind: RequestKind, daemon: number): Promise<SoakRequest> {
     const { timers, ports, random } = this.parts;
     const key = this.parts.key();
     const sentMs = timers.wallClock();
     const pieces = kind === RequestKind.Staged ? random.below(MOST_PIECES + 1) : 0;
-    const sent = { id, kind, daemon, key, sentMs };
-    return new Promise((resolve) => {
-      const end = (got: Pick<SoakRequest, "status" | "headers" | "body" | "whole">): void => {
-        patience.cancel();
-        resolve({ ...sent, ...got, endedMs: timers.wallClock() });
-      };
-      const call: ClientRequest = request(
-        {
-          port: ports[daemon],
-          path: `/${kind}/${id}`,
-          method: "POST",
-          agent: this.agents[daemon],
-          headers: {
-            host: "a.example",
-            "x-api-key": key,
-            "nutmegstage-attempt-id": id,
-            "nutmegstage-deadline-ms": String(DEADLINE_MS),
-            "nutmegstage-pieces": String(pieces),
-            "nutmegstage-piece-key": `key of ${id}`,
-          },
-        },
-        (response) => {
-          const { statusCode: status = 0, headers } = response;
-          let body = "";
-          response.setEncoding("utf8");
-          response.on("data", (text: string) => (body += text));
-          response.on("error", () => undefined);
-          response.on("close", () => {
-            end({ status, headers, body, whole: response.complete });
-          });
-        },
-      );
-      const patience = timers.after(PATIENCE_MS, () => call.destroy());
-      call.on("error", () => {
-        end({ status: 0, headers: {}, body: "", whole: false });
-      });
-      call.end(`body of ${id}`);
+    const leave = new AbortController();
+    const patience = timers.after(PATIENCE_MS, () => {
+      leave.abort();
     });
+    const agent = this.agents[daemon];
+    const answer = await askPlatform({
+      port: ports[daemon] ?? 0,
+      path: `/${kind}/${id}`,
+      id,
+      key,
+      body: `body of ${id}`,
+      deadlineMs: DEADLINE_MS,
+      pieces,
+      pieceKey: `key of ${id}`,
+      ...(agent === undefined ? {} : { agent }),
+      signal: leave.signal,
+    });
+    patience.cancel();
+    return { id, kind, daemon, key, sentMs, ...answer, endedMs: timers.wallClock() };
   }
 }
--- a/soak/soak-driver.ts
+++ b/soak/soak-driver.ts
@@ -1,14 +1,16 @@
 import type { Timers } from "../src/time/timers.js";
 import { StoreMode } from "../standin/platform-store.js";
+import { LinkState } from "../standin/link-state.js";
+import { siteBounds } from "../standin/platform-site.js";
 import { UpstreamMode } from "../standin/platform-upstream.js";
-import { LinkState } from "./link-state.js";
-import { DRAIN_MS, GRACE_MS, type SoakFleet } from "./soak-fleet.js";
+import type { SoakFleet } from "./soak-fleet.js";
 import { DaemonSignal, LinkSide, type PlannedFault, type SoakFault } from "./soak-fault.js";
 
 /** Time from the end of a process to its next start. */
 const RESTART_MS = 300;
 /** Time that an upstream still serves after it is out of use; it then begins anew. */
 const LINGER_MS = 1_000;
+const GRACE_MS = siteBounds.graceSeconds * 1_000;
 
 /** Causes the disturbances of a plan, each in a task of its own. */
 export class SoakDriver {
@@ -55,16 +57,16 @@
         return;
       }
       case "store":
-        fleet.store.mode = fault.mode;
+        fleet.site.store.mode = fault.mode;
         await this.hold("store", forMs, () => {
-          fleet.store.mode = StoreMode.Serving;
+          fleet.site.store.mode = StoreMode.Serving;
         });
         return;
       case "history":
-        fleet.store.forgetHistory();
+        fleet.site.store.forgetHistory();
         return;
       case "upstream": {
-        const upstream = fleet.upstreams[fault.target];
+        const upstream = fleet.site.upstreams[fault.target];
         if (upstream === undefined) return;
         upstream.mode = fault.mode;
         await this.hold(`upstream ${fault.target}`, forMs, () => {
@@ -75,7 +77,7 @@
       case "leaving":
         await this.alone(`leaving ${fault.target}`, async () => {
           fleet.leave(fault.target);
-          await timers.sleep(DRAIN_MS + LINGER_MS);
+          await timers.sleep(siteBounds.drainMs + LINGER_MS);
           fleet.rejoin(fault.target);
         });
         return;
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -1,6 +1,6 @@
+import type { LinkState } from "../standin/link-state.js";
 import type { UpstreamMode } from "../standin/platform-upstream.js";
 import type { StoreMode } from "../standin/platform-store.js";
-import type { LinkState } from "./link-state.js";
 
 /** Parts of the fleet whose links can be harmed. */
 export enum LinkSide {
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -1,33 +1,26 @@
 import type { Timers } from "../src/time/timers.js";
-import { freePorts } from "../standin/free-ports.js";
-import { platformConfiguration } from "../standin/platform-configuration.js";
-import { PlatformStore, StoreMode } from "../standin/platform-store.js";
-import { PlatformUpstream, UpstreamMode } from "../standin/platform-upstream.js";
-import { FaultLink } from "./fault-link.js";
-import { LinkState } from "./link-state.js";
-import { SoakDaemon } from "./soak-daemon.js";
+import { DaemonProcess, DaemonProgram } from "../standin/daemon-process.js";
+import { FaultLink } from "../standin/fault-link.js";
+import { LinkState } from "../standin/link-state.js";
+import { PlatformSite } from "../standin/platform-site.js";
+import { StoreMode } from "../standin/platform-store.js";
+import {
+  type PlatformUpstream,
+  type SeenRequest,
+  UpstreamMode,
+} from "../standin/platform-upstream.js";
 import { LinkSide } from "./soak-fault.js";
 import { TroubleLog } from "./trouble-log.js";
 
-const VERSION_STEP = 3;
 const READY_MS = 10_000;
 const POLL_MS = 50;
-/** Time within which a leaving upstream gets no new work, as the settings state it. */
-export const DRAIN_MS = 2_000;
-/** Time from SIGTERM to SIGKILL, as the settings state it. */
-export const GRACE_MS = 8_000;
-
-interface Addresses {
-  readonly callers: number;
-  readonly readiness: number;
-  readonly peers: number;
-  readonly metrics: number;
-}
+const FIRST_KEY = "key-0";
 
 /** A daemon and the links before and behind it. */
 interface SoakInstance {
-  readonly daemon: SoakDaemon;
-  readonly addresses: Addresses;
+  readonly daemon: DaemonProcess;
+  /** Port that tells whether it is ready. */
+  readonly readiness: number;
   readonly links: Readonly<Record<LinkSide.Callers | LinkSide.Store, FaultLink>>;
 }
 
@@ -48,16 +41,16 @@
   readonly troubles = TroubleLog.create();
   readonly keys: KeyChange[] = [];
   readonly leavings: Leaving[] = [];
-  private version = 1;
-  private renamed = 0;
+  private replaced = 0;
 
   private constructor(
     private readonly timers: Timers,
-    readonly store: PlatformStore,
-    readonly upstreams: readonly PlatformUpstream[],
+    readonly site: PlatformSite,
     private readonly upstreamLinks: readonly FaultLink[],
     readonly instances: readonly SoakInstance[],
-  ) {}
+  ) {
+    this.noteKey(FIRST_KEY);
+  }
 
   /** Starts everything and resolves when all daemons are ready. */
   static async create(
@@ -65,22 +58,18 @@
     directory: string,
     size: { readonly daemons: number; readonly upstreams: number },
   ): Promise<SoakFleet> {
-    const [storePort = 0, ...upstreamPorts] = await freePorts(1 + size.upstreams);
-    const store = await PlatformStore.create(storePort);
-    const upstreamLinks = await Promise.all(
-      upstreamPorts.map((port) => FaultLink.create(timers, port)),
-    );
-    const upstreams = await Promise.all(
-      upstreamPorts.map((port, at) =>
-        PlatformUpstream.create(`u${at}`, port, `127.0.0.1:${upstreamLinks[at]?.port ?? 0}`),
-      ),
-    );
+    const ids = Array.from({ length: size.upstreams }, (_, at) => `u${at}`);
+    const links = new Map<number, FaultLink>();
+    const site = await PlatformSite.create(ids, FIRST_KEY, async (port) => {
+      const link = await FaultLink.create(timers, port);
+      links.set(port, link);
+      return link.port;
+    });
+    const upstreamLinks = site.upstreams.flatMap(({ port }) => links.get(port) ?? []);
     const instances: SoakInstance[] = [];
-    const fleet = new SoakFleet(timers, store, upstreams, upstreamLinks, instances);
-    for (const upstream of upstreams) store.put("servers", upstream.id, upstream.entry("pool"));
-    fleet.changeKey();
+    const fleet = new SoakFleet(timers, site, upstreamLinks, instances);
     for (let at = 0; at < size.daemons; at += 1) {
-      instances.push(await startInstance(timers, directory, `i${at}`, storePort));
+      instances.push(await startInstance(timers, directory, `i${at}`, site));
     }
     await fleet.untilReady();
     return fleet;
@@ -98,36 +87,42 @@
     return link;
   }
 
+  /** Requests that upstreams ran. */
+  get ran(): SeenRequest[] {
+    return this.site.upstreams.flatMap(({ ran }) => ran);
+  }
+
+  /** Processes that ended although nobody asked them to. */
+  get ownEnds(): string[] {
+    return this.instances.flatMap(({ daemon }, at) =>
+      daemon.ownEnds.map((each) => `i${at} ended by itself: ${each}`),
+    );
+  }
+
   /** Replaces the key of the team; the store has the change when this returns. */
   changeKey(): void {
-    this.version += VERSION_STEP;
     const key = `key-${this.keys.length}`;
-    this.store.put("op", "config", platformConfiguration(this.version, [key]));
-    this.keys.push({ key, fromMs: this.timers.wallClock() });
+    this.site.configure(key);
+    this.noteKey(key);
   }
 
   /** Registers an upstream as leaving. */
   leave(target: number): void {
-    const upstream = this.upstreams[target];
-    if (upstream === undefined) throw new Error(`no upstream ${target}`);
-    this.store.put("servers", upstream.id, upstream.entry("pool", "draining"));
+    const upstream = this.upstream(target);
+    this.site.leave(upstream);
     this.leavings.push({ upstream: upstream.id, fromMs: this.timers.wallClock() });
   }
 
   /** Has an upstream that left begin anew, under another id at the same address. */
   rejoin(target: number): void {
-    const upstream = this.upstreams[target];
-    if (upstream === undefined) throw new Error(`no upstream ${target}`);
-    this.store.put("servers", upstream.id, undefined);
-    this.renamed += 1;
-    upstream.id = `u${target}-${this.renamed}`;
-    this.store.put("servers", upstream.id, upstream.entry("pool"));
+    this.replaced += 1;
+    this.site.replace(this.upstream(target), `u${target}-${this.replaced}`);
   }
 
   /** Ends all disturbances and starts the daemons that are down. */
   async heal(): Promise<void> {
-    this.store.mode = StoreMode.Serving;
-    for (const upstream of this.upstreams) upstream.mode = UpstreamMode.Serving;
+    this.site.store.mode = StoreMode.Serving;
+    for (const upstream of this.site.upstreams) upstream.mode = UpstreamMode.Serving;
     for (const link of this.links) link.state = LinkState.Open;
     for (const { daemon } of this.instances) {
       daemon.signal("SIGCONT");
@@ -139,7 +134,17 @@
   async stop(): Promise<void> {
     await Promise.all(this.instances.map(({ daemon }) => daemon.end("SIGKILL")));
     await Promise.all(this.links.map((link) => link.stop()));
-    await Promise.all([this.store.stop(), ...this.upstreams.map((each) => each.stop())]);
+    await this.site.stop();
+  }
+
+  private upstream(target: number): PlatformUpstream {
+    const upstream = this.site.upstreams[target];
+    if (upstream === undefined) throw new Error(`no upstream ${target}`);
+    return upstream;
+  }
+
+  private noteKey(key: string): void {
+    this.keys.push({ key, fromMs: this.timers.wallClock() });
   }
 
   private get links(): FaultLink[] {
@@ -149,8 +154,8 @@
 
   private async untilReady(): Promise<void> {
     const end = this.timers.now() + READY_MS;
-    for (const { addresses } of this.instances) {
-      while (!(await isReady(addresses.readiness))) {
+    for (const { readiness } of this.instances) {
+      while (!(await PlatformSite.isReady(readiness))) {
         if (this.timers.now() > end) throw new Error("a daemon did not become ready");
         await this.timers.sleep(POLL_MS);
       }
@@ -162,44 +167,14 @@
   timers: Timers,
   directory: string,
   id: string,
-  storePort: number,
+  site: PlatformSite,
 ): Promise<SoakInstance> {
-  const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+  const ports = await PlatformSite.daemonPorts();
   const links = {
-    [LinkSide.Callers]: await FaultLink.create(timers, callers),
-    [LinkSide.Store]: await FaultLink.create(timers, storePort),
+    [LinkSide.Callers]: await FaultLink.create(timers, ports.callers),
+    [LinkSide.Store]: await FaultLink.create(timers, site.storePort),
   };
-  const at = (port: number): string => `127.0.0.1:${port}`;
-  const daemon = await SoakDaemon.create(directory, id, {
-    instance: { id, dataCentre: "a" },
-    callers: at(callers),
-    readiness: at(readiness),
-    peers: at(peers),
-    peerSecret: "secret-of-the-soak",
-    metrics: at(metrics),
-    store: at(links[LinkSide.Store].port),
-    seeds: "",
-    bounds: {
-      drainMs: DRAIN_MS,
-      graceSeconds: GRACE_MS / 1_000,
-      budgetRatio: 0.2,
-      budgetWindowSeconds: 10,
-      budgetSlack: 50,
-    },
-    logLevel: "info",
-  });
-  return { daemon, addresses: { callers, readiness, peers, metrics }, links };
-}
-
-async function isReady(port: number): Promise<boolean> {
-  try {
-    const response = await fetch(`http://127.0.0.1:${port}/nutmegstage/ready`, {
-      signal: AbortSignal.timeout(READY_MS / 10),
-    });
-    await response.arrayBuffer();
-    return response.status === 200;
-  } catch {
-    // Refused, reset or late: the daemon is not ready yet.
-    return false;
-  }
+  const settings = site.settingsOf(id, { ...ports, store: links[LinkSide.Store].port }, "info");
+  const daemon = await DaemonProcess.create(DaemonProgram.Platform, directory, id, settings);
+  return { daemon, readiness: ports.readiness, links };
 }
--- a/soak/soak-request.ts
+++ b/soak/soak-request.ts
@@ -1,3 +1,5 @@
+import type { PlatformAnswer } from "../standin/platform-caller.js";
+
 /** What a request asks for; its path names the route. */
 export enum RequestKind {
   Repeatable = "plain",
@@ -7,7 +9,7 @@
 }
 
 /** A request of a caller and what the caller got. */
-export interface SoakRequest {
+export interface SoakRequest extends PlatformAnswer {
   readonly id: string;
   readonly kind: RequestKind;
   /** Number of the daemon that got it. */
@@ -16,12 +18,6 @@
   /** Times since the epoch in ms. */
   readonly sentMs: number;
   readonly endedMs: number;
-  /** 0 if the connection ended without a status. */
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly body: string;
-  /** Whether the answer ended as complete. */
-  readonly whole: boolean;
 }
 
 /** Whether a request may run at most once. */
--- a/standin/daemon-process.ts
+++ b/standin/daemon-process.ts
@@ -4,24 +4,40 @@
 import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 
-const PROGRAM = "dist/platform/main.js";
+/**
+ * SIGHUP in the mask of handled signals of Linux. The programs register it last; SIGTERM and SIGINT
+ * are in the mask from the start, as the runtime has handlers of its own that end the process.
+ */
+const SIGHUP_BIT = 1n << 0n;
+
+/** Programs that run as daemons. */
+export enum DaemonProgram {
+  Platform = "dist/platform/main.js",
+  Own = "dist/src/program/nutmegstaged.js",
+}
 
 /** A daemon as a process of its own, started again under the same addresses. */
-export class SoakDaemon {
+export class DaemonProcess {
   private child: ChildProcess | undefined;
   private readonly ends: string[] = [];
   private ending = false;
 
   private constructor(
+    private readonly program: DaemonProgram,
     private readonly settingsFile: string,
     private readonly logFile: string,
   ) {}
 
   /** Starts the daemon; its log is written to the directory. */
-  static async create(directory: string, name: string, settings: unknown): Promise<SoakDaemon> {
+  static async create(
+    program: DaemonProgram,
+    directory: string,
+    name: string,
+    settings: unknown,
+  ): Promise<DaemonProcess> {
     const settingsFile = join(directory, `${name}.json`);
     await writeFile(settingsFile, JSON.stringify(settings));
-    const daemon = new SoakDaemon(settingsFile, join(directory, `${name}.log`));
+    const daemon = new DaemonProcess(program, settingsFile, join(directory, `${name}.log`));
     daemon.start();
     return daemon;
   }
@@ -36,20 +52,22 @@
   }
 
   /**
-   * Whether the process has a handler for SIGHUP, the first signal in the mask of Linux. Before, the
-   * runtime has not run the first module yet and signals end the process.
+   * Whether the program handles signals. Before, the runtime has not run its first module yet, and
+   * signals end the process.
    */
   async handlesSignals(): Promise<boolean> {
     const { child } = this;
     if (child?.pid === undefined) return false;
     const status = await readFile(`/proc/${child.pid}/status`, "utf8");
     const [, mask = "0"] = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status) ?? [];
-    return (BigInt(`0x${mask}`) & 1n) === 1n;
+    return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
   }
 
   start(): void {
     this.ending = false;
-    const child = spawn(process.execPath, [PROGRAM, "--settings", this.settingsFile], {
+    const verb = this.program === DaemonProgram.Own ? ["run"] : [];
+    const options = [this.program, ...verb, "--settings", this.settingsFile];
+    const child = spawn(process.execPath, options, {
       stdio: ["ignore", "pipe", "pipe"],
     });
     const log = createWriteStream(this.logFile, { flags: "a" });
--- a/standin/fault-link.ts
+++ b/standin/fault-link.ts
@@ -6,10 +6,14 @@
 /** Above the time limit of a connection attempt to an upstream and below that of a request. */
 const DELAY_MS = 400;
 
-/** A TCP relay on loopback whose connections can be delayed, reset, cut one way or silenced. */
+/**
+ * A TCP relay on loopback whose connections can be delayed, reset, cut one way or silenced, all of
+ * them or only those that are present.
+ */
 export class FaultLink {
   private current = LinkState.Open;
   private readonly sockets = new Set<Socket>();
+  private readonly silenced = new WeakSet<Socket>();
 
   private constructor(
     private readonly timers: Timers,
@@ -34,6 +38,10 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  get url(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
   get state(): LinkState {
     return this.current;
   }
@@ -45,6 +53,11 @@
     for (const socket of this.sockets) socket.resetAndDestroy();
   }
 
+  /** Passes nothing on any more between the present connections, without closing them. */
+  silencePresent(): void {
+    for (const socket of this.sockets) this.silenced.add(socket);
+  }
+
   async stop(): Promise<void> {
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
@@ -72,6 +85,7 @@
     let order = Promise.resolve();
     const later = (action: () => void): void => {
       const { current } = this;
+      if (this.silenced.has(from)) return;
       if (current === cut || current === LinkState.Silent) return;
       const delayMs = current === LinkState.Delayed ? DELAY_MS : 0;
       // Keeps the order of bytes when the delay changes between two of them.
--- a/standin/platform-caller.ts
+++ b/standin/platform-caller.ts
@@ -1,62 +1,94 @@
-import { request } from "node:http";
+import { type Agent, request } from "node:http";
 
-const DEADLINE_MS = "8000";
+const HOST = "a.example";
+const DEADLINE_MS = 8_000;
+const MS_PER_SECOND = 1_000;
+
+/** A request as a caller of the platform sends it. */
+export interface PlatformRequest {
+  /** Port of the daemon on 127.0.0.1. */
+  readonly port: number;
+  readonly path: string;
+  readonly id: string;
+  readonly key: string;
+  readonly body?: string;
+  /** Time that the caller waits, in ms. */
+  readonly deadlineMs?: number;
+  /** Pieces of the only stage of a route. */
+  readonly pieces?: number;
+  readonly pieceKey?: string;
+  /** Keeps connections for further requests. */
+  readonly agent?: Agent;
+  /** The caller leaves when it aborts. */
+  readonly signal?: AbortSignal;
+}
 
 /** What a caller got. */
-export interface FrontAnswer {
-  /** 0 if the connection was cut before a status. */
+export interface PlatformAnswer {
+  /** 0 if the connection ended without a status. */
   readonly status: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: string;
   /** Whether the answer ended as complete. */
   readonly whole: boolean;
+  /** Id of the request that the answer names. */
+  readonly answered: string | undefined;
+  /** Signature of the upstream. */
+  readonly signature: string | undefined;
+  /** Time after which the caller may come back, in ms. */
+  readonly retryAfterMs: number | undefined;
 }
 
-let sequence = 0;
+const NO_ANSWER: PlatformAnswer = {
+  status: 0,
+  body: "",
+  whole: false,
+  answered: undefined,
+  signature: undefined,
+  retryAfterMs: undefined,
+};
 
-/** Sends a request and waits for the end of its answer; leaves after `leaveMs` if that is given. */
-export function askFront(
-  port: number,
-  path: string,
-  headers: Record<string, string>,
-  leaveMs?: number,
-): Promise<FrontAnswer> {
-  sequence += 1;
+/** Sends a request and resolves with the end of its answer. Never rejects. */
+export function askPlatform(asked: PlatformRequest): Promise<PlatformAnswer> {
+  const { port, path, id, key, body = "body", deadlineMs = DEADLINE_MS } = asked;
   return new Promise((resolve) => {
-    const cut = { status: 0, headers: {}, body: "", whole: false };
     const call = request(
       {
         port,
         path,
         method: "POST",
-        agent: false,
+        agent: asked.agent ?? false,
+        ...(asked.signal === undefined ? {} : { signal: asked.signal }),
         headers: {
-          host: "a.example",
-          "nutmegstage-attempt-id": `request-${sequence}`,
-          "nutmegstage-deadline-ms": DEADLINE_MS,
-          ...headers,
+          host: HOST,
+          "x-api-key": key,
+          "nutmegstage-attempt-id": id,
+          "nutmegstage-deadline-ms": String(deadlineMs),
+          ...(asked.pieces === undefined ? {} : { "nutmegstage-pieces": String(asked.pieces) }),
+          ...(asked.pieceKey === undefined ? {} : { "nutmegstage-piece-key": asked.pieceKey }),
         },
       },
       (response) => {
-        const { statusCode = 0 } = response;
-        let body = "";
+        const { statusCode: status = 0, headers } = response;
+        const chunks: string[] = [];
         response.setEncoding("utf8");
-        response.on("data", (text: string) => (body += text));
+        response.on("data", (text: string) => chunks.push(text));
         response.on("error", () => undefined);
         response.on("close", () => {
+          const retryAfter = headers["retry-after"];
           resolve({
-            status: statusCode,
-            headers: response.headers,
-            body,
+            status,
+            body: chunks.join(""),
             whole: response.complete,
+            answered: headers["nutmegstage-attempt-id"] as string | undefined,
+            signature: headers["nutmegstage-replica-stamp"] as string | undefined,
+            retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * MS_PER_SECOND,
           });
         });
       },
     );
     call.on("error", () => {
-      resolve(cut);
+      resolve(NO_ANSWER);
     });
-    if (leaveMs !== undefined) setTimeout(() => call.destroy(), leaveMs);
-    call.end("body");
+    call.end(body);
   });
 }
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -28,8 +28,16 @@
   readonly upstream: string;
   readonly method: string;
   readonly url: string;
-  readonly headers: IncomingMessage["headers"];
   readonly body: string;
+  /** Whether it is one of the system's own calls: stage calls and releases. */
+  readonly control: boolean;
+  readonly attemptId: string;
+  readonly team: string | undefined;
+  readonly key: string | undefined;
+  /** Time that the upstream is given, in ms. */
+  readonly leftMs: number;
+  /** Handles of results. */
+  readonly inputs: readonly string[];
 }
 
 /** A small stand-in of one upstream: engine, plain service and stage service at once. */
@@ -45,6 +53,7 @@
 
   private constructor(
     public id: string,
+    readonly port: number,
     readonly address: string,
     private readonly server: Server,
   ) {}
@@ -58,7 +67,7 @@
     const server = createServer((request, response) => {
       void upstream.answer(request, response);
     });
-    const upstream = new PlatformUpstream(id, address, server);
+    const upstream = new PlatformUpstream(id, port, address, server);
     await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
     return upstream;
   }
@@ -77,8 +86,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks).toString();
-    const { method = "", url = "", headers } = request;
-    const seen = { atMs: Date.now(), upstream: this.id, method, url, headers, body };
+    const { url = "", headers } = request;
+    const seen = this.decode(request, body);
     this.seen.push(seen);
     if (headers["nutmegstage-expect-replica"] !== this.id && url !== "/nutmegstage/stage-free") {
       response.writeHead(421, { "nutmegstage-replica-id": this.id }).end();
@@ -92,7 +101,24 @@
     await new Promise((resolve) => setTimeout(resolve, this.delayMs));
     if (url === "/nutmegstage/stage-run") this.runStage(body, response);
     else if (url === "/nutmegstage/stage-free") this.free(body, response);
-    else await this.run(seen, response);
+    else await this.run(seen, headers, response);
+  }
+
+  private decode({ method = "", url = "", headers }: IncomingMessage, body: string): SeenRequest {
+    const text = (name: string): string | undefined => headers[name] as string | undefined;
+    return {
+      atMs: Date.now(),
+      upstream: this.id,
+      method,
+      url,
+      body,
+      control: url.startsWith("/nutmegstage/"),
+      attemptId: text("nutmegstage-attempt-id") ?? "",
+      team: text("nutmegstage-tenant"),
+      key: text("x-api-key"),
+      leftMs: Number(text("nutmegstage-deadline-ms")),
+      inputs: text("nutmegstage-inputs")?.split(",") ?? [],
+    };
   }
 
   private runStage(body: string, response: ServerResponse): void {
@@ -108,8 +134,11 @@
     json(response, {});
   }
 
-  private async run({ headers, url }: SeenRequest, response: ServerResponse): Promise<void> {
-    const id = String(headers["nutmegstage-attempt-id"]);
+  private async run(
+    { url, attemptId: id }: SeenRequest,
+    headers: IncomingMessage["headers"],
+    response: ServerResponse,
+  ): Promise<void> {
     const named = this.mode === UpstreamMode.AnswersOther ? "another" : id;
     response.setHeader("nutmegstage-attempt-id", named);
     response.setHeader("nutmegstage-replica-stamp", `stamp-${this.id}`);
