Keep waiting stage work while no upstream can be reached

Cause: found by reading. The queue estimates the work ahead by the upstreams that can be reached; with none it divided zero by zero, and the comparison gave up all waiting submissions at once. An instance that had never read the store told an infinite age, which JSON has not. Ruled out: the admission, which counts one upstream at least. Change: the estimate counts one upstream at least; the age has the same cap as the other times of an answer. Before: the new scenario of features/stage-pool.feature made 0 of 2 requests.

--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -122,3 +122,12 @@
     Then 4 calls were made
     When the stage clock advances by 35 ms
     Then 6 calls were made
+
+  # Guards against work that is given up while no upstream can be reached for a moment.
+  Scenario: Work that waits while no upstream can be reached is done afterwards
+    Given no upstream can be reached for a moment
+    When 2 requests of 2 pieces arrive
+    And the stage clock advances by 400 ms
+    Then 0 calls were made
+    When the stage clock advances by 800 ms
+    Then all requests have their results
--- a/features/steps/stage-pool.ts
+++ b/features/steps/stage-pool.ts
@@ -35,6 +35,10 @@
   },
 );
 
+Given("no upstream can be reached for a moment", function (this: PoolWorld) {
+  for (const at of ["a", "b"]) this.stages.standingOf(at).unreachable();
+});
+
 Given("upstreams run {int} calls at once", function (this: PoolWorld, calls: number) {
   this.stages.callsAtOnce = calls;
 });
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -80,7 +80,7 @@
     this.unfit = Distrust.create(parts.timers);
     this.teller = RowTeller.create(parts.timers, {
       cache: this.cache,
-      ageMs: () => parts.timers.now() - this.currentMs,
+      ageMs: () => Math.min(NEVER_MS, parts.timers.now() - this.currentMs),
       sinceFailureMs: () => Math.min(NEVER_MS, this.sinceFailureMs),
     });
   }
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -123,27 +123,24 @@
     const capacity = this.parts.capacity();
     if (capacity === undefined) return;
     const reachable = standings.reachable(this.parts.upstreams());
+    const slowness = Math.max(1, standings.typicalRatio(reachable));
     const late = this.queue.expire(timers.now(), {
       callMs: capacity.callMs,
-      piecesPerMs:
-        piecesPerMs(capacity, reachable.length) / Math.max(1, standings.typicalRatio(reachable)),
+      // Upstreams that cannot be reached for a moment will work again.
+      piecesPerMs: piecesPerMs(capacity, Math.max(1, reachable.length)) / slowness,
     });
     for (const owner of late) this.book.fail(owner, PieceFailure.Late);
     if (this.queue.size === 0) return;
-    const { spare, usual } = splitSpare({
-      entries: reachable,
-      standings,
-      mostPieces: capacity.mostPieces,
-      waiting: this.queue.size,
-    });
+    const { mostPieces } = capacity;
+    const waiting = this.queue.size;
+    const { spare, usual } = splitSpare({ entries: reachable, standings, mostPieces, waiting });
     const dataCentres = new Set(usual.map(({ dataCentre }) => dataCentre));
     for (const entry of usual) {
-      const { mostPieces } = capacity;
       this.fillCall(entry, capacity, { mostPieces, probe: false, dataCentres });
     }
     for (const entry of spare) {
       // A few waiting pieces are done sooner by the next upstream that becomes free.
-      if (this.queue.size <= capacity.mostPieces || !standings.of(entry.id).claimProbe()) continue;
+      if (this.queue.size <= mostPieces || !standings.of(entry.id).claimProbe()) continue;
       this.fillCall(entry, capacity, { mostPieces: PROBE_PIECES, probe: true, dataCentres });
     }
     if (this.queue.size > 0) this.wakeLater();
