Keep connections for stage calls and releases, and bound every answer

Answers of upstreams were read without a bound where they were parsed at once, and an event without an end grew until the caller's deadline; bytes that end no event counted as progress. Ruled out: kept connections for requests that may run once, since a reset on them does not show whether the request was read. Change: KeptConnections uses the connections of the product's own path. A kept connection that the other end dropped before a quarter of a call passed costs no attempt. A handle that was named before on a connection shows a second copy of an answer; the connection is closed and the call counts as lost. Test: features/front-path.feature. Without the mends the copy gave an engine the results of another request, the dropped connection cost 400 ms, the endless event was kept, and the trickling stream was not resumed.

--- a/features/front-path.feature
+++ b/features/front-path.feature
@@ -124,3 +124,37 @@
     Given upstreams answer after 3000 ms
     When a caller asks for "/plain/1" and leaves after 200 ms
     Then the daemon has no request in progress within 500 ms
+
+  # Guards against a second copy of an answer that is taken for the answer to the next stage call.
+  Scenario: A copy of an earlier answer on a kept connection is not taken for the next one
+    Given one upstream is "copies-answers"
+    When 12 callers ask for streams with 2 pieces, one after the other
+    Then every caller got status 200
+    And an upstream sent a copy of an answer
+    And every engine got the handles of its own request
+
+  # Guards against stage work that fails because an upstream dropped a connection while it was idle.
+  Scenario: A kept connection that the upstream dropped costs no stage call
+    Given all upstreams are "drops-kept"
+    When 8 callers ask for streams with 2 pieces, one after the other
+    Then every caller got status 200
+    And no caller waited longer than 400 ms
+
+  # Guards against answers without end, which would take memory until the caller's deadline.
+  Scenario Outline: An answer without end is given up
+    Given all upstreams are "<mode>"
+    When a caller asks for "<path>", with the memory watched
+    Then the answer is given up within 2000 ms
+    And the memory grew by less than 100 MB
+
+    Examples:
+      | mode         | path             |
+      | endless-head | /once/1          |
+      | endless-body | /once/1          |
+      | endless-body | /stream/staged/1 |
+
+  # Guards against a stalled stream that is kept for the bytes that it sends now and then.
+  Scenario: A stream that sends bytes but no events is resumed elsewhere
+    Given one upstream is "trickles"
+    When 6 callers ask for resumable streams
+    Then every caller got 5 whole events in order
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -10,6 +10,7 @@
 import { ForwardMetrics } from "../forward/forward-metrics.js";
 import { peerSettingsOf } from "../forward/front-peer-settings.js";
 import { FrontServer } from "../forward/front-server.js";
+import { KeptConnections } from "../forward/kept-connections.js";
 import { RefusalWriter } from "../forward/refusal-writer.js";
 import { RequestForwarder } from "../forward/request-forwarder.js";
 import { RequestMatcher } from "../forward/request-matcher.js";
@@ -71,6 +72,7 @@
   readonly crashRegister: CrashRegister;
   readonly crashProbe: CrashProbe;
   readonly forwardMetrics: ForwardMetrics;
+  readonly keptConnections: KeptConnections;
   readonly stageCaller: StageCaller;
   readonly stageLoads: StageLoads;
   readonly routeDeadlines: RouteDeadlines;
@@ -134,6 +136,7 @@
     crashRegister: asFunction(CrashRegister.create).singleton(),
     crashProbe: asFunction(CrashProbe.create).singleton(),
     forwardMetrics: asFunction(() => ForwardMetrics.create()).singleton(),
+    keptConnections: asFunction(KeptConnections.create).singleton(),
     stageCaller: asFunction(StageCaller.create).singleton(),
     stageLoads: asFunction(StageLoads.create).singleton(),
     routeDeadlines: asFunction(() => RouteDeadlines.create()).singleton(),
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -64,6 +64,7 @@
     this.parts.pauses.stop();
     await Promise.all([frontServer.close(), statusServer.close(), peerServer.close()]);
     peerCalls.close();
+    this.parts.keptConnections.close();
   }
 
   private async drainAndClose(): Promise<void> {
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -1,23 +1,29 @@
-import { Connection } from "../upstream/connection.js";
+import { boundedText } from "../upstream/bounded-text.js";
+import type { Connection } from "../upstream/connection.js";
+import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
-import type { Dialect, EncodedCall } from "./dialect.js";
+import type { Dialect } from "./dialect.js";
+import type { KeptConnections, TakenConnection } from "./kept-connections.js";
+import { postCall } from "./post-call.js";
 import type { PieceResult } from "./piece-result.js";
 import type { QueuedPiece } from "./queued-submission.js";
 import type { StageCapacity } from "./service-definition.js";
+import { StageReleases } from "./stage-releases.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamStandings } from "./upstream-standings.js";
 
-/** Time within which an upstream accepts a connection; several round trips in a region. */
-const CONNECT_MS = 250;
 /** A call that takes this multiple of its expected time is taken as lost. */
 const LOST_FACTOR = 2;
 /** Added to it for the round trip and the transfer of inputs. */
 const LOST_SLACK_MS = 250;
-/** Releases that wait this long go out in one call; memory for results limits the calls. */
-const RELEASE_DELAY_MS = 15;
-const RELEASE_MS = 1_000;
+/** A kept connection that fails within this part of a call carried no work: it was dropped before. */
+const DROPPED_PART = 0.25;
+/** Above the answer to the largest call; longer ones are not read to their end. */
+const MOST_ANSWER_BYTES = 1_048_576;
+/** Results that are remembered for one connection before it is replaced; bounds their memory. */
+const MOST_NAMED = 4_096;
 const OK = 200;
 
 /** How a stage call ended. */
@@ -28,24 +34,23 @@
   /** The upstream may have run the call, or still runs it. */
   | { readonly kind: "lost" };
 
-interface Release {
-  readonly handle: string;
-  readonly released: (handle: string) => void;
-}
-
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
+  readonly keptConnections: KeptConnections;
   readonly standings: UpstreamStandings;
   readonly decisionLines: DecisionLines;
 }
 
-/** Sends stage calls and releases, each on a connection of its own. */
+/** Sends stage calls and releases. */
 export class StageCaller {
-  /** Releases that wait, by address. */
-  private readonly releases = new Map<string, Release[]>();
+  private readonly releases: StageReleases;
+  /** Results named in earlier answers on a connection. */
+  private readonly named = new WeakMap<Connection, Set<string>>();
 
-  private constructor(private readonly parts: Parts) {}
+  private constructor(private readonly parts: Parts) {
+    this.releases = StageReleases.create(parts);
+  }
 
   static create(parts: Parts): StageCaller {
     return new StageCaller(parts);
@@ -69,7 +74,8 @@
     let detail = "";
     let answer: CallAnswer;
     try {
-      answer = await this.exchange(entry, pieces, late.signal);
+      const droppedMs = DROPPED_PART * capacity.callMs;
+      answer = await this.exchange(entry, pieces, droppedMs, late.signal);
       if (answer.kind === "results") standing.succeeded((timers.now() - started) / expectedMs);
     } catch (error) {
       detail = String(error);
@@ -97,31 +103,40 @@
     return answer;
   }
 
-  /**
-   * Releases results soon and calls `released` for each one; a failure leaves them to expire at
-   * their upstream.
-   */
+  /** See `StageReleases.release`. */
   release(handles: readonly string[], released: (handle: string) => void): void {
-    for (const handle of handles) {
-      const address = this.parts.dialect.handleAddress(handle);
-      const waiting = this.releases.get(address);
-      if (waiting !== undefined) {
-        waiting.push({ handle, released });
-        continue;
+    this.releases.release(handles, released);
+  }
+
+  /** Makes a call once more on a new connection if the kept one turns out to be dropped. */
+  private async exchange(
+    entry: UpstreamEntry,
+    pieces: readonly QueuedPiece[],
+    droppedMs: number,
+    signal: AbortSignal,
+  ): Promise<CallAnswer> {
+    const { timers, keptConnections } = this.parts;
+    for (;;) {
+      const taken = await keptConnections.take(entry.address, signal);
+      const sentMs = timers.now();
+      try {
+        return await this.exchangeOn(taken, entry, pieces, signal);
+      } catch (error) {
+        const dropped = taken.kept && taken.connection.dropped && !signal.aborted;
+        if (!dropped || timers.now() - sentMs > droppedMs) throw error;
+        keptConnections.distrust(entry.address);
       }
-      this.releases.set(address, [{ handle, released }]);
-      this.parts.timers.after(RELEASE_DELAY_MS, () => void this.sendRelease(address));
     }
   }
 
-  private async exchange(
+  private async exchangeOn(
+    taken: TakenConnection,
     entry: UpstreamEntry,
     pieces: readonly QueuedPiece[],
     signal: AbortSignal,
   ): Promise<CallAnswer> {
-    const { timers, dialect } = this.parts;
-    const url = `http://${entry.address}`;
-    const connection = await Connection.open(url, timers, signal, CONNECT_MS);
+    const { timers, dialect, keptConnections } = this.parts;
+    let reusable = false;
     try {
       const now = timers.now();
       const encoded = dialect.stageCall(
@@ -135,57 +150,37 @@
         })),
         entry.id,
       );
-      const { statusCode, headers, body } = await post(connection, encoded, signal);
+      const { statusCode, headers, body } = await postCall(taken.connection, encoded, signal);
       if (statusCode !== OK) {
         body.on("error", () => undefined);
         const { notRun } = dialect.readAnswer(statusCode, headers);
         return { kind: notRun ? "refused" : "lost" };
       }
-      return {
-        kind: "results",
-        results: dialect.readStageAnswer(await body.json(), pieces.length),
-      };
+      const answer: unknown = JSON.parse(await boundedText(body, MOST_ANSWER_BYTES));
+      const results = dialect.readStageAnswer(answer, pieces.length);
+      reusable = this.isOwnAnswer(taken.connection, results);
+      return { kind: "results", results };
     } finally {
-      connection.destroy();
+      keptConnections.done(entry.address, taken, reusable);
     }
   }
 
-  private async sendRelease(address: string): Promise<void> {
-    const { timers, dialect, decisionLines } = this.parts;
-    const releases = this.releases.get(address) ?? [];
-    const handles = releases.map(({ handle }) => handle);
-    this.releases.delete(address);
-    const late = new AbortController();
-    const limit = timers.after(RELEASE_MS, () => {
-      late.abort(new Error("no answer in time"));
-    });
-    let connection: Connection | undefined;
-    try {
-      connection = await Connection.open(`http://${address}`, timers, late.signal, CONNECT_MS);
-      const { body } = await post(connection, dialect.releaseCall(handles), late.signal);
-      await body.dump();
-      for (const { handle, released } of releases) released(handle);
-    } catch (error) {
-      decisionLines.write("results not released", { address, detail: String(error) });
-    } finally {
-      limit.cancel();
-      connection?.destroy();
+  /**
+   * Whether the connection can be used again; throws `UpstreamFailed` if the answer is the copy of
+   * an earlier one. Each result has a handle of its own, so a handle that was named before on the
+   * connection shows a copy. An answer without all handles would leave its copy unrecognized.
+   */
+  private isOwnAnswer(connection: Connection, results: readonly PieceResult[]): boolean {
+    const named = this.named.get(connection) ?? new Set<string>();
+    this.named.set(connection, named);
+    let whole = true;
+    for (const result of results) {
+      if (result.kind === "failed") whole = false;
+      else if (named.has(result.handle)) {
+        throw ServeError.create(ErrorKind.UpstreamFailed, "the answer belongs to another call");
+      }
     }
+    for (const result of results) if (result.kind === "made") named.add(result.handle);
+    return whole && named.size < MOST_NAMED;
   }
 }
-
-function post(
-  connection: Connection,
-  call: EncodedCall,
-  signal: AbortSignal,
-): ReturnType<Connection["request"]> {
-  const headers = [...call.headers];
-  return connection.request({
-    path: call.path,
-    method: "POST",
-    headers,
-    body: call.body,
-    reset: true,
-    signal,
-  });
-}
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -17,6 +17,8 @@
 const MISDIRECTED = 421;
 /** Larger answers that are not streams are passed on as they come. */
 const MOST_BUFFERED_BYTES = 4_194_304;
+/** Bytes without the end of an event after which a stream is none; events hold a few tokens. */
+const MOST_EVENT_BYTES = 1_048_576;
 
 type AnswerHeaders = Awaited<ReturnType<Connection["request"]>>["headers"];
 
@@ -151,9 +153,13 @@
     const splitter = EventSplitter.create();
     if (!writer.begun) writer.begin(status, dialect.callerHeaders(headers));
     for await (const part of body) {
-      this.heard();
       const events = splitter.add(part);
+      if (splitter.remainder.length > MOST_EVENT_BYTES) {
+        return { kind: "broken", detail: "an event is too large" };
+      }
+      // Bytes that end no event are no progress.
       if (events === undefined) continue;
+      this.heard();
       progress.note(events.count, events.lastId, timers.now());
       await writer.write(events.bytes);
     }
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -9,13 +9,18 @@
 const DEFAULT_PORT = 80;
 /** Idle connections close before the other end does so at its usual 5 s. */
 const KEEP_ALIVE_MS = 4_000;
+/** Errors of a socket whose other end is gone; those of the client have codes of their own. */
+const DROP_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
 /** One TCP connection to an upstream; it carries one call at a time and never reconnects. */
 export class Connection {
+  /** Whole answers that it has carried. */
+  answered = 0;
+
   private constructor(
     private readonly client: Client,
     private readonly socket: Socket,
-    private readonly fault: { readonly seen: boolean },
+    private readonly fault: { readonly code: string | undefined },
     /** Monotonic time in ms at which the upstream was last heard on this connection. */
     public heardAt: number,
   ) {}
@@ -37,10 +42,10 @@
       late.abort();
     });
     const socket = connect({ host, port: Number(port || DEFAULT_PORT), noDelay: true });
-    const fault = { seen: false };
+    const fault: { code: string | undefined } = { code: undefined };
     // The connection may break while no call listens; the next call then finds it closed.
-    socket.on("error", () => {
-      fault.seen = true;
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      fault.code ??= error.code ?? error.name;
     });
     try {
       await once(socket, "connect", { signal: AbortSignal.any([signal, late.signal]) });
@@ -62,7 +67,12 @@
    * no length, so such an answer is whole only on a connection that was not reset.
    */
   get broken(): boolean {
-    return this.fault.seen;
+    return this.fault.code !== undefined;
+  }
+
+  /** Whether the other end has reset or closed the connection. */
+  get dropped(): boolean {
+    return this.socket.readableEnded || DROP_CODES.has(this.fault.code ?? "");
   }
 
   request(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
--- a/src/upstream/upstream-connections.ts
+++ b/src/upstream/upstream-connections.ts
@@ -25,7 +25,7 @@
    * Takes a connection on which the upstream was heard within `trustMs`, or opens one.
    * Throws errors of `Connection.open`, and `Overloaded` if too many connections are open.
    */
-  async take(trustMs: number, signal: AbortSignal): Promise<Connection> {
+  async take(trustMs: number, signal: AbortSignal, connectMs?: number): Promise<Connection> {
     const trustedSince = Math.max(this.timers.now() - trustMs, this.distrustedBefore);
     this.dropUnusable();
     const last = this.idle.at(-1);
@@ -34,13 +34,20 @@
       this.taken.add(last);
       return last;
     }
-    return this.open(signal);
+    return this.open(signal, connectMs);
+  }
+
+  /** Connections that are open or being opened. */
+  get size(): number {
+    this.dropUnusable();
+    return this.idle.length + this.taken.size + this.opening;
   }
 
   /** Gives back a connection whose call ended with a whole answer. */
   giveBack(connection: Connection): void {
     this.taken.delete(connection);
     connection.heardAt = this.timers.now();
+    connection.answered += 1;
     this.idle.push(connection);
   }
 
@@ -62,14 +69,14 @@
     this.taken.clear();
   }
 
-  private async open(signal: AbortSignal): Promise<Connection> {
+  private async open(signal: AbortSignal, connectMs?: number): Promise<Connection> {
     if (this.taken.size + this.opening >= MOST_CONNECTIONS) {
       const detail = `${MOST_CONNECTIONS} connections to ${this.address} are in use`;
       throw ServeError.create(ErrorKind.Overloaded, detail, { undispatched: true });
     }
     this.opening += 1;
     try {
-      const connection = await Connection.open(this.address, this.timers, signal);
+      const connection = await Connection.open(this.address, this.timers, signal, connectMs);
       this.taken.add(connection);
       return connection;
     } finally {
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -1,4 +1,5 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
+import type { Socket } from "node:net";
 
 /** How an upstream treats requests. */
 export enum UpstreamMode {
@@ -15,10 +16,22 @@
   Full = "full",
   /** Runs requests and never answers. */
   Mute = "mute",
+  /** Sends a head without end. */
+  EndlessHead = "endless-head",
+  /** Sends a body without end, which is one event where the answer is a stream. */
+  EndlessBody = "endless-body",
+  /** Begins an event and goes on with a byte now and then. */
+  Trickles = "trickles",
+  /** Sends a second copy of the answer to a stage call with the next answer on the connection. */
+  CopiesAnswers = "copies-answers",
+  /** Closes kept connections instead of reading a further stage call. */
+  DropsKept = "drops-kept",
 }
 
 const EVENTS = 5;
 const EVENT_MS = 20;
+const TRICKLE_MS = 200;
+const ENDLESS_BYTES = 65_536;
 
 /** A request as an upstream got it. */
 export interface SeenRequest {
@@ -51,6 +64,12 @@
   readonly seen: SeenRequest[] = [];
   readonly released: string[] = [];
 
+  /** Copies that were sent in the place of answers. */
+  copies = 0;
+  private made = 0;
+  /** Items of the last answer to a stage call, by connection. */
+  private readonly earlier = new WeakMap<Socket, unknown>();
+
   private constructor(
     public id: string,
     readonly port: number,
@@ -83,6 +102,12 @@
   }
 
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { socket } = request;
+    const isStageCall = request.url === "/nutmegstage/stage-run";
+    if (this.mode === UpstreamMode.DropsKept && isStageCall && this.earlier.has(socket)) {
+      socket.resetAndDestroy();
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks).toString();
@@ -99,7 +124,7 @@
     }
     this.ran.push(seen);
     await new Promise((resolve) => setTimeout(resolve, this.delayMs));
-    if (url === "/nutmegstage/stage-run") this.runStage(body, response);
+    if (url === "/nutmegstage/stage-run") this.runStage(body, request, response);
     else if (url === "/nutmegstage/stage-free") this.free(body, response);
     else await this.run(seen, headers, response);
   }
@@ -121,11 +146,20 @@
     };
   }
 
-  private runStage(body: string, response: ServerResponse): void {
+  private runStage(body: string, request: IncomingMessage, response: ServerResponse): void {
     const { items } = JSON.parse(body) as { items: { id: string; stage: number; piece: number }[] };
+    const { socket } = request;
+    const earlier = this.earlier.get(socket);
+    if (this.mode === UpstreamMode.CopiesAnswers && earlier !== undefined) {
+      this.copies += 1;
+      json(response, { items: earlier });
+      return;
+    }
+    this.made += 1;
     const made = items.map(({ id, stage, piece }) => ({
-      handle: `${this.address}/${id}.${stage}.${piece}`,
+      handle: `${this.address}/${id}.${stage}.${piece}.${this.made}`,
     }));
+    this.earlier.set(socket, made);
     json(response, { items: made });
   }
 
@@ -155,6 +189,22 @@
         await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
         response.socket?.resetAndDestroy();
         return;
+      case UpstreamMode.EndlessHead:
+        endless(response, "HTTP/1.1 200 OK\r\n", `x-more: ${"x".repeat(ENDLESS_BYTES)}\r\n`);
+        return;
+      case UpstreamMode.EndlessBody:
+        response.flushHeaders();
+        endless(response, "", `10000\r\n${"x".repeat(ENDLESS_BYTES)}\r\n`);
+        return;
+      case UpstreamMode.Trickles:
+        response.write("id: 1\ndata: ");
+        while (!response.destroyed) {
+          await new Promise((resolve) => setTimeout(resolve, TRICKLE_MS));
+          response.write("x");
+        }
+        return;
+      case UpstreamMode.CopiesAnswers:
+      case UpstreamMode.DropsKept:
       case UpstreamMode.Serving:
       case UpstreamMode.BreaksOff:
       case UpstreamMode.AnswersOther:
@@ -183,6 +233,17 @@
   }
 }
 
+/** Writes pieces to the connection of a response until it is closed. */
+function endless(response: ServerResponse, first: string, piece: string): void {
+  const { socket } = response;
+  socket?.write(first);
+  const more = (): void => {
+    while (socket?.destroyed === false && socket.write(piece));
+    socket?.once("drain", more);
+  };
+  more();
+}
+
 function json(response: ServerResponse, body: unknown): void {
   response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(body));
 }
