Pass streams on without iterators, and look up owners without cryptographic hashes

Change: parts of a stream are handed on as they come, paused while the caller is slow; rendezvous hashing mixes remembered hashes of names and keeps only the first members. Instances of both versions choose other owners for the time of a rollout, which costs calls that are not full.

--- a/src/forward/answer-writer.ts
+++ b/src/forward/answer-writer.ts
@@ -24,10 +24,10 @@
     this.response.flushHeaders();
   }
 
-  /** Sends a part of a streamed answer; resolves when more can be taken. */
-  async write(part: Uint8Array): Promise<void> {
-    if (this.response.destroyed || this.response.write(part)) return;
-    await Promise.race([once(this.response, "drain"), once(this.response, "close")]);
+  /** Sends a part of a streamed answer; a promise resolves when more can be taken. */
+  write(part: Uint8Array): Promise<void> | undefined {
+    if (this.response.destroyed || this.response.write(part)) return undefined;
+    return this.drained();
   }
 
   /** Ends a streamed answer as complete. */
@@ -46,6 +46,10 @@
     this.response.destroy();
   }
 
+  private async drained(): Promise<void> {
+    await Promise.race([once(this.response, "drain"), once(this.response, "close")]);
+  }
+
   private head(status: number, headers: readonly string[]): void {
     for (let at = 0; at + 1 < headers.length; at += 2) {
       this.response.appendHeader(headers[at] ?? "", headers[at + 1] ?? "");
--- a/src/forward/event-splitter.ts
+++ b/src/forward/event-splitter.ts
@@ -1,4 +1,5 @@
 const ID_FIELD = /^id: ?(.*)$/m;
+const EVENT_END = /\r?\n\r?\n/;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
@@ -12,7 +13,7 @@
 
 /** Splits a stream into whole events without changing a byte. */
 export class EventSplitter {
-  private rest = Buffer.alloc(0);
+  private rest: Buffer = Buffer.alloc(0);
 
   private constructor() {
     // Instances come from `create`.
@@ -28,21 +29,28 @@
   }
 
   /** Adds bytes and returns the events that are whole now; undefined if there is none. */
-  add(part: Uint8Array): WholeEvents | undefined {
-    const bytes = this.rest.length === 0 ? Buffer.from(part) : Buffer.concat([this.rest, part]);
+  add(part: Buffer): WholeEvents | undefined {
+    const bytes = this.rest.length === 0 ? part : Buffer.concat([this.rest, part]);
     const end = lastEventEnd(bytes);
     this.rest = bytes.subarray(end);
     if (end === 0) return undefined;
     const whole = bytes.subarray(0, end);
     const events = whole
       .toString("latin1")
-      .split(/\r?\n\r?\n/)
+      .split(EVENT_END)
       .filter((text) => text !== "");
-    const ids = events.flatMap((text) => ID_FIELD.exec(text)?.[1]?.trim() ?? []);
-    return { bytes: whole, count: events.length, lastId: ids.at(-1) };
+    return { bytes: whole, count: events.length, lastId: lastIdOf(events) };
   }
 }
 
+function lastIdOf(events: readonly string[]): string | undefined {
+  for (let at = events.length - 1; at >= 0; at -= 1) {
+    const id = ID_FIELD.exec(events[at] ?? "")?.[1];
+    if (id !== undefined) return id.trim();
+  }
+  return undefined;
+}
+
 /** Position after the last empty line; 0 if there is none. */
 function lastEventEnd(bytes: Buffer): number {
   for (let at = bytes.length - 1; at > 0; at -= 1) {
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -1,8 +1,10 @@
+import type { Readable } from "node:stream";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import { Connection } from "../upstream/connection.js";
 import type { AnswerWriter } from "./answer-writer.js";
 import type { AttemptEnd } from "./attempt-end.js";
+import { flowBody } from "./body-flow.js";
 import type { Dialect } from "./dialect.js";
 import type { DispatchAttributes } from "./dispatch-attributes.js";
 import { EventSplitter } from "./event-splitter.js";
@@ -146,23 +148,21 @@
     connection: Connection,
     status: number,
     headers: AnswerHeaders,
-    body: AsyncIterable<Buffer>,
+    body: Readable,
   ): Promise<AttemptEnd> {
     const { writer, progress } = this.task;
     const { timers, dialect } = this.parts;
     const splitter = EventSplitter.create();
     if (!writer.begun) writer.begin(status, dialect.callerHeaders(headers));
-    for await (const part of body) {
+    await flowBody(body, (part) => {
       const events = splitter.add(part);
-      if (splitter.remainder.length > MOST_EVENT_BYTES) {
-        return { kind: "broken", detail: "an event is too large" };
-      }
+      if (splitter.remainder.length > MOST_EVENT_BYTES) throw new Error("an event is too large");
       // Bytes that end no event are no progress.
-      if (events === undefined) continue;
+      if (events === undefined) return undefined;
       this.heard();
       progress.note(events.count, events.lastId, timers.now());
-      await writer.write(events.bytes);
-    }
+      return writer.write(events.bytes);
+    });
     if (endedByReset(connection, headers)) {
       return { kind: "broken", detail: "the connection was reset" };
     }
--- a/src/order/rendezvous.ts
+++ b/src/order/rendezvous.ts
@@ -1,16 +1,33 @@
-import { createHash } from "node:crypto";
+import { LRUCache } from "lru-cache";
+import xxhash from "xxhash-wasm";
 
-/** Up to `count` members in the order in which rendezvous hashing assigns them to `key`. */
+const hashes = await xxhash();
+
+/** Names whose hash is remembered; a fleet of hundreds and the services of a deployment. */
+const MOST_HASHES = 4_096;
+
+const known = new LRUCache<string, number>({ max: MOST_HASHES });
+
+/**
+ * Up to `count` members in the order in which rendezvous hashing assigns them to `key`. Takes one
+ * pass over the members, as the owners of stage calls are looked up for each submission.
+ */
 export function rendezvousMembers(
   key: string,
   members: readonly string[],
   count: number,
 ): readonly string[] {
-  return members
-    .map((member) => ({ member, score: score(key, member) }))
-    .sort((a, b) => (a.score < b.score ? 1 : -1))
-    .slice(0, count)
-    .map(({ member }) => member);
+  const keyHash = hashOf(key);
+  const best: { readonly member: string; readonly score: number }[] = [];
+  for (const member of members) {
+    const score = mixed(keyHash ^ hashOf(member));
+    let at = best.length;
+    while (at > 0 && isBefore(score, member, best[at - 1])) at -= 1;
+    if (at >= count) continue;
+    best.splice(at, 0, { member, score });
+    if (best.length > count) best.pop();
+  }
+  return best.map(({ member }) => member);
 }
 
 /** The member that rendezvous hashing assigns to `key`; undefined if there are no members. */
@@ -18,8 +35,28 @@
   return rendezvousMembers(key, members, 1)[0];
 }
 
-function score(key: string, member: string): string {
-  return createHash("sha256")
-    .update(JSON.stringify([key, member]))
-    .digest("hex");
+function isBefore(
+  score: number,
+  member: string,
+  other: { readonly member: string; readonly score: number } | undefined,
+): boolean {
+  if (other === undefined) return false;
+  return score === other.score ? member < other.member : score > other.score;
+}
+
+function hashOf(name: string): number {
+  let hash = known.get(name);
+  if (hash === undefined) {
+    hash = hashes.h32(name);
+    known.set(name, hash);
+  }
+  return hash;
+}
+
+/** The finalizer of MurmurHash3: each bit of the input changes half of the bits of the result. */
+function mixed(value: number): number {
+  let bits = value;
+  bits = Math.imul(bits ^ (bits >>> 16), 0x85ebca6b);
+  bits = Math.imul(bits ^ (bits >>> 13), 0xc2b2ae35);
+  return (bits ^ (bits >>> 16)) >>> 0;
 }
