Log the longest pause of a stream and the size of its prompt

Change: the line of a request has pauseMs, the line of an attempt promptTokens. Conclusion: kept; the pauses are open.

--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -151,6 +151,7 @@
         upstream: entry.id,
         service,
         leftMs: Math.round(context.deadlineMs - started),
+        promptTokens: attributes.promptParts.reduce((sum, { tokens }) => sum + tokens, 0),
         ms: Math.round(timers.now() - started),
         end: end.kind,
         ...("status" in end ? { status: end.status } : {}),
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -188,6 +188,7 @@
     const route = context?.route.name ?? "none";
     forwardMetrics.requestEnded(route, status, outcome, ms);
     const firstMs = context?.progress.firstEventMs;
+    const pauseMs = Math.round(context?.progress.longestPauseMs ?? 0);
     if (firstMs !== undefined) forwardMetrics.firstEventSent(route, firstMs - request.arrivedMs);
     decisionLines.write("request", {
       attempt: context?.attributes.attemptId,
@@ -198,7 +199,9 @@
       status,
       outcome,
       ms: Math.round(ms),
-      ...(firstMs === undefined ? {} : { firstMs: Math.round(firstMs - request.arrivedMs) }),
+      ...(firstMs === undefined
+        ? {}
+        : { firstMs: Math.round(firstMs - request.arrivedMs), pauseMs }),
       ...(detail === undefined ? {} : { detail }),
     });
   }
--- a/src/forward/stream-progress.ts
+++ b/src/forward/stream-progress.ts
@@ -5,6 +5,8 @@
   events = 0;
   firstEventMs: number | undefined;
   lastEventMs: number | undefined;
+  /** Longest time between two events passed on, in ms. */
+  longestPauseMs = 0;
 
   private constructor(lastEventId: string | undefined) {
     this.lastEventId = lastEventId;
@@ -19,6 +21,7 @@
     this.events += count;
     this.lastEventId = lastId ?? this.lastEventId;
     this.firstEventMs ??= now;
+    this.longestPauseMs = Math.max(this.longestPauseMs, now - (this.lastEventMs ?? now));
     this.lastEventMs = now;
   }
 }
