Fill stage calls by the time at which a stage has to be done

Cause: replayed with logs, the waits at the second of three stages were 600 ms at the 90th and 1,430 ms at the 99th percentile, against 150 ms at the median. Among pieces of one rank those for another data centre came last at each upstream, whatever their size, so a data centre without a free upstream was overtaken by all later work. The deadline, which is 15 s for targets of 1.5 and 2.5 s, ordered the rest: in a flood, work that had lost its target went before work that could still meet it. Change: pieces are ordered by rank, then by the time at which their stage has to be done; those that cannot meet it any more come last within their rank. Only bulky pieces wait for their data centre, as before.

--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -20,6 +20,14 @@
     Then the third call carries rank 0
     And the fourth call carries rank 1
 
+  # Guards against work of a data centre without a free upstream that all later work overtakes.
+  Scenario: Small pieces for another data centre keep their turn
+    When 2 requests of 1 piece arrive
+    And 1 requests of 1 piece for data centre "c" arrive
+    And 12 requests of 1 piece for data centres "a" and "b" arrive
+    And the stage clock advances by 260 ms
+    Then the request for data centre "c" is in the third or fourth call
+
   Scenario: The pieces of one request stay in one call
     When 2 requests of 1 piece arrive
     And 1 requests of 3 pieces arrive
--- a/features/steps/stage-flood.ts
+++ b/features/steps/stage-flood.ts
@@ -3,6 +3,7 @@
 import {
   type FloodFigures,
   FloodPolicy,
+  REPLAY_S,
   SECOND_PER_S,
   replayFlood,
 } from "../support/flood-replay.js";
@@ -30,12 +31,17 @@
   this.after = await replayFlood(FloodPolicy.Backlog, false);
 });
 
+Then("admission serves more requests within their target", function (this: FloodWorld) {
+  const { before, after } = this;
+  assert.ok(after.inTarget > before.inTarget, JSON.stringify({ before, after }));
+});
+
 Then(
-  "admission serves at least {float} times as many requests within their target",
-  function (this: FloodWorld, factor: number) {
-    const { before, after } = this;
-    const seen = JSON.stringify({ before, after });
-    assert.ok(after.inTarget >= factor * before.inTarget, seen);
+  /^(without admission )?at least (\d+) in 100 of what the second stage can make is served in time$/,
+  function (this: FloodWorld, without: string | null, part: string) {
+    const figures = without === null ? this.after : this.before;
+    const most = SECOND_PER_S * REPLAY_S;
+    assert.ok(figures.inTarget >= (Number(part) / 100) * most, JSON.stringify(figures));
   },
 );
 
--- a/features/steps/stage-pool.ts
+++ b/features/steps/stage-pool.ts
@@ -67,6 +67,25 @@
   },
 );
 
+When(
+  /^(\d+) requests of 1 piece for data centres? "(\w)"(?: and "(\w)")? arrive$/,
+  function (this: PoolWorld, count: string, first: string, second: string | null) {
+    for (let at = 0; at < Number(count); at += 1) {
+      const dataCentre = at % 2 === 0 || second === null ? first : second;
+      this.stages.submit({ dataCentre, attemptId: `for-${dataCentre}-${at}` });
+    }
+  },
+);
+
+Then(
+  "the request for data centre {string} is in the third or fourth call",
+  function (this: PoolWorld, dataCentre: string) {
+    const pieces = this.stages.calls.slice(2, 4).flatMap((call) => call.pieces);
+    const found = pieces.filter(({ owner }) => owner.submission.dataCentre === dataCentre);
+    assert.equal(found.length, 1);
+  },
+);
+
 When(
   "{int} requests of 1 piece arrive over {int} ms",
   async function (this: PoolWorld, count: number, ms: number) {
--- a/features/support/flood-replay.ts
+++ b/features/support/flood-replay.ts
@@ -17,6 +17,8 @@
 const KEPT_MS = 4_000;
 const STEP_MS = 10;
 const LENGTH_MS = 20_000;
+/** Length of a replay in seconds. */
+export const REPLAY_S = LENGTH_MS / 1_000;
 const BURST = { fromMs: 2_000, toMs: 8_000, factor: 8 };
 const USUAL_PER_S = 30;
 /** Requests a second that the second stage makes in full calls. */
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -206,13 +206,12 @@
 
   /** An engine with free slots reads the results as soon as the request arrives. */
   private expectRead(entry: UpstreamEntry): void {
-    const { timers, standings, directory } = this.parts;
+    const { timers, standings, directory, fleetBudget } = this.parts;
     if (this.inputs === undefined || this.inputs.length === 0) return;
     // A request that may run again would need the results again.
     if (repeatable(this.context.route)) return;
     const filled = standings.of(entry.id).inFlight / Math.max(1, entry.slots);
-    const instances = this.parts.fleetBudget.instances;
-    if (filled * instances > MOST_FILLED || directory.coldMs(entry.id) > 0) return;
+    if (filled * fleetBudget.instances > MOST_FILLED || directory.coldMs(entry.id) > 0) return;
     timers.after(READ_MS, () => {
       this.inputsRead();
     });
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -149,11 +149,12 @@
   private fillCall(
     entry: UpstreamEntry,
     capacity: StageCapacity,
-    room: Omit<CallRoom, "dataCentre" | "resultBytes">,
+    room: Omit<CallRoom, "dataCentre" | "callMs" | "resultBytes">,
   ): void {
     if (this.queue.size === 0 || !this.running.isFree(entry.id, capacity.callsAtOnce)) return;
     const resultBytes = this.rooms.of(entry.id).free(capacity.resultBytes);
-    const callRoom = { ...room, dataCentre: entry.dataCentre, resultBytes };
+    const { callMs } = capacity;
+    const callRoom = { ...room, callMs, dataCentre: entry.dataCentre, resultBytes };
     const pieces = this.queue.take(callRoom, this.parts.timers.now());
     for (const { owner } of pieces) owner.begun = true;
     if (pieces.length > 0) void this.call(entry, pieces, capacity);
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -11,6 +11,8 @@
 export interface CallRoom {
   readonly dataCentre: string;
   readonly mostPieces: number;
+  /** Time of the call without its pieces, in ms. */
+  readonly callMs: number;
   /** Free memory for results in bytes. */
   readonly resultBytes: number;
   /** Whether the call only finds out how the upstream does. */
@@ -27,9 +29,10 @@
 }
 
 /**
- * The pieces of all instances that wait for one service. Fills each call by rank, then deadline.
- * Answers the load pattern of many small requests for upstreams whose calls cost the same whether
- * they carry one piece or a full batch.
+ * The pieces of all instances that wait for one service. Fills each call by rank, then by the time
+ * at which the stage has to be done; work that can no longer meet its target takes what is left of
+ * its rank. Answers the load pattern of many small requests for upstreams whose calls cost the same
+ * whether they carry one piece or a full batch, also in a flood that makes some of them late.
  */
 export class StageQueue {
   private waiting: QueuedPiece[] = [];
@@ -76,7 +79,7 @@
   expire(now: number, { callMs, piecesPerMs }: QueuePace): QueuedSubmission[] {
     const late = new Set<QueuedSubmission>();
     const live = this.waiting.filter(({ owner }) => !owner.ended);
-    live.sort((a, b) => byUrgency(a.owner, b.owner));
+    live.sort((a, b) => before(a.owner, b.owner, { now, callMs }));
     let ahead = 0;
     this.waiting = live.filter(({ owner }) => {
       if (late.has(owner)) return false;
@@ -96,7 +99,8 @@
     const eligible = this.waiting.filter(
       ({ owner }) => !owner.ended && !this.holdsBack(owner, room, now),
     );
-    eligible.sort((a, b) => before(a.owner, b.owner, room));
+    const order = { now, callMs: room.callMs };
+    eligible.sort((a, b) => before(a.owner, b.owner, order));
     // A probe may be late or lost, so it carries what is least urgent.
     if (room.probe) eligible.reverse();
     const taken = new Set<QueuedPiece>();
@@ -141,18 +145,28 @@
   return Math.max(0, Math.min(MOST_PATIENCE_MS, PATIENCE_PART * (targetMs - enqueuedMs)));
 }
 
-function byUrgency(a: QueuedSubmission, b: QueuedSubmission): number {
-  return a.submission.rank - b.submission.rank || a.deadlineMs - b.deadlineMs;
+function before(
+  a: QueuedSubmission,
+  b: QueuedSubmission,
+  order: { readonly now: number; readonly callMs: number },
+): number {
+  if (a.submission.rank !== b.submission.rank) return a.submission.rank - b.submission.rank;
+  const aLost = hasLostTarget(a, order);
+  const bLost = hasLostTarget(b, order);
+  if (aLost !== bLost) return Number(aLost) - Number(bLost);
+  return aLost ? a.deadlineMs - b.deadlineMs : doneByMs(a) - doneByMs(b);
 }
 
-function before(a: QueuedSubmission, b: QueuedSubmission, room: CallRoom): number {
-  if (a.submission.rank !== b.submission.rank) return a.submission.rank - b.submission.rank;
-  const remote = Number(isRemote(a, room)) - Number(isRemote(b, room));
-  return remote === 0 ? a.deadlineMs - b.deadlineMs : remote;
+function hasLostTarget(
+  owner: QueuedSubmission,
+  { now, callMs }: { readonly now: number; readonly callMs: number },
+): boolean {
+  return now + callMs > doneByMs(owner);
 }
 
-function isRemote({ submission: { dataCentre } }: QueuedSubmission, room: CallRoom): boolean {
-  return dataCentre !== undefined && dataCentre !== room.dataCentre;
+/** Time at which the stage has to be done for the target to be met. */
+function doneByMs({ targetMs, submission }: QueuedSubmission): number {
+  return targetMs - submission.afterMs;
 }
 
 function bySubmission(pieces: readonly QueuedPiece[]): Map<QueuedSubmission, QueuedPiece[]> {
