Hold small stage calls while the memory for results is full

Its memory for results was full, each release made room for a few pieces, and a call with them was sent at once; it takes 250 ms where a full one takes 445 ms. Ruled out: data centres (small pieces no longer wait for theirs), and upstreams that cannot be reached. Change: a call that is limited by memory and carries less than half of what it could is held for 0.4 of the time of an empty call at most; a release fills it.

--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -61,6 +61,21 @@
     And the stage clock advances by 500 ms
     Then all requests have their results
 
+  # Guards against calls with the few pieces for which a release has just made room, while many wait.
+  Scenario: Upstreams whose memory for results is the limit get calls worth their time
+    Given a stage service with 3 upstreams, 16 pieces a call, 240 ms a call and 6 ms a piece
+    And upstreams have memory for 20 results
+    And results are released 500 ms after they are made
+    When 100 requests of 4 pieces with results arrive
+    And the stage clock advances by 4000 ms
+    Then at least 200 pieces were made, at least 8 a call on average
+
+  Scenario: A call for all that waits is not held for want of memory
+    Given upstreams have memory for 4 results
+    When 2 requests of 2 pieces with results arrive
+    And the stage clock advances by 1 ms
+    Then 2 calls were made
+
   Scenario: An upstream that refuses a call gets it again later
     Given the next call is refused
     When 1 requests of 2 pieces arrive
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -33,6 +33,8 @@
   next: CallAnswer["kind"] = "results";
   furtherAttempts = 0;
   memoryBytes = LARGE_BYTES;
+  /** Time after which results are released; undefined to keep them. */
+  releaseAfterMs: number | undefined;
   callsAtOnce = 1;
   private readonly entries: UpstreamEntry[];
   private readonly pool: StagePool;
@@ -76,7 +78,14 @@
         this.furtherAttempts += 1;
         return true;
       },
-      ended: (submission, outcome) => this.reports.push({ submission, outcome }),
+      ended: (submission, outcome) => {
+        this.reports.push({ submission, outcome });
+        const { releaseAfterMs } = this;
+        if (outcome.kind !== "made" || releaseAfterMs === undefined) return;
+        timers.after(releaseAfterMs, () => {
+          this.pool.release(outcome.handles);
+        });
+      },
     });
   }
 
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -1,4 +1,5 @@
 import type { Timers } from "../time/timers.js";
+import { CallHolds } from "./call-holds.js";
 import { PieceFailure, type PieceResult } from "./piece-result.js";
 import type { QueuedPiece } from "./queued-submission.js";
 import { ResultRooms } from "./result-rooms.js";
@@ -42,6 +43,7 @@
   private readonly running: RunningCalls;
   private readonly forecast: StageForecast;
   private readonly book: SubmissionBook;
+  private readonly holds: CallHolds;
   private wakeDue = false;
 
   private constructor(private readonly parts: Parts) {
@@ -53,6 +55,7 @@
     });
     this.rooms = ResultRooms.create(parts.timers);
     this.running = RunningCalls.create(parts.timers);
+    this.holds = CallHolds.create(parts.timers);
     this.forecast = StageForecast.create(parts.timers);
   }
 
@@ -106,8 +109,8 @@
   }
 
   private waits(capacity: StageCapacity): StageWaits {
-    const { standings } = this.parts;
-    const reachable = standings.reachable(this.parts.upstreams());
+    const { standings, upstreams } = this.parts;
+    const reachable = standings.reachable(upstreams());
     return this.forecast.waits({
       capacity,
       upstreams: Math.max(1, reachable.length),
@@ -122,26 +125,25 @@
     const { timers, standings } = this.parts;
     const capacity = this.parts.capacity();
     if (capacity === undefined) return;
+    const { mostPieces, callMs } = capacity;
     const reachable = standings.reachable(this.parts.upstreams());
     const slowness = Math.max(1, standings.typicalRatio(reachable));
     const late = this.queue.expire(timers.now(), {
-      callMs: capacity.callMs,
+      callMs,
       // Upstreams that cannot be reached for a moment will work again.
       piecesPerMs: piecesPerMs(capacity, Math.max(1, reachable.length)) / slowness,
     });
     for (const owner of late) this.book.fail(owner, PieceFailure.Late);
     if (this.queue.size === 0) return;
-    const { mostPieces } = capacity;
-    const waiting = this.queue.size;
-    const { spare, usual } = splitSpare({ entries: reachable, standings, mostPieces, waiting });
+    const split = { entries: reachable, standings, mostPieces, waiting: this.queue.size };
+    const { spare, usual } = splitSpare(split);
     const dataCentres = new Set(usual.map(({ dataCentre }) => dataCentre));
-    for (const entry of usual) {
-      this.fillCall(entry, capacity, { mostPieces, probe: false, dataCentres });
-    }
+    const room = { mostPieces, callMs, probe: false, dataCentres };
+    for (const entry of usual) this.fillCall(entry, capacity, room);
     for (const entry of spare) {
       // A few waiting pieces are done sooner by the next upstream that becomes free.
       if (this.queue.size <= mostPieces || !standings.of(entry.id).claimProbe()) continue;
-      this.fillCall(entry, capacity, { mostPieces: PROBE_PIECES, probe: true, dataCentres });
+      this.fillCall(entry, capacity, { ...room, mostPieces: PROBE_PIECES, probe: true });
     }
     if (this.queue.size > 0) this.wakeLater();
   }
@@ -149,23 +151,22 @@
   private fillCall(
     entry: UpstreamEntry,
     capacity: StageCapacity,
-    room: Omit<CallRoom, "dataCentre" | "callMs" | "resultBytes">,
+    room: Omit<CallRoom, "dataCentre" | "resultBytes">,
   ): void {
     if (this.queue.size === 0 || !this.running.isFree(entry.id, capacity.callsAtOnce)) return;
     const resultBytes = this.rooms.of(entry.id).free(capacity.resultBytes);
-    const { callMs } = capacity;
-    const callRoom = { ...room, callMs, dataCentre: entry.dataCentre, resultBytes };
+    const callRoom = { ...room, dataCentre: entry.dataCentre, resultBytes };
     const pieces = this.queue.take(callRoom, this.parts.timers.now());
-    for (const { owner } of pieces) owner.begun = true;
-    if (pieces.length > 0) void this.call(entry, pieces, capacity);
+    if (this.holds.holds(entry.id, { pieces, waiting: this.queue.size, room: callRoom })) {
+      this.queue.add(pieces);
+    } else if (pieces.length > 0) void this.call(entry, pieces, capacity);
   }
 
   private wakeLater(): void {
     if (this.wakeDue) return;
     this.wakeDue = true;
-    const { timers } = this.parts;
-    const patience = this.queue.nextPatienceEnd(timers.now());
-    timers.after(Math.min(BUSY_RETRY_MS, (patience ?? BUSY_RETRY_MS) + 1), () => {
+    const patience = this.queue.nextPatienceEnd(this.parts.timers.now());
+    this.parts.timers.after(Math.min(BUSY_RETRY_MS, (patience ?? BUSY_RETRY_MS) + 1), () => {
       this.wakeDue = false;
       this.fill();
     });
@@ -177,6 +178,7 @@
     capacity: StageCapacity,
   ): Promise<void> {
     const { timers, stageCaller } = this.parts;
+    for (const { owner } of pieces) owner.begun = true;
     const ratio = this.parts.standings.of(entry.id).ratio ?? 1;
     const expectedMs = ratio * callMsOf(capacity, pieces.length);
     const endRunning = this.running.begin(entry.id, capacity.callsAtOnce, expectedMs, () => {
