--- /dev/null
+++ b/features/steps/slow-streams.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { RequestDialect } from "../../platform/request-dialect.js";
+import type { AnswerWriter } from "../../src/forward/answer-writer.js";
+import type { AttemptEnd } from "../../src/forward/attempt-end.js";
+import { StreamProgress } from "../../src/forward/stream-progress.js";
+import { UpstreamAttempt } from "../../src/forward/upstream-attempt.js";
+import { SystemTimers } from "../../src/time/system-timers.js";
+import { freePorts } from "../../standin/free-ports.js";
+import { PlatformUpstream, UpstreamMode } from "../../standin/platform-upstream.js";
+import { entryOf } from "../support/forward-samples.js";
+
+interface StreamWorld {
+  upstream: PlatformUpstream | undefined;
+  end: AttemptEnd;
+}
+
+After(async function (this: StreamWorld) {
+  await this.upstream?.stop();
+});
+
+Given("an upstream that streams events", async function (this: StreamWorld) {
+  const [port = 0] = await freePorts(1);
+  this.upstream = await PlatformUpstream.create("u1", port);
+});
+
+Given("the upstream stalls after its first bytes", function (this: StreamWorld) {
+  assert.ok(this.upstream !== undefined);
+  this.upstream.mode = UpstreamMode.Trickles;
+});
+
+When(
+  "an attempt with a quiet time of {int} ms is relayed to a caller that stops reading for {int} ms",
+  async function (this: StreamWorld, quietMs: number, stopMs: number) {
+    assert.ok(this.upstream !== undefined);
+    const timers = SystemTimers.create();
+    let stopped = stopMs === 0;
+    const writer: Pick<AnswerWriter, "begun" | "begin" | "write" | "end"> = {
+      begun: false,
+      begin: () => undefined,
+      write: () => {
+        if (stopped) return undefined;
+        stopped = true;
+        return timers.sleep(stopMs);
+      },
+      end: () => undefined,
+    };
+    const rawHeaders = ["nutmegstage-attempt-id", "a1"];
+    const signal = new AbortController().signal;
+    const attempt = UpstreamAttempt.create(
+      { timers, dialect: RequestDialect.create() },
+      {
+        request: {
+          method: "POST",
+          target: "/stream/1",
+          headers: {},
+          rawHeaders,
+          body: Buffer.alloc(0),
+          arrivedMs: timers.now(),
+          signal,
+        },
+        attemptId: "a1",
+        entry: entryOf({ id: "u1", address: this.upstream.address }),
+        dispatch: {
+          upstream: "u1",
+          leftMs: 5_000,
+          team: undefined,
+          inputs: undefined,
+          lastEventId: undefined,
+          urgency: undefined,
+        },
+        writer: writer as AnswerWriter,
+        progress: StreamProgress.create(undefined),
+        streamed: true,
+        quietMs,
+        sent: () => undefined,
+        answering: () => undefined,
+        signal,
+      },
+    );
+    this.end = await attempt.run();
+  },
+);
+
+Then(/^the attempt is (relayed|broken)$/, function (this: StreamWorld, kind: string) {
+  assert.equal(this.end.kind, kind);
+});
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -10,6 +10,7 @@
 import type { FleetBudget } from "./fleet-budget.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
 import type { RequestContext } from "./request-context.js";
+import { quietTimeOf } from "./quiet-time.js";
 import { Repeatability } from "./repeatability.js";
 import { repeatable } from "./route.js";
 import { UpstreamAttempt } from "./upstream-attempt.js";
@@ -22,10 +23,6 @@
 const MOST_NOT_RUN = 3;
 /** Failed connections, each to another upstream, after which a request is given up. */
 const MOST_UNSENT = 4;
-/** Silence after which a repeatable request is tried elsewhere, as a part of its target. */
-const QUIET_TARGET_PART = 1.5;
-/** Silence between events, or before the first one, after which a resumable stream is resumed. */
-const QUIET_STREAM_MS = 1_500;
 /** Work of an average request at a plain service, in ms; only ratios between upstreams matter. */
 const PLAIN_EXPECTED_MS = 45;
 /** Events from which the pace of a stream says something about its engine. */
@@ -227,8 +224,7 @@
   private quietMs(): number | undefined {
     const { route, targetMs, request } = this.context;
     if (!repeatable(route) || this.ran + 1 >= route.mostAttempts) return undefined;
-    if (route.repeatability === Repeatability.Stream) return QUIET_STREAM_MS;
-    return QUIET_TARGET_PART * (targetMs - request.arrivedMs);
+    return quietTimeOf(route, targetMs - request.arrivedMs);
   }
 
   private noteSuccess(entry: UpstreamEntry, tookMs: number): void {
--- a/src/forward/route.ts
+++ b/src/forward/route.ts
@@ -19,6 +19,8 @@
   readonly timeoutMs: number;
   /** Time to the answer, or to the first event, within which the request attains its target. */
   readonly targetMs: number;
+  /** Longest pause between events with which a stream attains its target; undefined if not stated. */
+  readonly pauseTargetMs?: number;
   /** 0 is the most urgent. */
   readonly rank: number;
   readonly services: readonly ServiceShare[];
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -51,6 +51,8 @@
 export class UpstreamAttempt {
   private readonly quiet = new AbortController();
   private heardMs: number;
+  /** Whether the caller has to read before more is taken from the upstream. */
+  private held = false;
 
   private constructor(
     private readonly parts: Parts,
@@ -161,7 +163,8 @@
       if (events === undefined) return undefined;
       this.heard();
       progress.note(events.count, events.lastId, timers.now());
-      return writer.write(events.bytes);
+      const drained = writer.write(events.bytes);
+      return drained === undefined ? undefined : this.hold(drained);
     });
     if (endedByReset(connection, headers)) {
       return { kind: "broken", detail: "the connection was reset" };
@@ -171,6 +174,14 @@
     return { kind: "relayed", status };
   }
 
+  /** The silence of an upstream does not count while its bytes wait for a slow caller. */
+  private async hold(drained: Promise<void>): Promise<void> {
+    this.held = true;
+    await drained;
+    this.held = false;
+    this.heard();
+  }
+
   private heard(): void {
     this.heardMs = this.parts.timers.now();
   }
@@ -180,7 +191,7 @@
     if (quietMs === undefined) return undefined;
     const { timers } = this.parts;
     return timers.every(Math.max(1, quietMs / 4), () => {
-      if (timers.now() - this.heardMs < quietMs) return;
+      if (this.held || timers.now() - this.heardMs < quietMs) return;
       this.quiet.abort(new Error(`no byte within ${quietMs} ms`));
     });
   }
--- a/standin/platform-configuration.ts
+++ b/standin/platform-configuration.ts
@@ -21,6 +21,13 @@
         prefix: "/stream/staged/",
         stages: [{ service: "pool", after: [], bytes: 1_000 }],
       },
+      {
+        ...stream,
+        name: "patient",
+        prefix: "/stream/patient/",
+        resumable: true,
+        "itl-target-ms": 500,
+      },
       { ...stream, name: "resumable", prefix: "/stream/resumable/", resumable: true },
     ],
     services: [
