End connections to peers that did not answer, and count connections to upstreams

Cause: found by reading the change. A call that was given up while its connection was being opened stayed in the batch and reached the peer when the handshake ended, after the submitter had handed its pieces to another owner. Ruled out: an answer that is late on a connection that is heard; that connection is kept. Change: a connection on which nothing was heard while a call waited is ended with the call. The counter nutmegstage_upstream_connections_total tells opened, kept and dropped connections; the unused count of open ones goes. Test: features/peer-calls.feature, 'A call that was given up does not reach the peer later': the instance got more than the one call without the change.

--- a/features/peer-calls.feature
+++ b/features/peer-calls.feature
@@ -64,6 +64,13 @@
     When the relay resets its open connections
     Then the peer's call is answered within 200 ms
 
+  # Guards against calls that reach a peer after their caller has turned elsewhere.
+  Scenario: A call that was given up does not reach the peer later
+    Given a peer whose relay passes everything on 400 ms late
+    When the peer's call fails
+    And the relay is fast again and the peer calls once more
+    Then the instance got 1 call
+
   Scenario: Calls of one moment share a write
     Given a peer with an open connection through a relay
     When the peer makes 20 calls in one moment
--- a/features/support/peer-host.ts
+++ b/features/support/peer-host.ts
@@ -14,6 +14,8 @@
 
 /** A peer server in this process, and clients that call it. */
 export class PeerHost {
+  /** Probes that the host answered. */
+  probes = 0;
   private readonly clients: PeerClients[] = [];
 
   private constructor(
@@ -26,7 +28,10 @@
     const [port = 0] = await freePorts(1);
     const settings = settingsOf("tunis-a-1", port, SECRET);
     const server = PeerServer.create({ settings });
-    server.register(PeerMethod.Probe, (params, from) => Promise.resolve([params, from]));
+    server.register(PeerMethod.Probe, (params, from) => {
+      host.probes += 1;
+      return Promise.resolve([params, from]);
+    });
     server.register(PeerMethod.AnswerRead, async (params) => {
       await timers.sleep(Number(params));
       return params;
@@ -40,8 +45,9 @@
         }),
       ),
     );
+    const host = new PeerHost(settings, server);
     await server.listen();
-    return new PeerHost(settings, server);
+    return host;
   }
 
   get port(): number {
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -4,6 +4,14 @@
 const BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32];
 const MS_PER_SECOND = 1_000;
 
+/** How a call that may be made again got its connection. */
+export enum ConnectionUse {
+  Opened = "opened",
+  Kept = "kept",
+  /** The kept connection had been dropped by the upstream. */
+  Dropped = "dropped",
+}
+
 /** Counters and latency histograms, in the text format that Prometheus reads. */
 export class ForwardMetrics {
   private readonly registry = new Registry();
@@ -40,6 +48,13 @@
     registers: [this.registry],
   });
 
+  private readonly connections = new Counter({
+    name: "nutmegstage_upstream_connections_total",
+    help: "Connections of stage calls and releases by use",
+    labelNames: ["use"],
+    registers: [this.registry],
+  });
+
   private constructor() {
     // Instances come from `create`.
   }
@@ -69,6 +84,10 @@
     this.attempts.inc({ service, end });
   }
 
+  connectionUsed(use: ConnectionUse): void {
+    this.connections.inc({ use });
+  }
+
   storeCall(call: string, result: string): void {
     this.storeCalls.inc({ call, result });
   }
--- a/src/forward/kept-connections.ts
+++ b/src/forward/kept-connections.ts
@@ -1,5 +1,6 @@
 import type { Timers } from "../time/timers.js";
 import type { Connection } from "../upstream/connection.js";
+import { ConnectionUse, type ForwardMetrics } from "./forward-metrics.js";
 import { UpstreamConnections } from "../upstream/upstream-connections.js";
 
 /** Time within which an upstream accepts a connection; several round trips in a region. */
@@ -7,6 +8,11 @@
 /** Upstreams close idle connections after seconds, at times sooner and without notice. */
 const TRUST_MS = 3_000;
 
+interface Parts {
+  readonly timers: Timers;
+  readonly forwardMetrics: ForwardMetrics;
+}
+
 /** A connection for one call. */
 export interface TakenConnection {
   readonly connection: Connection;
@@ -22,16 +28,18 @@
 export class KeptConnections {
   private readonly pools = new Map<string, UpstreamConnections>();
 
-  private constructor(private readonly timers: Timers) {}
+  private constructor(private readonly parts: Parts) {}
 
-  static create(parts: { timers: Timers }): KeptConnections {
-    return new KeptConnections(parts.timers);
+  static create(parts: Parts): KeptConnections {
+    return new KeptConnections(parts);
   }
 
   /** Throws errors of `Connection.open` if a new connection is needed. */
   async take(address: string, signal: AbortSignal): Promise<TakenConnection> {
     const connection = await this.pool(address).take(TRUST_MS, signal, CONNECT_MS);
-    return { connection, kept: connection.answered > 0 };
+    const kept = connection.answered > 0;
+    this.parts.forwardMetrics.connectionUsed(kept ? ConnectionUse.Kept : ConnectionUse.Opened);
+    return { connection, kept };
   }
 
   /** Keeps a connection whose answer was whole and of the expected form; closes any other one. */
@@ -43,12 +51,8 @@
 
   /** Closes the idle connections to an upstream that dropped one of them. */
   distrust(address: string): void {
-    this.pool(address).distrust(this.timers.now());
-  }
-
-  /** Connections that are open, to all upstreams. */
-  get open(): number {
-    return [...this.pools.values()].reduce((sum, { size }) => sum + size, 0);
+    this.parts.forwardMetrics.connectionUsed(ConnectionUse.Dropped);
+    this.pool(address).distrust(this.parts.timers.now());
   }
 
   close(): void {
@@ -61,7 +65,7 @@
     if (pool === undefined) {
       // Addresses of upstreams that are gone would be remembered for ever.
       for (const [other, { size }] of this.pools) if (size === 0) this.pools.delete(other);
-      pool = UpstreamConnections.create(`http://${address}`, this.timers);
+      pool = UpstreamConnections.create(`http://${address}`, this.parts.timers);
       this.pools.set(address, pool);
     }
     return pool;
--- a/src/peer/peer-connection.ts
+++ b/src/peer/peer-connection.ts
@@ -89,17 +89,20 @@
     this.lastId += 1;
     const id = this.lastId;
     const sentMs = timers.now();
-    const fail = (detail: string): void => {
+    const fail = (ms: number): void => {
+      const detail = `no answer within ${ms} ms`;
       this.rpc.receive(createJSONRPCErrorResponse(id, NO_ANSWER, detail));
+      // The peer would otherwise get the call after its caller has turned elsewhere.
+      if (this.heardMs < sentMs) this.end(detail);
     };
     const { timeoutMs, quietMs } = limits;
     let limit = timers.after(Math.min(timeoutMs, quietMs), () => {
       if (quietMs >= timeoutMs || this.heardMs < sentMs) {
-        fail(`no answer within ${Math.min(timeoutMs, quietMs)} ms`);
+        fail(Math.min(timeoutMs, quietMs));
         return;
       }
       limit = timers.after(timeoutMs - quietMs, () => {
-        fail(`no answer within ${timeoutMs} ms`);
+        fail(timeoutMs);
       });
     });
     try {
