Judge by fresh rows only whether the store was away

Each answer about rows tells when the store last failed, and the others took the latest failure over, also from the daemon that was cut off and had no fresh rows. A removed entry counts as lapsed for 2 s after a failure of the store, so all daemons kept the upstream for these 2 s after they had learnt of its removal. Change: the time of the last failure comes from fresh rows only, and replaces what was believed before. Test: features/store-readers.feature, 'A reader that the store turns away does not make the store look away to the others', fails without the change.

--- a/features/steps/store-readers.ts
+++ b/features/steps/store-readers.ts
@@ -41,6 +41,22 @@
   for (const id of this.followers.readers) this.followers.find(id).turnedAway = true;
 });
 
+When("the store turns the first reader away", function (this: ReadersWorld) {
+  this.followers.find(this.followers.readers[0] ?? "").turnedAway = true;
+});
+
+Then(
+  "only the first reader takes the store for away in the last {int} ms",
+  function (this: ReadersWorld, ms: number) {
+    const { instances, readers } = this.followers;
+    const failed = instances.filter(({ follower }) => follower.sinceFailureMs < ms);
+    assert.deepEqual(
+      failed.map(({ id }) => id),
+      readers.slice(0, 1),
+    );
+  },
+);
+
 Then("the followed store got at most {int} reads", function (this: ReadersWorld, count: number) {
   assert.ok(this.followers.readCalls <= count, `${this.followers.readCalls} reads`);
 });
--- a/features/store-readers.feature
+++ b/features/store-readers.feature
@@ -33,6 +33,14 @@
     And 1950 ms pass at the store
     Then all other instances know "row" as "1"
 
+  # Guards against removed upstreams that all instances keep since one reader cannot reach the store.
+  Scenario: A reader that the store turns away does not make the store look away to the others
+    Given 8 instances follow a table of the store
+    When 3000 ms pass at the store
+    And the store turns the first reader away
+    And 4500 ms pass at the store
+    Then only the first reader takes the store for away in the last 3000 ms
+
   Scenario: A large row is read from the store by each instance
     Given 8 instances follow a table of the store
     When 3000 ms pass at the store
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -193,7 +193,9 @@
         version,
       );
       const now = timers.now();
-      this.lastFailureMs = Math.max(this.lastFailureMs, now - sinceFailureMs);
+      // Whether the store was away is judged by the instance whose rows these are; one that is cut
+      // off from it has no fresh rows.
+      if (fresh) this.lastFailureMs = now - sinceFailureMs;
       this.take(real);
       this.currentMs = Math.max(this.currentMs, Math.max(askedMs, now - UNDERWAY_MS) - ageMs);
       if (whole && real.length > 0) this.log("rows from another instance", { peer, version });
