Reproduce the shortage of the grown deployments in scenarios that fail

Owners of stage calls are small instances in a mixed fleet, and a peer that accepts slowly gets one handshake after another.

--- a/features/peer-calls.feature
+++ b/features/peer-calls.feature
@@ -71,6 +71,12 @@
     And the relay is fast again and the peer calls once more
     Then the instance got 1 call
 
+  # Guards against handshakes that all instances repeat at a peer which is slow to accept them.
+  Scenario: A peer that is slow to accept a connection is not connected to again
+    Given a peer whose relay passes everything on 400 ms late
+    When 2 calls of the peer fail one after the other
+    Then they were made on 1 connection
+
   Scenario: Calls of one moment share a write
     Given a peer with an open connection through a relay
     When the peer makes 20 calls in one moment
--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -34,6 +34,15 @@
     Then the 3 submissions are reported as moved
     And a further submission of another instance is declined
 
+  # Guards against owners that cannot keep up with the submissions of a large fleet.
+  Scenario: The instances with the most processor time own the stage calls of a mixed fleet
+    Given 10 instances with 1.35 cores and 77 with 0.324, all just started
+    Then only instances with 1.35 cores own any of 100 services, and each of them owns some
+
+  Scenario: A single large instance does not own everything
+    Given 1 instances with 1.35 cores and 7 with 0.324, all just started
+    Then 4 instances own 100 services, and the large one owns most
+
   # Guards against a second owner whenever a slow owner misses the time limit of one call.
   Scenario: An owner whose answer was late once stays the owner
     Given 8 instances of which "late" started last
--- a/features/steps/peer-calls.ts
+++ b/features/steps/peer-calls.ts
@@ -171,6 +171,17 @@
   assert.equal(failures.length, 1);
 });
 
+When("{int} calls of the peer fail one after the other", async (count: number) => {
+  for (let at = 0; at < count; at += 1) {
+    await failed(peer.call(TARGET, PeerMethod.Probe, { value: 1 }, SHORT_CALL_MS));
+  }
+  assert.equal(failures.length, count);
+});
+
+Then("they were made on {int} connection", (count: number) => {
+  assert.equal(relay?.accepted, count);
+});
+
 When("the relay is fast again and the peer calls once more", async () => {
   assert(relay !== undefined);
   relay.state = LinkState.Open;
--- a/features/steps/stage-owners.ts
+++ b/features/steps/stage-owners.ts
@@ -205,6 +205,59 @@
   },
 );
 
+Given(
+  "{int} instances with {float} cores and {int} with {float}, all just started",
+  function (this: OwnersWorld, large: number, cores: number, small: number, fewCores: number) {
+    const all = Array.from({ length: large + small }, (_, at) => ({
+      id: at < large ? `large-${at}` : `small-${at}`,
+      // Starts that are a fraction of a second apart say nothing about age.
+      incarnation: 1_000 + ((at * 37) % 300),
+      cores: at < large ? cores : fewCores,
+      state: MemberState.Alive,
+    }));
+    const [own, ...others] = all;
+    assert(own !== undefined);
+    const members = { self: own.id, all: () => others } as unknown as Members;
+    const timers = ManualTimers.create();
+    const directory = UpstreamDirectory.create({ timers });
+    const { id: self, incarnation } = own;
+    this.owners = StageOwners.create({
+      ...{ timers, self, incarnation, cores: own.cores, members, directory },
+    });
+  },
+);
+
+function countsOf(owners: StageOwners, services: number): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (let at = 0; at < services; at += 1) {
+    const [owner = ""] = owners.of(`service-${at}`, "r");
+    counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  }
+  return counts;
+}
+
+Then(
+  "only instances with 1.35 cores own any of {int} services, and each of them owns some",
+  function (this: OwnersWorld, services: number) {
+    const counts = countsOf(this.owners, services);
+    assert.deepEqual(
+      [...counts.keys()].filter((id) => !id.startsWith("large-")),
+      [],
+    );
+    assert.equal(counts.size, 10);
+  },
+);
+
+Then(
+  "{int} instances own {int} services, and the large one owns most",
+  function (this: OwnersWorld, owners: number, services: number) {
+    const counts = countsOf(this.owners, services);
+    assert.equal(counts.size, owners);
+    const most = [...counts].sort((a, b) => b[1] - a[1])[0]?.[0];
+    assert.equal(most, "large-0");
+  },
+);
+
 When("the instance is about to stop", function (this: OwnersWorld) {
   this.pools.handOver();
 });
