Choose owners of stage calls among the instances with the most processor time

An owner of stage calls serves the submissions of the whole fleet, and was chosen by age and hash alone: nine in ten were small instances, which answered later than the time limit of a submission. Their submitters turned to other owners, and several owners filled calls for the same upstreams (41 of 159 calls refused in the first 2.4 s; none where the owner was a large instance).

Instances now say how many processor cores they may use, and owners are large ones, in proportion to their size; at least four may be owners. Starts within 1.5 s of the median say nothing about age any more, so that all large ones of a fleet that starts at once may be owners.

--- a/bench/decision-cost.ts
+++ b/bench/decision-cost.ts
@@ -37,7 +37,7 @@
     decisionLog: silentLog,
     timers,
     random: RandomSource.create(1),
-    settings: { instance: { id: "i0", dataCentre: "dc-0" } },
+    settings: { instance: { id: "i0", dataCentre: "dc-0", cores: 1 }, cores: 1 },
     clients: { of: () => ({}), close: () => Promise.resolve() } as unknown as UpstreamClients,
     demandSource: DemandMeter.create({ timers }),
     demandReports: SingleInstanceDemand.create(),
--- a/bench/instance.ts
+++ b/bench/instance.ts
@@ -92,7 +92,7 @@
     decisionLog: silentLog,
     timers,
     random,
-    settings: { instance: { id, dataCentre } },
+    settings: { instance: { id, dataCentre, cores: 1 } },
     clients: fleet.clients(),
     demandSource,
     demandReports,
--- a/features/steps/admission.ts
+++ b/features/steps/admission.ts
@@ -61,7 +61,7 @@
     decisionLog: silentLog,
     timers: this.timers,
     random: RandomSource.create(1),
-    settings: { instance: { id: "i0", dataCentre: "fes-a" } },
+    settings: { instance: { id: "i0", dataCentre: "fes-a", cores: 1 }, cores: 1 },
     clients: { of: () => ({ load: () => Promise.resolve(0) }) } as unknown as UpstreamClients,
     demandSource: DemandMeter.create({ timers: this.timers }),
     demandReports: SingleInstanceDemand.create(),
--- a/features/steps/placement.ts
+++ b/features/steps/placement.ts
@@ -54,7 +54,14 @@
     const members = {
       self,
       all: () => [
-        { id: "a", incarnation: 1, dataCentre: "", peerAddress: "", state: MemberState.Alive },
+        {
+          id: "a",
+          incarnation: 1,
+          dataCentre: "",
+          peerAddress: "",
+          cores: 1,
+          state: MemberState.Alive,
+        },
       ],
       find: () => undefined,
       subscribe: () => ({ cancel: () => undefined }),
--- /dev/null
+++ b/features/steps/stage-owner-choice.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { StageOwners } from "../../src/forward/stage-owners.js";
+import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
+import { MemberState } from "../../src/peer/member-state.js";
+import type { Members } from "../../src/peer/members.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+
+interface OwnersWorld {
+  owners: StageOwners;
+  owner: string | undefined;
+}
+
+Given("8 instances of which {string} started last", function (this: OwnersWorld, late: string) {
+  const others = ["a", "b", "c", "d", "e", "f"].map((id) => ({ id, incarnation: 10_000 }));
+  const all = [...others, { id: late, incarnation: 20_000 }];
+  const members = {
+    self: "self",
+    all: () => all.map((each) => ({ ...each, cores: 1, state: MemberState.Alive })),
+  } as unknown as Members;
+  const timers = ManualTimers.create();
+  const directory = UpstreamDirectory.create({ timers });
+  this.owners = StageOwners.create({
+    ...{ timers, self: "self", incarnation: 10_000, cores: 1, members, directory },
+  });
+});
+
+Then("{string} owns none of {int} services", function (this: OwnersWorld, id: string, n: number) {
+  const services = Array.from({ length: n }, (_, at) => `service-${at}`);
+  const first = new Set(services.map((service) => this.owners.of(service, "r")[0]));
+  assert.ok(!first.has(id));
+  assert.ok(first.size > 1);
+});
+
+Then(
+  "an owner that accepted a stage before comes first, unless it did not answer",
+  function (this: OwnersWorld) {
+    const [usual] = this.owners.of("service", "r");
+    assert.equal(this.owners.of("service", "r", "late")[0], "late");
+    this.owners.distrust("late");
+    assert.equal(this.owners.of("service", "r", "late")[0], usual);
+  },
+);
+
+Given(
+  "{int} instances with {float} cores and {int} with {float}, all just started",
+  function (this: OwnersWorld, large: number, cores: number, small: number, fewCores: number) {
+    const all = Array.from({ length: large + small }, (_, at) => ({
+      id: at < large ? `large-${at}` : `small-${at}`,
+      // Starts that are a fraction of a second apart say nothing about age.
+      incarnation: 1_000 + ((at * 37) % 300),
+      cores: at < large ? cores : fewCores,
+      state: MemberState.Alive,
+    }));
+    const [own, ...others] = all;
+    assert(own !== undefined);
+    const members = { self: own.id, all: () => others } as unknown as Members;
+    const timers = ManualTimers.create();
+    const directory = UpstreamDirectory.create({ timers });
+    const { id: self, incarnation } = own;
+    this.owners = StageOwners.create({
+      ...{ timers, self, incarnation, cores: own.cores, members, directory },
+    });
+  },
+);
+
+function countsOf(owners: StageOwners, services: number): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (let at = 0; at < services; at += 1) {
+    const [owner = ""] = owners.of(`service-${at}`, "r");
+    counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  }
+  return counts;
+}
+
+Then(
+  "only instances with 1.35 cores own any of {int} services, and each of them owns some",
+  function (this: OwnersWorld, services: number) {
+    const counts = countsOf(this.owners, services);
+    assert.deepEqual(
+      [...counts.keys()].filter((id) => !id.startsWith("large-")),
+      [],
+    );
+    assert.equal(counts.size, 10);
+  },
+);
+
+Then(
+  "{int} instances own {int} services, and the large one owns most",
+  function (this: OwnersWorld, owners: number, services: number) {
+    const counts = countsOf(this.owners, services);
+    assert.equal(counts.size, owners);
+    const most = [...counts].sort((a, b) => b[1] - a[1])[0]?.[0];
+    assert.equal(most, "large-0");
+  },
+);
+
+When("the owner of a service is late once", function (this: OwnersWorld) {
+  [this.owner] = this.owners.of("service", "r");
+  this.owners.late(this.owner ?? "");
+});
+
+Then("it still owns the service", function (this: OwnersWorld) {
+  assert.equal(this.owners.of("service", "r")[0], this.owner);
+});
+
+Then("another instance owns the service", function (this: OwnersWorld) {
+  assert.notEqual(this.owners.of("service", "r")[0], this.owner);
+});
--- a/features/steps/stage-owners.ts
+++ b/features/steps/stage-owners.ts
@@ -37,10 +37,8 @@
   peers: string[];
   error: unknown;
   admitted: number;
-  owners: StageOwners;
   pools: StagePools;
   reports: StageReport[];
-  owner: string | undefined;
 }
 
 function submissionOf(fields: Partial<StageSubmission>): StageSubmission {
@@ -82,7 +80,7 @@
   routeView.adopt(configurationOf({ services: services as never }));
   const members = {
     self: "self",
-    all: () => peers.map((id) => ({ id, incarnation: 1, state: MemberState.Alive })),
+    all: () => peers.map((id) => ({ id, incarnation: 1, cores: 1, state: MemberState.Alive })),
   } as unknown as Members;
   const memory = new MemoryPeers();
   const log = { info: () => undefined, warn: () => undefined } as unknown as ConsolaInstance;
@@ -101,7 +99,7 @@
     decisionLines: DecisionLines.create({ log, timers }),
     stageLoads: StageLoads.create({ timers, directory }),
   };
-  const stageOwners = StageOwners.create({ ...parts, incarnation: 1 });
+  const stageOwners = StageOwners.create({ ...parts, incarnation: 1, cores: 1 });
   return { ...parts, stageOwners, stagePools: StagePools.create({ ...parts, stageOwners }) };
 }
 
@@ -161,35 +159,6 @@
   },
 );
 
-Given("8 instances of which {string} started last", function (this: OwnersWorld, late: string) {
-  const others = ["a", "b", "c", "d", "e", "f"].map((id) => ({ id, incarnation: 10 }));
-  const all = [...others, { id: late, incarnation: 20 }];
-  const members = {
-    self: "self",
-    all: () => all.map((each) => ({ ...each, state: MemberState.Alive })),
-  } as unknown as Members;
-  const timers = ManualTimers.create();
-  const directory = UpstreamDirectory.create({ timers });
-  this.owners = StageOwners.create({ timers, self: "self", incarnation: 10, members, directory });
-});
-
-Then("{string} owns none of {int} services", function (this: OwnersWorld, id: string, n: number) {
-  const services = Array.from({ length: n }, (_, at) => `service-${at}`);
-  const first = new Set(services.map((service) => this.owners.of(service, "r")[0]));
-  assert.ok(!first.has(id));
-  assert.ok(first.size > 1);
-});
-
-Then(
-  "an owner that accepted a stage before comes first, unless it did not answer",
-  function (this: OwnersWorld) {
-    const [usual] = this.owners.of("service", "r");
-    assert.equal(this.owners.of("service", "r", "late")[0], "late");
-    this.owners.distrust("late");
-    assert.equal(this.owners.of("service", "r", "late")[0], usual);
-  },
-);
-
 Given(
   "2 upstreams of a service and an instance with 3 submissions that wait",
   function (this: OwnersWorld) {
@@ -205,59 +174,6 @@
   },
 );
 
-Given(
-  "{int} instances with {float} cores and {int} with {float}, all just started",
-  function (this: OwnersWorld, large: number, cores: number, small: number, fewCores: number) {
-    const all = Array.from({ length: large + small }, (_, at) => ({
-      id: at < large ? `large-${at}` : `small-${at}`,
-      // Starts that are a fraction of a second apart say nothing about age.
-      incarnation: 1_000 + ((at * 37) % 300),
-      cores: at < large ? cores : fewCores,
-      state: MemberState.Alive,
-    }));
-    const [own, ...others] = all;
-    assert(own !== undefined);
-    const members = { self: own.id, all: () => others } as unknown as Members;
-    const timers = ManualTimers.create();
-    const directory = UpstreamDirectory.create({ timers });
-    const { id: self, incarnation } = own;
-    this.owners = StageOwners.create({
-      ...{ timers, self, incarnation, cores: own.cores, members, directory },
-    });
-  },
-);
-
-function countsOf(owners: StageOwners, services: number): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (let at = 0; at < services; at += 1) {
-    const [owner = ""] = owners.of(`service-${at}`, "r");
-    counts.set(owner, (counts.get(owner) ?? 0) + 1);
-  }
-  return counts;
-}
-
-Then(
-  "only instances with 1.35 cores own any of {int} services, and each of them owns some",
-  function (this: OwnersWorld, services: number) {
-    const counts = countsOf(this.owners, services);
-    assert.deepEqual(
-      [...counts.keys()].filter((id) => !id.startsWith("large-")),
-      [],
-    );
-    assert.equal(counts.size, 10);
-  },
-);
-
-Then(
-  "{int} instances own {int} services, and the large one owns most",
-  function (this: OwnersWorld, owners: number, services: number) {
-    const counts = countsOf(this.owners, services);
-    assert.equal(counts.size, owners);
-    const most = [...counts].sort((a, b) => b[1] - a[1])[0]?.[0];
-    assert.equal(most, "large-0");
-  },
-);
-
 When("the instance is about to stop", function (this: OwnersWorld) {
   this.pools.handOver();
 });
@@ -274,16 +190,3 @@
     (error) => error instanceof ServeError && error.kind === ErrorKind.NotReady,
   );
 });
-
-When("the owner of a service is late once", function (this: OwnersWorld) {
-  [this.owner] = this.owners.of("service", "r");
-  this.owners.late(this.owner ?? "");
-});
-
-Then("it still owns the service", function (this: OwnersWorld) {
-  assert.equal(this.owners.of("service", "r")[0], this.owner);
-});
-
-Then("another instance owns the service", function (this: OwnersWorld) {
-  assert.notEqual(this.owners.of("service", "r")[0], this.owner);
-});
--- a/features/support/configuration-fleet.ts
+++ b/features/support/configuration-fleet.ts
@@ -142,7 +142,14 @@
 
   private membersOf(self: string) {
     const member = (id: string) => ({
-      ...{ id, incarnation: 1, dataCentre: "fes-a", peerAddress: "", state: MemberState.Alive },
+      ...{
+        id,
+        incarnation: 1,
+        dataCentre: "fes-a",
+        peerAddress: "",
+        cores: 1,
+        state: MemberState.Alive,
+      },
     });
     const all = this.ids.filter((id) => id !== self).map(member);
     return {
--- a/features/support/crash-trial.ts
+++ b/features/support/crash-trial.ts
@@ -131,7 +131,7 @@
 
   private instance(id: string, count: number, attribute: boolean): StageParts {
     const { timers, view } = this;
-    const settings = { instance: { id, dataCentre: "fes-a" } };
+    const settings = { instance: { id, dataCentre: "fes-a", cores: 1 } };
     const clients = {
       of: ({ id: upstream }: Upstream) => this.upstreams.get(upstream) as unknown as UpstreamClient,
       close: () => Promise.resolve(),
--- a/features/support/ledger-fleet.ts
+++ b/features/support/ledger-fleet.ts
@@ -51,7 +51,7 @@
 
   membersOf(self: string): Members {
     const memberOf = ({ id, incarnation, alive }: LedgerInstance): Member => ({
-      ...{ id, incarnation, dataCentre: "a", peerAddress: "" },
+      ...{ id, incarnation, dataCentre: "a", peerAddress: "", cores: 1 },
       state: alive ? MemberState.Alive : MemberState.Dead,
     });
     const all = (): Member[] =>
--- a/features/support/order-group.ts
+++ b/features/support/order-group.ts
@@ -95,6 +95,7 @@
         incarnation: 1,
         dataCentre: "fes-a",
         peerAddress: "",
+        cores: 1,
         state: this.down.has(id) ? MemberState.Dead : MemberState.Alive,
       }));
   }
--- a/features/support/store-fleet.ts
+++ b/features/support/store-fleet.ts
@@ -77,6 +77,7 @@
             dataCentre: "a",
             incarnation: 1,
             peerAddress: `http://${each}`,
+            cores: 1,
             state: MemberState.Alive,
           })),
       find: () => undefined,
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -52,6 +52,7 @@
   readonly settings: PeerSettings;
   readonly self: string;
   readonly dataCentre: string;
+  readonly cores: number;
   readonly timers: Timers;
   readonly random: RandomSource;
   readonly log: ConsolaInstance;
@@ -102,6 +103,7 @@
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
     dataCentre: asValue(frontSettings.instance.dataCentre),
+    cores: asValue(frontSettings.instance.cores),
     callers: asValue(frontSettings.callers),
     timers: asFunction(SystemTimers.create).singleton(),
     // Instances must differ in their random choices, and nothing needs to repeat them.
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -9,16 +9,30 @@
 
 /** Owners that are tried before this instance fills the calls itself. */
 const MOST_OWNERS = 2;
-/** Part of the live instances that may be owners: those that run the longest. */
-const OLDER_PART = 0.5;
+/** Starts after the median one by more than this make an instance a late one; a restart in turn. */
+const LATE_START_MS = 1_500;
+/** Part of the processor time of the largest instance that an owner needs. */
+const LARGE_PART = 0.5;
 /** Fewest instances that may be owners, if there are as many. */
 const LEAST_OWNERS = 4;
 
+/** Processor cores that are assumed of an instance that did not say; less than any has. */
+const LEAST_CORES = 0.01;
+
+interface Candidate {
+  readonly id: string;
+  /** Start time of the process in ms since the epoch. */
+  readonly incarnation: number;
+  readonly cores: number;
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly self: string;
   /** Start time of this process in ms since the epoch. */
   readonly incarnation: number;
+  /** Processor cores that this instance may use. */
+  readonly cores: number;
   readonly members: Members;
   readonly directory: UpstreamDirectory;
 }
@@ -26,7 +40,9 @@
 /**
  * The instances that fill the calls of each service and shard. Answers the load pattern of instances
  * that are restarted in turn during a flood: an owner that has just started would take over from one
- * whose queue is full, and both would fill calls for the same upstreams.
+ * whose queue is full, and both would fill calls for the same upstreams. In a fleet of large and
+ * small instances only large ones are owners: a small one answers the submissions of the whole fleet
+ * later than their time limit, and each submitter then turns to another owner.
  */
 export class StageOwners {
   private readonly silent: Distrust;
@@ -75,21 +91,41 @@
   of(service: string, attemptId: string, previous?: string): readonly string[] {
     const reachable = this.reachable();
     const key = `${service}/${shardOf(attemptId, this.parts.directory.serving(service).length)}`;
-    const ordered = rendezvousMembers(key, this.candidates(reachable), MOST_OWNERS);
+    const candidates = this.candidates(reachable);
+    const weights = new Map(candidates.map(({ id, cores }) => [id, cores]));
+    const ids = candidates.map(({ id }) => id);
+    const ordered = rendezvousMembers(key, ids, MOST_OWNERS, (id) => weights.get(id) ?? 0);
     if (previous === undefined || !reachable.some(({ id }) => id === previous)) return ordered;
     return [previous, ...ordered.filter((each) => each !== previous)].slice(0, MOST_OWNERS);
   }
 
-  private candidates(reachable: readonly Member[]): string[] {
-    const { self, incarnation } = this.parts;
-    const own = this.isLeaving && reachable.length > 0 ? [] : [{ id: self, incarnation }];
-    const all = [...reachable, ...own];
-    all.sort((a, b) => a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1));
-    const count = Math.max(LEAST_OWNERS, Math.ceil(OLDER_PART * all.length));
-    return all.slice(0, count).map(({ id }) => id);
+  private candidates(reachable: readonly Member[]): readonly Candidate[] {
+    const { self, incarnation, cores } = this.parts;
+    const own = this.isLeaving && reachable.length > 0 ? [] : [{ id: self, incarnation, cores }];
+    const all = [...reachable, ...own].map((each) => ({
+      id: each.id,
+      incarnation: each.incarnation,
+      cores: Math.max(LEAST_CORES, each.cores),
+    }));
+    return large(settled(all));
   }
 
   private reachable(): Member[] {
     return aliveMembers(this.parts.members).filter(({ id }) => !this.silent.has(id));
   }
 }
+
+/** The instances that did not start later than most others. */
+function settled(all: readonly Candidate[]): Candidate[] {
+  const byAge = [...all].sort((a, b) => a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1));
+  const median = byAge[Math.floor((byAge.length - 1) / 2)]?.incarnation ?? 0;
+  const isSettled = ({ incarnation }: Candidate): boolean => incarnation <= median + LATE_START_MS;
+  return byAge.filter((each, at) => at < LEAST_OWNERS || isSettled(each));
+}
+
+/** The instances with the most processor time. */
+function large(all: readonly Candidate[]): Candidate[] {
+  const bySize = [...all].sort((a, b) => b.cores - a.cores || (a.id < b.id ? -1 : 1));
+  const least = LARGE_PART * (bySize[0]?.cores ?? 0);
+  return bySize.filter(({ cores }, at) => at < LEAST_OWNERS || cores >= least);
+}
--- a/src/order/rendezvous.ts
+++ b/src/order/rendezvous.ts
@@ -6,21 +6,27 @@
 /** Names whose hash is remembered; a fleet of hundreds and the services of a deployment. */
 const MOST_HASHES = 4_096;
 
+/** Number of different hashes. */
+const HASHES = 2 ** 32;
+
 const known = new LRUCache<string, number>({ max: MOST_HASHES });
 
 /**
  * Up to `count` members in the order in which rendezvous hashing assigns them to `key`. Takes one
- * pass over the members, as the owners of stage calls are looked up for each submission.
+ * pass over the members, as the owners of stage calls are looked up for each submission. With
+ * weights, a member comes first for a part of the keys in proportion to its weight.
  */
 export function rendezvousMembers(
   key: string,
   members: readonly string[],
   count: number,
+  weightOf?: (member: string) => number,
 ): readonly string[] {
   const keyHash = hashOf(key);
   const best: { readonly member: string; readonly score: number }[] = [];
   for (const member of members) {
-    const score = mixed(keyHash ^ hashOf(member));
+    const hash = mixed(keyHash ^ hashOf(member));
+    const score = weightOf === undefined ? hash : weighted(hash, weightOf(member));
     let at = best.length;
     while (at > 0 && isBefore(score, member, best[at - 1])) at -= 1;
     if (at >= count) continue;
@@ -35,6 +41,11 @@
   return rendezvousMembers(key, members, 1)[0];
 }
 
+/** Logarithmic method of weighted rendezvous hashing; the order of equal weights is that of the hashes. */
+function weighted(hash: number, weight: number): number {
+  return -weight / Math.log((hash + 0.5) / HASHES);
+}
+
 function isBefore(
   score: number,
   member: string,
--- a/src/peer/list-correction.ts
+++ b/src/peer/list-correction.ts
@@ -54,7 +54,7 @@
     if (id === memberTable.self || memberTable.record(id) !== undefined) return;
     const listedState = state === "leaving" ? MemberState.Leaving : MemberState.Alive;
     memberTable.learn(
-      { id, incarnation: 0, revision: 0, state: listedState, dataCentre, peerAddress },
+      { id, incarnation: 0, revision: 0, state: listedState, dataCentre, peerAddress, cores: 0 },
       false,
     );
   }
--- a/src/peer/member-entry.ts
+++ b/src/peer/member-entry.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 import { MemberState } from "./member-state.js";
 
+const MOST_CORES = 4_096;
+
 /** Schema of what daemons tell each other about one member. */
 export const memberEntrySchema = z.object({
   id: z.string().min(1).max(63),
@@ -10,6 +12,8 @@
   state: z.enum([MemberState.Alive, MemberState.Leaving, MemberState.Dead]),
   dataCentre: z.string().max(63),
   peerAddress: z.string().max(128),
+  /** Processor cores that the instance may use; 0 if it did not say. */
+  cores: z.number().nonnegative().max(MOST_CORES).default(0),
 });
 
 /** One member at one point of its history. */
@@ -24,15 +28,16 @@
     memberEntrySchema.shape.state,
     memberEntrySchema.shape.dataCentre,
     memberEntrySchema.shape.peerAddress,
+    memberEntrySchema.shape.cores,
   ])
-  .transform(([id, incarnation, revision, state, dataCentre, peerAddress]): MemberEntry => ({
-    ...{ id, incarnation, revision, state, dataCentre, peerAddress },
+  .transform(([id, incarnation, revision, state, dataCentre, peerAddress, cores]): MemberEntry => ({
+    ...{ id, incarnation, revision, state, dataCentre, peerAddress, cores },
   }));
 
 /** The packed form of an entry. */
 export function packedEntry(entry: MemberEntry): z.input<typeof packedEntrySchema> {
-  const { id, incarnation, revision, state, dataCentre, peerAddress } = entry;
-  return [id, incarnation, revision, state, dataCentre, peerAddress];
+  const { id, incarnation, revision, state, dataCentre, peerAddress, cores } = entry;
+  return [id, incarnation, revision, state, dataCentre, peerAddress, cores];
 }
 
 const order: Readonly<Record<MemberEntry["state"], number>> = {
--- a/src/peer/member-record.ts
+++ b/src/peer/member-record.ts
@@ -14,7 +14,7 @@
 
 /** The public view of a record. */
 export function memberOf({ entry, suspect }: MemberRecord): Member {
-  const { id, incarnation, dataCentre, peerAddress, state } = entry;
+  const { id, incarnation, dataCentre, peerAddress, cores, state } = entry;
   const shown = suspect && state === MemberState.Alive ? MemberState.Suspect : state;
-  return { id, incarnation, dataCentre, peerAddress, state: shown };
+  return { id, incarnation, dataCentre, peerAddress, cores, state: shown };
 }
--- a/src/peer/member-table.ts
+++ b/src/peer/member-table.ts
@@ -39,6 +39,7 @@
       state: MemberState.Alive,
       dataCentre: settings.instance.dataCentre,
       peerAddress: `http://${host.includes(":") ? `[${host}]` : host}:${port}`,
+      cores: settings.instance.cores,
     };
     this.liveRing = Ring.create([this.ownEntry.id]);
     this.digest = digestOf(this.ownEntry);
--- a/src/peer/member.ts
+++ b/src/peer/member.ts
@@ -7,5 +7,7 @@
   readonly incarnation: number;
   readonly dataCentre: string;
   readonly peerAddress: string;
+  /** Processor cores that the instance may use; 0 if it did not say. */
+  readonly cores: number;
   readonly state: MemberState;
 }
--- a/src/settings/front-settings.ts
+++ b/src/settings/front-settings.ts
@@ -22,10 +22,19 @@
 
 /** Schema of the settings of a daemon on the platform; the platform fills in its template. */
 export const frontSettingsSchema = z.object({
-  instance: z.object({
-    id: z.string().min(1).max(63).describe("Id of the instance: its IP address."),
-    dataCentre: z.string().min(1).describe("Data centre of the instance."),
-  }),
+  instance: z
+    .object({
+      id: z.string().min(1).max(63).describe("Id of the instance: its IP address."),
+      dataCentre: z.string().min(1).describe("Data centre of the instance."),
+      processor: z
+        .object({
+          share: z.number().positive().describe("Part of a core that the instance may use."),
+          speed: z.number().positive().describe("Speed of that core; 1 is the usual one."),
+        })
+        .default({ share: 1, speed: 1 })
+        .describe("Processor time of the instance."),
+    })
+    .transform(({ processor: { share, speed }, ...rest }) => ({ ...rest, cores: share * speed })),
   callers: address.describe("Address for callers."),
   readiness: address.describe("Address that the balancer asks for readiness."),
   peers: address.describe("Address for other instances."),
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -130,6 +130,11 @@
   instance: z.strictObject({
     id: identifier.describe("Id of the instance, unique in the fleet."),
     dataCentre: identifier.describe("Data centre of the instance, as named in the configuration."),
+    cores: z
+      .number()
+      .positive()
+      .default(1)
+      .describe("Processor cores that the instance may use, also a part of one."),
   }),
   callers: listener,
   peers: listener.extend({
