Replace connections between daemons only after a second of silence

The first seconds of traffic of the grown deployments lost 109 of 484 submissions to one owner of stage calls, with 'no answer within 250 ms': each call ended a connection that was silent for half of its time limit, also one that was still being opened, and opened another one. All daemons did so at the same time, so that the owner spent its processor time on handshakes.

A connection is now replaced after a second without a byte while calls wait, and one that is being opened is kept for two seconds. A call that is given up before the peer has accepted is taken back, so that it does not arrive later.

--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -7,7 +7,10 @@
 import { MAX_CALLS_PER_INSTANCE } from "./peer-server.js";
 import { serveErrorOfCall } from "./rpc-error.js";
 
-/** Silence of a connection after which it is compared with a new one. */
+/**
+ * Silence of a connection after which it is compared with a new one. Far above the time limit of one
+ * stage submission: a peer that is only slow gets slower with each new connection.
+ */
 const QUIET_MS = 1_000;
 
 /**
@@ -71,8 +74,10 @@
   private async callOnce(method: PeerMethod, params: unknown, timeoutMs: number): Promise<unknown> {
     const kept = this.connection?.usable === true;
     const used = kept && this.connection !== undefined ? this.connection : this.connect();
-    const quietMs = repeatable[method] ? Math.min(QUIET_MS, timeoutMs / 2) : timeoutMs;
-    const limits: CallLimits = { timeoutMs, quietMs };
+    const limits: CallLimits = {
+      timeoutMs,
+      quietMs: repeatable[method] ? QUIET_MS : Math.max(QUIET_MS, timeoutMs),
+    };
     const started = this.timers.now();
     try {
       return await used.call(method, params, limits);
--- a/src/peer/peer-connection.ts
+++ b/src/peer/peer-connection.ts
@@ -13,6 +13,11 @@
 import { INSTANCE_HEADER, RPC_PATH } from "./peer-server.js";
 
 const MAX_RESPONSE_BYTES = 8_388_608;
+/**
+ * Time within which a peer accepts a connection. A peer with little processor time takes a second
+ * for the handshakes of a whole fleet, and each further one makes it slower.
+ */
+const OPEN_MS = 2_000;
 /** Code of the range that JSON-RPC 2.0 leaves to applications; it never comes from a peer. */
 const NO_ANSWER = -32_099;
 /** Code with which the library rejects all calls in progress; peers use codes below -32,000. */
@@ -29,7 +34,7 @@
 /** Time limits of one call, in ms. */
 export interface CallLimits {
   readonly timeoutMs: number;
-  /** Silence of the whole connection after which the call fails earlier. */
+  /** Silence of the whole connection, while calls wait, after which it is ended. */
   readonly quietMs: number;
 }
 
@@ -39,7 +44,12 @@
   private readonly batch: MessageBatch;
   private lastId = 0;
   private heardMs = -Infinity;
+  /** Time of the first call since the peer was heard last. */
+  private calledMs: number | undefined;
+  private opened = false;
   private ended: string | undefined;
+  /** Takes the message of the last call back. */
+  private takeBack: () => void = () => undefined;
 
   private constructor(
     private readonly timers: Timers,
@@ -47,10 +57,15 @@
   ) {
     this.batch = MessageBatch.create(socket);
     this.rpc = new JSONRPCClient((request: JSONRPCRequest) => {
-      this.batch.add(request);
+      this.takeBack = this.batch.add(request);
+    });
+    const limit = timers.after(OPEN_MS, () => {
+      this.end(`not accepted within ${OPEN_MS} ms`);
     });
     socket.on("open", () => {
-      this.heardMs = timers.now();
+      limit.cancel();
+      this.opened = true;
+      this.hear();
       this.batch.flush();
     });
     socket.on("message", (data: Buffer) => {
@@ -61,6 +76,7 @@
       this.ended ??= error.message;
     });
     socket.on("close", () => {
+      limit.cancel();
       this.end("the connection was closed");
     });
   }
@@ -89,15 +105,21 @@
     this.lastId += 1;
     const id = this.lastId;
     const sentMs = timers.now();
+    this.calledMs ??= sentMs;
+    const { timeoutMs, quietMs } = limits;
+    const response = this.rpc.requestAdvanced({ jsonrpc: "2.0", id, method, params });
+    const { takeBack } = this;
+    const isSilent = (): boolean =>
+      this.opened && timers.now() - Math.max(this.heardMs, this.calledMs ?? sentMs) >= quietMs;
     const fail = (ms: number): void => {
       const detail = `no answer within ${ms} ms`;
       this.rpc.receive(createJSONRPCErrorResponse(id, NO_ANSWER, detail));
-      // The peer would otherwise get the call after its caller has turned elsewhere.
-      if (this.heardMs < sentMs) this.end(detail);
+      // A peer that accepts later must not get the call after its caller has turned elsewhere.
+      takeBack();
+      if (isSilent()) this.end(detail);
     };
-    const { timeoutMs, quietMs } = limits;
     let limit = timers.after(Math.min(timeoutMs, quietMs), () => {
-      if (quietMs >= timeoutMs || this.heardMs < sentMs) {
+      if (quietMs >= timeoutMs || isSilent()) {
         fail(Math.min(timeoutMs, quietMs));
         return;
       }
@@ -106,8 +128,7 @@
       });
     });
     try {
-      const response = await this.rpc.requestAdvanced({ jsonrpc: "2.0", id, method, params });
-      return resultOf(response);
+      return resultOf(await response);
     } finally {
       limit.cancel();
     }
@@ -120,8 +141,13 @@
     this.rpc.rejectAllPendingRequests(this.ended);
   }
 
-  private receive(data: Buffer): void {
+  private hear(): void {
     this.heardMs = this.timers.now();
+    this.calledMs = undefined;
+  }
+
+  private receive(data: Buffer): void {
+    this.hear();
     const message = parsed(data);
     const responses: unknown[] = Array.isArray(message) ? message : [message];
     for (const response of responses) {
