--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -27,6 +27,12 @@
     Given 8 instances of which "late" started last
     Then an owner that accepted a stage before comes first, unless it did not answer
 
+  # Guards against an owner that accepts the connections of the whole fleet with the first requests.
+  Scenario: Connections to the owners are opened before there are requests
+    Given 8 instances of which "late" started last
+    When the instance runs for 8 s without requests before 2 services
+    Then it has opened a connection to each owner that is not itself
+
   # Guards against work that waits at an instance that is about to stop.
   Scenario: An instance that is about to stop gives its waiting work away
     Given 2 upstreams of a service and an instance with 3 submissions that wait
--- a/features/steps/stage-owner-choice.ts
+++ b/features/steps/stage-owner-choice.ts
@@ -1,14 +1,21 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { OwnerLinks } from "../../src/forward/owner-links.js";
+import { RouteView } from "../../src/forward/route-view.js";
 import { StageOwners } from "../../src/forward/stage-owners.js";
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
 import { MemberState } from "../../src/peer/member-state.js";
 import type { Members } from "../../src/peer/members.js";
+import { RandomSource } from "../../src/random/random-source.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import { configurationOf } from "../support/forward-samples.js";
+
+const SERVICES = ["first", "later"];
 
 interface OwnersWorld {
   owners: StageOwners;
   owner: string | undefined;
+  opened: Set<string>;
 }
 
 Given("8 instances of which {string} started last", function (this: OwnersWorld, late: string) {
@@ -107,3 +114,36 @@
 Then("another instance owns the service", function (this: OwnersWorld) {
   assert.notEqual(this.owners.of("service", "r")[0], this.owner);
 });
+
+When(
+  "the instance runs for {int} s without requests before 2 services",
+  async function (this: OwnersWorld, seconds: number) {
+    const timers = ManualTimers.create();
+    const routeView = RouteView.create();
+    const stage = { ...{ callsAtOnce: 1, mostPieces: 10, callMs: 200, pieceMs: 20 } };
+    const services = new Map(
+      SERVICES.map((name) => [name, { name, stage: { ...stage, resultBytes: 1, keptMs: 4_000 } }]),
+    );
+    routeView.adopt(configurationOf({ services }));
+    this.opened = new Set();
+    const links = OwnerLinks.create({
+      timers,
+      random: RandomSource.create(1),
+      self: "self",
+      routeView,
+      directory: UpstreamDirectory.create({ timers }),
+      stageOwners: this.owners,
+      peerCalls: { open: (instance) => this.opened.add(instance) },
+    });
+    links.start();
+    await timers.advance(seconds * 1_000);
+    links.stop();
+  },
+);
+
+Then("it has opened a connection to each owner that is not itself", function (this: OwnersWorld) {
+  const owners = SERVICES.flatMap((name) => this.owners.of(name, "r")[0] ?? []);
+  const others = owners.filter((owner) => owner !== "self");
+  assert.ok(others.length > 0);
+  assert.deepEqual([...this.opened].sort(), [...new Set(others)].sort());
+});
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -11,6 +11,7 @@
 import { peerSettingsOf } from "../forward/front-peer-settings.js";
 import { FrontServer } from "../forward/front-server.js";
 import { KeptConnections } from "../forward/kept-connections.js";
+import { OwnerLinks } from "../forward/owner-links.js";
 import { RefusalWriter } from "../forward/refusal-writer.js";
 import { RequestForwarder } from "../forward/request-forwarder.js";
 import { RequestMatcher } from "../forward/request-matcher.js";
@@ -78,6 +79,7 @@
   readonly stageLoads: StageLoads;
   readonly routeDeadlines: RouteDeadlines;
   readonly stageOwners: StageOwners;
+  readonly ownerLinks: OwnerLinks;
   readonly stagePools: StagePools;
   readonly stageDispatch: StageDispatch;
   readonly storeView: StoreView;
@@ -143,6 +145,7 @@
     stageLoads: asFunction(StageLoads.create).singleton(),
     routeDeadlines: asFunction(() => RouteDeadlines.create()).singleton(),
     stageOwners: asFunction(StageOwners.create).singleton(),
+    ownerLinks: asFunction(OwnerLinks.create).singleton(),
     stagePools: asFunction(StagePools.create).singleton(),
     stageDispatch: asFunction(StageDispatch.create).singleton(),
     storeView: asFunction(StoreView.create).singleton(),
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -31,6 +31,7 @@
     this.parts.stageDispatch.start();
     await Promise.all([peerServer.listen(), frontServer.listen(), statusServer.listen()]);
     storeView.start();
+    this.parts.ownerLinks.start();
     readiness.clear(UnreadyReason.Starting);
     this.parts.log.info({ message: "listening", callers: this.settings.callers });
     await membership.start();
@@ -60,6 +61,7 @@
   async close(): Promise<void> {
     const { storeView, membership, frontServer, statusServer, peerServer, peerCalls } = this.parts;
     storeView.stop();
+    this.parts.ownerLinks.stop();
     membership.stop();
     this.parts.pauses.stop();
     await Promise.all([frontServer.close(), statusServer.close(), peerServer.close()]);
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -89,8 +89,14 @@
    * accepted its pieces before stays the first while it can be reached.
    */
   of(service: string, attemptId: string, previous?: string): readonly string[] {
+    const upstreams = this.parts.directory.serving(service).length;
+    return this.ofShard(service, shardOf(attemptId, upstreams), previous);
+  }
+
+  /** The same for all requests of a shard. */
+  ofShard(service: string, shard: number, previous?: string): readonly string[] {
     const reachable = this.reachable();
-    const key = `${service}/${shardOf(attemptId, this.parts.directory.serving(service).length)}`;
+    const key = `${service}/${shard}`;
     const candidates = this.candidates(reachable);
     const weights = new Map(candidates.map(({ id, cores }) => [id, cores]));
     const ids = candidates.map(({ id }) => id);
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Opens the connection unless it is open. */
+  open(): void {
+    if (this.connection?.usable !== true) this.connect();
+  }
+
   close(): void {
     this.connection?.end("the client was closed");
   }
--- a/src/peer/peer-clients.ts
+++ b/src/peer/peer-clients.ts
@@ -5,6 +5,7 @@
 import type { AddressBook } from "./address-book.js";
 import type { PeerCalls } from "./peer-calls.js";
 import { PeerClient } from "./peer-client.js";
+import type { PeerLinks } from "./peer-links.js";
 import type { PeerMethod } from "./peer-method.js";
 
 interface Parts {
@@ -14,7 +15,7 @@
 }
 
 /** One client for each peer, created at the first call and replaced when the address changes. */
-export class PeerClients implements PeerCalls {
+export class PeerClients implements PeerCalls, PeerLinks {
   private readonly clients = new Map<string, PeerClient>();
 
   private constructor(private readonly parts: Parts) {}
@@ -37,6 +38,11 @@
     return this.client(instance, address).call(method, params, timeoutMs);
   }
 
+  open(instance: string): void {
+    const address = this.parts.addressBook.find(instance);
+    if (address !== undefined) this.client(instance, address).open();
+  }
+
   /** Ends the connections to an instance. */
   forget(instance: string): void {
     this.clients.get(instance)?.close();
