Let pieces wait for their data centre out of their slack only

The wait is now a quarter of the slack: the time to the target less what the later stages, a full call and the engine take. The scenario failed before.

--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -49,6 +49,13 @@
     When the stage clock advances by 400 ms
     Then all requests have their results
 
+  # Guards against chains of stages that spend the slack of the last stage on a wait at an earlier one.
+  Scenario: Bulky pieces without slack are done by the upstream that is free
+    Given the upstream in data centre "a" is busy
+    When a request with bulky results for data centre "a" and 600 ms to its target arrives
+    And the stage clock advances by 100 ms
+    Then its pieces were sent to data centre "b"
+
   Scenario: Results that nobody released count against the memory of their upstream
     Given upstreams have memory for 4 results
     When 4 requests of 2 pieces with results arrive
--- a/features/steps/stage-memory.ts
+++ b/features/steps/stage-memory.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
-import { Given, Then } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import type { StageBench } from "../support/stage-bench.js";
 
+const BULKY_BYTES = 1_500_000;
+
 interface PoolWorld {
   stages: StageBench;
 }
@@ -19,3 +21,11 @@
     assert.ok(pieces >= least && pieces >= average * calls.length, seen);
   },
 );
+
+When(
+  "a request with bulky results for data centre {string} and {int} ms to its target arrives",
+  function (this: PoolWorld, at: string, targetLeftMs: number) {
+    const bytes = { resultBytes: BULKY_BYTES, movedBytes: BULKY_BYTES };
+    this.stages.submit({ dataCentre: at, pieces: 2, attemptId: "bulky", targetLeftMs, ...bytes });
+  },
+);
--- a/src/forward/stage-admission.ts
+++ b/src/forward/stage-admission.ts
@@ -1,8 +1,7 @@
 import type { ServiceDefinition } from "./service-definition.js";
 import type { StageDefinition } from "./stage-definition.js";
+import { ENGINE_MS } from "./stage-pace.js";
 
-/** Time from the dispatch to an engine until the first event of an average prompt. */
-const ENGINE_MS = 300;
 /** Part of the slack that waits may take; the rest covers arrivals that are not known yet. */
 const SLACK_PART = 0.75;
 /** Wait that is always allowed: about one call. Shorter queues drain before a caller returns. */
--- a/src/forward/stage-pace.ts
+++ b/src/forward/stage-pace.ts
@@ -1,5 +1,8 @@
 import type { StageCapacity } from "./service-definition.js";
 
+/** Time from the dispatch to an engine until the first event of an average prompt. */
+export const ENGINE_MS = 300;
+
 /** Time of a call with `pieces` pieces, or a full one, as the capacity states it, in ms. */
 export function callMsOf({ callMs, mostPieces, pieceMs }: StageCapacity, pieces: number): number {
   return callMs + Math.min(mostPieces, pieces) * pieceMs;
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -7,7 +7,7 @@
 import { StageForecast } from "./stage-forecast.js";
 import type { StageTicket } from "./stage-outcome.js";
 import { type CallRoom, StageQueue } from "./stage-queue.js";
-import { callMsOf, piecesPerMs } from "./stage-pace.js";
+import { callMsOf, fullCallMs, piecesPerMs } from "./stage-pace.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
 import { type StageWaits, WAIT_RANKS, waitOf } from "./stage-wait.js";
 import type { StagePoolParts } from "./stage-pool-parts.js";
@@ -119,7 +119,7 @@
     const isFree = ({ id }: UpstreamEntry): boolean =>
       this.running.isFree(id, capacity.callsAtOnce);
     if (!due && !reachable.some(isFree)) {
-      this.wakeLater();
+      this.wakeLater(capacity);
       return;
     }
     const slowness = Math.max(1, standings.typicalRatio(reachable));
@@ -133,14 +133,15 @@
     const split = { entries: reachable, standings, mostPieces, waiting: this.queue.size };
     const { spare, usual } = splitSpare(split);
     const dataCentres = new Set(usual.map(({ dataCentre }) => dataCentre));
-    const room = { mostPieces, callMs, probe: false, dataCentres };
+    const fullMs = fullCallMs(capacity);
+    const room = { mostPieces, callMs, fullMs, probe: false, dataCentres };
     for (const entry of usual) this.fillCall(entry, capacity, room);
     for (const entry of spare) {
       // A few waiting pieces are done sooner by the next upstream that becomes free.
       if (this.queue.size <= mostPieces || !standings.of(entry.id).claimProbe()) continue;
       this.fillCall(entry, capacity, { ...room, mostPieces: PROBE_PIECES, probe: true });
     }
-    if (this.queue.size > 0) this.wakeLater();
+    if (this.queue.size > 0) this.wakeLater(capacity);
   }
 
   private fillCall(
@@ -157,10 +158,10 @@
     } else if (pieces.length > 0) void this.call(entry, pieces, capacity);
   }
 
-  private wakeLater(): void {
+  private wakeLater(capacity: StageCapacity): void {
     if (this.wakeDue) return;
     this.wakeDue = true;
-    const patience = this.queue.nextPatienceEnd(this.parts.timers.now());
+    const patience = this.queue.nextPatienceEnd(this.parts.timers.now(), fullCallMs(capacity));
     this.parts.timers.after(Math.min(BUSY_RETRY_MS, (patience ?? BUSY_RETRY_MS) + 1), () => {
       this.wakeDue = false;
       this.fill(true);
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -1,10 +1,11 @@
+import { ENGINE_MS } from "./stage-pace.js";
 import type { QueuedPiece, QueuedSubmission } from "./queued-submission.js";
 
 /** Bytes of a submission from which a transfer between data centres is worth a wait. */
 const BULKY_BYTES = 1_000_000;
 /** Longest such wait; about one call of a stage. */
 const MOST_PATIENCE_MS = 400;
-/** Part of the time to the target that a piece may spend on that wait. */
+/** Part of its slack that a piece may spend on that wait; later stages need some as well. */
 const PATIENCE_PART = 0.25;
 
 /** The upstream that a call is filled for. */
@@ -13,6 +14,8 @@
   readonly mostPieces: number;
   /** Time of the call without its pieces, in ms. */
   readonly callMs: number;
+  /** Time of a full call in ms. */
+  readonly fullMs: number;
   /** Free memory for results in bytes. */
   readonly resultBytes: number;
   /** Whether the call only finds out how the upstream does. */
@@ -138,10 +141,10 @@
   }
 
   /** Time until a piece that waits for its data centre may run elsewhere; undefined if none. */
-  nextPatienceEnd(now: number): number | undefined {
+  nextPatienceEnd(now: number, fullMs: number): number | undefined {
     let least: number | undefined;
     for (const { owner } of this.waiting) {
-      const left = owner.enqueuedMs + patience(owner) - now;
+      const left = owner.enqueuedMs + patience(owner, fullMs) - now;
       if (left > 0 && (least === undefined || left < least)) least = left;
     }
     return least;
@@ -151,14 +154,16 @@
     const { dataCentre } = owner.submission;
     if (dataCentre === undefined || dataCentre === room.dataCentre) return false;
     if (!room.dataCentres.has(dataCentre)) return false;
-    return now - owner.enqueuedMs < patience(owner);
+    return now - owner.enqueuedMs < patience(owner, room.fullMs);
   }
 }
 
-function patience({ submission, targetMs, enqueuedMs }: QueuedSubmission): number {
-  const { dataCentre, pieces, movedBytes } = submission;
+/** Work that would miss its target by waiting for its data centre does not wait. */
+function patience(owner: QueuedSubmission, fullMs: number): number {
+  const { dataCentre, pieces, movedBytes } = owner.submission;
   if (dataCentre === undefined || pieces * movedBytes < BULKY_BYTES) return 0;
-  return Math.max(0, Math.min(MOST_PATIENCE_MS, PATIENCE_PART * (targetMs - enqueuedMs)));
+  const slackMs = doneByMs(owner) - ENGINE_MS - fullMs - owner.enqueuedMs;
+  return Math.max(0, Math.min(MOST_PATIENCE_MS, PATIENCE_PART * slackMs));
 }
 
 function before(
