Keep the queue of a stage by submissions

Decisions of the queue are made for submissions, but it filtered and sorted their pieces, ten for each submission of the last stages.

Pieces of a submission that turns out late no longer count as work ahead of others.

--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -45,7 +45,9 @@
  * whether they carry one piece or a full batch, also in a flood that makes some of them late.
  */
 export class StageQueue {
-  private waiting: QueuedPiece[] = [];
+  /** Waiting pieces by submission: decisions are made for submissions, of which there are fewer. */
+  private waiting = new Map<QueuedSubmission, QueuedPiece[]>();
+  private count = 0;
 
   private constructor() {
     // Instances come from `create`.
@@ -55,18 +57,23 @@
     return new StageQueue();
   }
 
+  /** Waiting pieces. */
   get size(): number {
-    return this.waiting.length;
+    return this.count;
   }
 
   /** Submissions that wait and of which no piece was part of a call. */
   get untouched(): ReadonlySet<QueuedSubmission> {
-    const owners = this.waiting.map(({ owner }) => owner);
-    return new Set(owners.filter(({ ended, begun }) => !ended && !begun));
+    return new Set([...this.waiting.keys()].filter(({ ended, begun }) => !ended && !begun));
   }
 
   add(pieces: readonly QueuedPiece[]): void {
-    this.waiting.push(...pieces);
+    for (const piece of pieces) {
+      const group = this.waiting.get(piece.owner);
+      if (group === undefined) this.waiting.set(piece.owner, [piece]);
+      else group.push(piece);
+    }
+    this.count += pieces.length;
   }
 
   /**
@@ -76,12 +83,12 @@
   ahead(ranks: number): readonly WaitingWork[] {
     const pieces = new Array<number>(ranks).fill(0);
     const bytes = new Array<number>(ranks).fill(0);
-    for (const { owner } of this.waiting) {
+    for (const [owner, group] of this.waiting) {
       if (owner.ended) continue;
       const { rank, resultBytes } = owner.submission;
       const at = Math.min(Math.max(0, rank), ranks - 1);
-      pieces[at] = (pieces[at] ?? 0) + 1;
-      bytes[at] = (bytes[at] ?? 0) + resultBytes;
+      pieces[at] = (pieces[at] ?? 0) + group.length;
+      bytes[at] = (bytes[at] ?? 0) + group.length * resultBytes;
     }
     let work: WaitingWork = { pieces: 0, bytes: 0 };
     return pieces.map((count, at) => {
@@ -96,54 +103,58 @@
    * that push admitted work back until it could only be late.
    */
   expire(now: number, { callMs, piecesPerMs }: QueuePace): QueuedSubmission[] {
-    const late = new Set<QueuedSubmission>();
-    const live = this.waiting.filter(({ owner }) => !owner.ended);
-    live.sort((a, b) => before(a.owner, b.owner, { now, callMs }));
+    const late: QueuedSubmission[] = [];
+    const live = [...this.waiting].filter(([owner]) => !owner.ended);
+    live.sort(([a], [b]) => before(a, b, { now, callMs }));
     let ahead = 0;
-    this.waiting = live.filter(({ owner }) => {
-      if (late.has(owner)) return false;
+    const kept = live.filter(([owner, group]) => {
       const leftMs = owner.deadlineMs - now - owner.submission.afterMs;
-      if (ahead / piecesPerMs + callMs <= leftMs) {
-        ahead += 1;
+      // The last piece is done at the end of the call that it is part of.
+      if ((ahead + group.length - 1) / piecesPerMs + callMs <= leftMs) {
+        ahead += group.length;
         return true;
       }
-      late.add(owner);
+      late.push(owner);
       return false;
     });
-    return [...late];
+    this.waiting = new Map(kept);
+    this.count = ahead;
+    return late;
   }
 
   /** Takes the pieces of the next call; empty if no piece should run there now. */
   take(room: CallRoom, now: number): QueuedPiece[] {
-    const eligible = this.waiting.filter(
-      ({ owner }) => !owner.ended && !this.holdsBack(owner, room, now),
-    );
     const order = { now, callMs: room.callMs };
-    eligible.sort((a, b) => before(a.owner, b.owner, order));
+    const eligible = [...this.waiting].filter(
+      ([owner]) => !owner.ended && !this.holdsBack(owner, room, now),
+    );
+    eligible.sort(([a], [b]) => before(a, b, order));
     // A probe may be late or lost, so it carries what is least urgent.
     if (room.probe) eligible.reverse();
-    const taken = new Set<QueuedPiece>();
+    const taken: QueuedPiece[] = [];
     let bytes = room.resultBytes;
-    for (const [owner, pieces] of bySubmission(eligible)) {
+    for (const [owner, group] of eligible) {
+      if (taken.length >= room.mostPieces) break;
       const { resultBytes } = owner.submission;
       const fitting = Math.min(
-        room.mostPieces - taken.size,
+        room.mostPieces - taken.length,
         resultBytes === 0 ? Infinity : Math.floor(bytes / resultBytes),
       );
       // The results of one request stay in one place where possible.
-      if (fitting < pieces.length && taken.size > 0) continue;
-      const chosen = pieces.slice(0, Math.max(0, fitting));
+      if (fitting < group.length && taken.length > 0) continue;
+      const chosen = group.splice(0, Math.max(0, fitting));
+      if (group.length === 0) this.waiting.delete(owner);
       bytes -= chosen.length * resultBytes;
-      for (const piece of chosen) taken.add(piece);
+      taken.push(...chosen);
     }
-    this.waiting = this.waiting.filter((piece) => !taken.has(piece));
-    return [...taken];
+    this.count -= taken.length;
+    return taken;
   }
 
   /** Time until a piece that waits for its data centre may run elsewhere; undefined if none. */
   nextPatienceEnd(now: number, fullMs: number): number | undefined {
     let least: number | undefined;
-    for (const { owner } of this.waiting) {
+    for (const owner of this.waiting.keys()) {
       const left = owner.enqueuedMs + patience(owner, fullMs) - now;
       if (left > 0 && (least === undefined || left < least)) least = left;
     }
@@ -189,13 +200,3 @@
 function doneByMs({ targetMs, submission }: QueuedSubmission): number {
   return targetMs - submission.afterMs;
 }
-
-function bySubmission(pieces: readonly QueuedPiece[]): Map<QueuedSubmission, QueuedPiece[]> {
-  const grouped = new Map<QueuedSubmission, QueuedPiece[]>();
-  for (const piece of pieces) {
-    const group = grouped.get(piece.owner);
-    if (group === undefined) grouped.set(piece.owner, [piece]);
-    else group.push(piece);
-  }
-  return grouped;
-}
