Spread the pools of stage calls evenly over their owners

On the grown deployments one large instance carried two or three of six pools while four of ten carried none: hashes alone collide. Pools are now assigned in order, and no instance gets more than its part by processor cores, rounded up. An instance that a submitter cannot reach is passed over for the pool that it owns only, so that other pools keep their owners.

The scenario covers the assignment.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -45,6 +45,11 @@
     Given 10 instances with 1.35 cores and 77 with 0.324, all just started
     Then only instances with 1.35 cores own any of 100 services, and each of them owns some
 
+  # Guards against one owner that carries three pools while others carry none.
+  Scenario: Each pool of stage calls has an owner of its own while there are enough instances
+    When 6 pools are assigned to 10 instances of the same size
+    Then 6 instances own one pool each
+
   Scenario: A single large instance does not own everything
     Given 1 instances with 1.35 cores and 7 with 0.324, all just started
     Then 4 instances own 100 services, and the large one owns most
--- a/features/steps/stage-owner-choice.ts
+++ b/features/steps/stage-owner-choice.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { assignOwners } from "../../src/forward/owner-assignment.js";
 import { OwnerLinks } from "../../src/forward/owner-links.js";
 import { RouteView } from "../../src/forward/route-view.js";
 import { StageOwners } from "../../src/forward/stage-owners.js";
@@ -16,6 +17,7 @@
   owners: StageOwners;
   owner: string | undefined;
   opened: Set<string>;
+  firstOwners: string[];
 }
 
 Given("8 instances of which {string} started last", function (this: OwnersWorld, late: string) {
@@ -27,8 +29,9 @@
   } as unknown as Members;
   const timers = ManualTimers.create();
   const directory = UpstreamDirectory.create({ timers });
+  const routeView = RouteView.create();
   this.owners = StageOwners.create({
-    ...{ timers, self: "self", incarnation: 10_000, cores: 1, members, directory },
+    ...{ timers, self: "self", incarnation: 10_000, cores: 1, members, directory, routeView },
   });
 });
 
@@ -65,8 +68,9 @@
     const timers = ManualTimers.create();
     const directory = UpstreamDirectory.create({ timers });
     const { id: self, incarnation } = own;
+    const routeView = RouteView.create();
     this.owners = StageOwners.create({
-      ...{ timers, self, incarnation, cores: own.cores, members, directory },
+      ...{ timers, self, incarnation, cores: own.cores, members, directory, routeView },
     });
   },
 );
@@ -115,6 +119,20 @@
   assert.notEqual(this.owners.of("service", "r")[0], this.owner);
 });
 
+When(
+  "{int} pools are assigned to {int} instances of the same size",
+  function (this: OwnersWorld, pools: number, instances: number) {
+    const candidates = Array.from({ length: instances }, (_, at) => ({ id: `i${at}`, cores: 1 }));
+    const names = Array.from({ length: pools }, (_, at) => `service-${at}/0`);
+    this.firstOwners = [...assignOwners(names, candidates).values()].map(([first = ""]) => first);
+  },
+);
+
+Then("{int} instances own one pool each", function (this: OwnersWorld, count: number) {
+  assert.equal(this.firstOwners.length, count);
+  assert.equal(new Set(this.firstOwners).size, count);
+});
+
 When(
   "the instance runs for {int} s without requests before 2 services",
   async function (this: OwnersWorld, seconds: number) {
--- /dev/null
+++ b/src/forward/owner-assignment.ts
@@ -0,0 +1,38 @@
+import { rendezvousMembers } from "../order/rendezvous.js";
+
+/** Owners that are tried before an instance fills the calls itself. */
+export const MOST_OWNERS = 2;
+
+/** An instance that may be an owner. */
+export interface OwnerCandidate {
+  readonly id: string;
+  /** Processor cores that the instance may use. */
+  readonly cores: number;
+}
+
+/**
+ * Assigns each pool of stage calls to an instance; returns the owners of each pool in the order in
+ * which they take over. Answers the load pattern of a few pools that carry the work of the whole
+ * fleet: by hashes alone, one instance gets two or three of them while others get none. No instance
+ * gets more than its part by processor cores, rounded up, while the views of the fleet agree.
+ */
+export function assignOwners(
+  pools: readonly string[],
+  candidates: readonly OwnerCandidate[],
+): ReadonlyMap<string, readonly string[]> {
+  const cores = new Map(candidates.map((each) => [each.id, each.cores]));
+  const ids = candidates.map(({ id }) => id);
+  const coresOf = (id: string): number => cores.get(id) ?? 0;
+  const total = ids.reduce((sum, id) => sum + coresOf(id), 0);
+  const left = new Map(ids.map((id) => [id, Math.ceil((pools.length * coresOf(id)) / total)]));
+  const assigned = new Map<string, readonly string[]>();
+  for (const pool of [...pools].sort()) {
+    // All earlier pools together can fill no more instances than there are pools.
+    const order = rendezvousMembers(pool, ids, pools.length + MOST_OWNERS, coresOf);
+    const first = order.find((id) => (left.get(id) ?? 0) > 0) ?? order[0];
+    if (first === undefined) continue;
+    left.set(first, (left.get(first) ?? 0) - 1);
+    assigned.set(pool, [first, ...order.filter((id) => id !== first)]);
+  }
+  return assigned;
+}
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -1,14 +1,14 @@
-import { rendezvousMembers } from "../order/rendezvous.js";
 import { aliveMembers } from "../peer/alive-members.js";
 import { Distrust } from "../peer/distrust.js";
-import type { Member } from "../peer/member.js";
 import type { Members } from "../peer/members.js";
 import type { Timers } from "../time/timers.js";
-import { shardOf } from "./stage-shard.js";
+import { assignOwners, MOST_OWNERS, type OwnerCandidate } from "./owner-assignment.js";
+import type { RouteView } from "./route-view.js";
+import { shardOf, shardsOf } from "./stage-shard.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 
-/** Owners that are tried before this instance fills the calls itself. */
-const MOST_OWNERS = 2;
+/** Age up to which an assignment is used; short against the detection of a lost instance. */
+const ASSIGNED_MS = 200;
 /** Starts after the median one by more than this make an instance a late one; a restart in turn. */
 const LATE_START_MS = 1_500;
 /** Part of the processor time of the largest instance that an owner needs. */
@@ -19,11 +19,9 @@
 /** Processor cores that are assumed of an instance that did not say; less than any has. */
 const LEAST_CORES = 0.01;
 
-interface Candidate {
-  readonly id: string;
+interface Candidate extends OwnerCandidate {
   /** Start time of the process in ms since the epoch. */
   readonly incarnation: number;
-  readonly cores: number;
 }
 
 interface Parts {
@@ -34,6 +32,7 @@
   /** Processor cores that this instance may use. */
   readonly cores: number;
   readonly members: Members;
+  readonly routeView: RouteView;
   readonly directory: UpstreamDirectory;
 }
 
@@ -49,6 +48,10 @@
   /** Instances of which one answer was late. */
   private readonly slow: Distrust;
   private isLeaving = false;
+  private alive: ReadonlySet<string> = new Set();
+  private candidates: readonly Candidate[] = [];
+  private assigned: ReadonlyMap<string, readonly string[]> = new Map();
+  private assignedMs = -Infinity;
 
   private constructor(private readonly parts: Parts) {
     this.silent = Distrust.create(parts.timers);
@@ -67,6 +70,7 @@
   /** Keeps this instance from being an owner while there are others. */
   leave(): void {
     this.isLeaving = true;
+    this.assignedMs = -Infinity;
   }
 
   /**
@@ -95,29 +99,40 @@
 
   /** The same for all requests of a shard. */
   ofShard(service: string, shard: number, previous?: string): readonly string[] {
-    const reachable = this.reachable();
-    const key = `${service}/${shard}`;
-    const candidates = this.candidates(reachable);
-    const weights = new Map(candidates.map(({ id, cores }) => [id, cores]));
-    const ids = candidates.map(({ id }) => id);
-    const ordered = rendezvousMembers(key, ids, MOST_OWNERS, (id) => weights.get(id) ?? 0);
-    if (previous === undefined || !reachable.some(({ id }) => id === previous)) return ordered;
-    return [previous, ...ordered.filter((each) => each !== previous)].slice(0, MOST_OWNERS);
+    const { self, timers } = this.parts;
+    if (timers.now() - this.assignedMs >= ASSIGNED_MS) this.assign();
+    const pool = `${service}/${shard}`;
+    const assigned = this.assigned.get(pool) ?? assignOwners([pool], this.candidates).get(pool);
+    const reachable = (id: string): boolean =>
+      id === self || (this.alive.has(id) && !this.silent.has(id));
+    const ordered = (assigned ?? []).filter(reachable);
+    const first = previous !== undefined && reachable(previous) ? [previous] : [];
+    return [...first, ...ordered.filter((id) => id !== previous)].slice(0, MOST_OWNERS);
   }
 
-  private candidates(reachable: readonly Member[]): readonly Candidate[] {
-    const { self, incarnation, cores } = this.parts;
-    const own = this.isLeaving && reachable.length > 0 ? [] : [{ id: self, incarnation, cores }];
-    const all = [...reachable, ...own].map((each) => ({
+  private assign(): void {
+    const { self, incarnation, cores, members, timers } = this.parts;
+    const alive = aliveMembers(members);
+    const own = this.isLeaving && alive.length > 0 ? [] : [{ id: self, incarnation, cores }];
+    const all = [...alive, ...own].map((each) => ({
       id: each.id,
       incarnation: each.incarnation,
       cores: Math.max(LEAST_CORES, each.cores),
     }));
-    return large(settled(all));
+    this.alive = new Set(alive.map(({ id }) => id));
+    this.candidates = large(settled(all));
+    this.assigned = assignOwners(this.pools(), this.candidates);
+    this.assignedMs = timers.now();
   }
 
-  private reachable(): Member[] {
-    return aliveMembers(this.parts.members).filter(({ id }) => !this.silent.has(id));
+  /** The pools of all stage services that are configured. */
+  private pools(): string[] {
+    const { routeView, directory } = this.parts;
+    const services = [...(routeView.configuration?.services ?? [])];
+    return services.flatMap(([name, { stage }]) => {
+      const shards = stage === undefined ? 0 : shardsOf(directory.serving(name).length);
+      return Array.from({ length: shards }, (_, shard) => `${name}/${shard}`);
+    });
   }
 }
 
