List the size of an instance with it in the store

After a restart of the whole fleet an instance knows the others by the store's list until their heartbeats come. Without their size, it would count itself as the only one that can own stage calls in a fleet of large and small ones. The rows of the store now state it, and an instance that did not say counts as the smallest known one. The scenario failed before for want of the field.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -33,6 +33,13 @@
     When the instance runs for 8 s without requests before 2 services
     Then it has opened a connection to each owner that is not itself
 
+  # Guards against owners that are chosen without their size right after a restart of the whole fleet.
+  Scenario: The size of an instance is listed with it in the store
+    Given an instance with 1.35 cores that has registered itself in the store
+    And a row of an instance that does not state its size
+    When another instance lists the instances of the store
+    Then they have 1.35 and 0 cores
+
   # Guards against work that waits at an instance that is about to stop.
   Scenario: An instance that is about to stop gives its waiting work away
     Given 2 upstreams of a service and an instance with 3 submissions that wait
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -14,6 +14,7 @@
   peerAddress: "http://127.0.0.1:2",
   dataCentre: "region-0",
   state: "live",
+  cores: 1,
 };
 const UPDATE = { kind: "crash-acquittal", team: "branches", contentDigest: "d" } as const;
 
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -182,6 +182,7 @@
       peerAddress: `http://${address}`,
       dataCentre: "",
       state,
+      cores: 0,
     })),
   });
 }
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -16,9 +16,6 @@
 /** Fewest instances that may be owners, if there are as many. */
 const LEAST_OWNERS = 4;
 
-/** Processor cores that are assumed of an instance that did not say; less than any has. */
-const LEAST_CORES = 0.01;
-
 interface Candidate extends OwnerCandidate {
   /** Start time of the process in ms since the epoch. */
   readonly incarnation: number;
@@ -114,10 +111,13 @@
     const { self, incarnation, cores, members, timers } = this.parts;
     const alive = aliveMembers(members);
     const own = this.isLeaving && alive.length > 0 ? [] : [{ id: self, incarnation, cores }];
+    const stated = [cores, ...alive.map((each) => each.cores)].filter((each) => each > 0);
+    // All instances assume the same of one that did not say, however few they have heard of.
+    const assumed = Math.min(...stated);
     const all = [...alive, ...own].map((each) => ({
       id: each.id,
       incarnation: each.incarnation,
-      cores: Math.max(LEAST_CORES, each.cores),
+      cores: each.cores > 0 ? each.cores : assumed,
     }));
     this.alive = new Set(alive.map(({ id }) => id));
     this.candidates = large(settled(all));
--- a/src/forward/store-instance-list.ts
+++ b/src/forward/store-instance-list.ts
@@ -1,11 +1,10 @@
 import type { ConsolaInstance } from "consola";
-import { z } from "zod";
 import type { InstanceList } from "../table/instance-list.js";
-import type { ListedInstance } from "../table/listed-instance.js";
+import { type ListedInstance, listedInstanceSchema } from "../table/listed-instance.js";
 import type { RowFeed } from "./row-feed.js";
 import { StoreTable } from "./store-table.js";
 
-const rowSchema = z.object({ peerAddress: z.url(), dataCentre: z.string() });
+const rowSchema = listedInstanceSchema.omit({ id: true, state: true });
 
 interface Parts {
   readonly rowFeed: RowFeed;
@@ -30,8 +29,8 @@
     const { rowFeed, log, self, seeds } = this.parts;
     try {
       if (!this.registered) {
-        const { peerAddress, dataCentre } = self;
-        const text = JSON.stringify({ peerAddress, dataCentre });
+        const { peerAddress, dataCentre, cores } = self;
+        const text = JSON.stringify({ peerAddress, dataCentre, cores });
         await rowFeed.put(StoreTable.Instances, self.id, text);
         this.registered = true;
       }
@@ -47,8 +46,7 @@
 
   private decode(id: string, text: string): ListedInstance[] {
     try {
-      const { peerAddress, dataCentre } = rowSchema.parse(JSON.parse(text));
-      return [{ id, peerAddress, dataCentre, state: "live" }];
+      return [{ ...rowSchema.parse(JSON.parse(text)), id, state: "live" }];
     } catch (error) {
       this.parts.log.warn({ message: "instance row not readable", id, detail: String(error) });
       return [];
--- a/src/peer/list-correction.ts
+++ b/src/peer/list-correction.ts
@@ -49,12 +49,12 @@
   }
 
   /** What heartbeats told of a known member is newer than the list. */
-  private add({ id, peerAddress, dataCentre, state }: ListedInstance): void {
+  private add({ id, peerAddress, dataCentre, state, cores }: ListedInstance): void {
     const { memberTable } = this.parts;
     if (id === memberTable.self || memberTable.record(id) !== undefined) return;
     const listedState = state === "leaving" ? MemberState.Leaving : MemberState.Alive;
     memberTable.learn(
-      { id, incarnation: 0, revision: 0, state: listedState, dataCentre, peerAddress, cores: 0 },
+      { id, incarnation: 0, revision: 0, state: listedState, dataCentre, peerAddress, cores },
       false,
     );
   }
--- a/src/table/listed-instance.ts
+++ b/src/table/listed-instance.ts
@@ -6,6 +6,8 @@
   peerAddress: z.url(),
   dataCentre: z.string(),
   state: z.enum(["live", "leaving"]),
+  /** Processor cores that the instance may use; 0 if the list does not say. */
+  cores: z.number().nonnegative().default(0),
 });
 
 /** An instance as the platform lists it; the list lags. */
--- a/standin/network-member.ts
+++ b/standin/network-member.ts
@@ -70,8 +70,8 @@
   }
 
   get listed(): ListedInstance {
-    const { peerAddress, dataCentre } = this.parts.memberTable.own;
-    return { id: this.id, peerAddress, dataCentre, state: "live" };
+    const { peerAddress, dataCentre, cores } = this.parts.memberTable.own;
+    return { id: this.id, peerAddress, dataCentre, cores, state: "live" };
   }
 
   async start(): Promise<void> {
