Take a reset as a dropped connection for 50 ms at least

The stand-in's calls take 20 ms, so a reset counted as a drop for 5 ms only; read later than that, the call was lost and the upstream avoided for 500 ms. A busy instance reads resets late.

--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -20,6 +20,8 @@
 const LOST_SLACK_MS = 250;
 /** A kept connection that fails within this part of a call carried no work: it was dropped before. */
 const DROPPED_PART = 0.25;
+/** Such a failure counts as a drop up to this time in any case; a busy instance reads resets late. */
+const LEAST_DROPPED_MS = 50;
 /** Above the answer to the largest call; longer ones are not read to their end. */
 const MOST_ANSWER_BYTES = 1_048_576;
 /** Results that are remembered for one connection before it is replaced; bounds their memory. */
@@ -74,7 +76,7 @@
     let detail = "";
     let answer: CallAnswer;
     try {
-      const droppedMs = DROPPED_PART * capacity.callMs;
+      const droppedMs = Math.max(LEAST_DROPPED_MS, DROPPED_PART * capacity.callMs);
       answer = await this.exchange(entry, pieces, droppedMs, late.signal);
       if (answer.kind === "results") standing.succeeded((timers.now() - started) / expectedMs);
     } catch (error) {
