Choose the readers of the store among large instances

A reader answers the questions of 16 instances or more for each table and was chosen by hash alone, as the owners of stage calls were: on the grown deployments mostly an instance with 0.324 cores and a link of 10 Mbit/s. Two parts now share the choice of large instances.

--- a/features/steps/store-readers.ts
+++ b/features/steps/store-readers.ts
@@ -97,3 +97,18 @@
     assert.ok(Math.max(...counts) <= (most / 100) * total, `${Math.max(...counts)} of ${total}`);
   },
 );
+
+Given(
+  "{int} instances follow a table of the store, {int} of them with four times the processor time",
+  async function (this: ReadersWorld, count: number, large: number) {
+    this.followers = StoreFleet.create(count);
+    for (let at = 0; at < large; at += 1) this.followers.cores.set(`i${at * 7}`, 4);
+    await this.followers.timers.advance(1);
+  },
+);
+
+Then("all readers are large", function (this: ReadersWorld) {
+  const { readers, cores } = this.followers;
+  assert.ok(readers.length > 1);
+  for (const reader of readers) assert.equal(cores.get(reader), 4);
+});
--- a/features/store-readers.feature
+++ b/features/store-readers.feature
@@ -53,3 +53,8 @@
     Given 64 instances follow a table of the store
     When 10000 ms pass at the store
     Then no instance got more than 40 in 100 of the questions
+
+  # Guards against readers that cannot keep up with the questions of a large fleet.
+  Scenario: The readers of a mixed fleet are large instances
+    Given 64 instances follow a table of the store, 8 of them with four times the processor time
+    Then all readers are large
--- a/features/support/store-fleet.ts
+++ b/features/support/store-fleet.ts
@@ -3,6 +3,7 @@
 import type { RowChange, RowFeed } from "../../src/forward/row-feed.js";
 import { RowFollower } from "../../src/forward/row-follower.js";
 import { rowQuerySchema } from "../../src/forward/row-news.js";
+import type { SizedInstance } from "../../src/forward/instance-size.js";
 import { storeReaders } from "../../src/forward/store-readers.js";
 import { StoreTable } from "../../src/forward/store-table.js";
 import { MemberState } from "../../src/peer/member-state.js";
@@ -37,6 +38,8 @@
 
   private constructor(private readonly ids: readonly string[]) {}
 
+  /** Instances of another size than 1 core. */
+  readonly cores = new Map<string, number>();
   /** Questions that each instance got. */
   readonly questions = new Map<string, number>();
 
@@ -48,7 +51,7 @@
   }
 
   get readers(): readonly string[] {
-    return storeReaders(StoreTable.Configuration, this.ids);
+    return storeReaders(StoreTable.Configuration, this.sized);
   }
 
   put(key: string, text: string | undefined): void {
@@ -67,6 +70,14 @@
     this.find(id).frozen = true;
   }
 
+  private get sized(): SizedInstance[] {
+    return this.ids.map((id) => ({ id, cores: this.coresOf(id) }));
+  }
+
+  private coresOf(id: string): number {
+    return this.cores.get(id) ?? 1;
+  }
+
   private add(id: string): void {
     const known = new Map<string, string | undefined>();
     const { timers } = this;
@@ -80,7 +91,7 @@
             dataCentre: "a",
             incarnation: 1,
             peerAddress: `http://${each}`,
-            cores: 1,
+            cores: this.coresOf(each),
             state: MemberState.Alive,
           })),
       find: () => undefined,
@@ -90,6 +101,7 @@
     const follower = RowFollower.create(
       {
         self: id,
+        cores: this.coresOf(id),
         timers,
         random: RandomSource.create(1),
         members,
--- a/src/forward/owner-assignment.ts
+++ b/src/forward/owner-assignment.ts
@@ -1,15 +1,9 @@
 import { rendezvousMembers } from "../order/rendezvous.js";
+import type { SizedInstance } from "./instance-size.js";
 
 /** Owners that are tried before an instance fills the calls itself. */
 export const MOST_OWNERS = 2;
 
-/** An instance that may be an owner. */
-export interface OwnerCandidate {
-  readonly id: string;
-  /** Processor cores that the instance may use. */
-  readonly cores: number;
-}
-
 /**
  * Assigns each pool of stage calls to an instance; returns the owners of each pool in the order in
  * which they take over. Answers the load pattern of a few pools that carry the work of the whole
@@ -18,7 +12,7 @@
  */
 export function assignOwners(
   pools: readonly string[],
-  candidates: readonly OwnerCandidate[],
+  candidates: readonly SizedInstance[],
 ): ReadonlyMap<string, readonly string[]> {
   const cores = new Map(candidates.map((each) => [each.id, each.cores]));
   const ids = candidates.map(({ id }) => id);
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -48,6 +48,8 @@
 
 interface Parts {
   readonly self: string;
+  /** Processor cores that this instance may use. */
+  readonly cores: number;
   readonly timers: Timers;
   readonly random: RandomSource;
   readonly rowFeed: RowFeed;
@@ -128,9 +130,9 @@
 
   /** Returns false if this instance has to read the store itself. */
   private async askReader(): Promise<boolean> {
-    const { self } = this.parts;
+    const { self, cores, members } = this.parts;
     if (this.cache.version < 0) return false;
-    const readers = storeReaders(this.table, [...this.alive(), self]);
+    const readers = storeReaders(this.table, [...aliveMembers(members), { id: self, cores }]);
     if (readers.includes(self)) return false;
     const reader = readerOrder(self, readers).find((each) => !this.unfit.has(each));
     if (reader === undefined) return false;
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -2,7 +2,8 @@
 import { Distrust } from "../peer/distrust.js";
 import type { Members } from "../peer/members.js";
 import type { Timers } from "../time/timers.js";
-import { assignOwners, MOST_OWNERS, type OwnerCandidate } from "./owner-assignment.js";
+import { largeInstances, type SizedInstance, withAssumedSizes } from "./instance-size.js";
+import { assignOwners, MOST_OWNERS } from "./owner-assignment.js";
 import type { RouteView } from "./route-view.js";
 import { shardOf, shardsOf } from "./stage-shard.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
@@ -11,12 +12,10 @@
 const ASSIGNED_MS = 200;
 /** Starts after the median one by more than this make an instance a late one; a restart in turn. */
 const LATE_START_MS = 1_500;
-/** Part of the processor time of the largest instance that an owner needs. */
-const LARGE_PART = 0.5;
 /** Fewest instances that may be owners, if there are as many. */
 const LEAST_OWNERS = 4;
 
-interface Candidate extends OwnerCandidate {
+interface Candidate extends SizedInstance {
   /** Start time of the process in ms since the epoch. */
   readonly incarnation: number;
 }
@@ -111,16 +110,15 @@
     const { self, incarnation, cores, members, timers } = this.parts;
     const alive = aliveMembers(members);
     const own = this.isLeaving && alive.length > 0 ? [] : [{ id: self, incarnation, cores }];
-    const stated = [cores, ...alive.map((each) => each.cores)].filter((each) => each > 0);
-    // All instances assume the same of one that did not say, however few they have heard of.
-    const assumed = Math.min(...stated);
-    const all = [...alive, ...own].map((each) => ({
-      id: each.id,
-      incarnation: each.incarnation,
-      cores: each.cores > 0 ? each.cores : assumed,
-    }));
+    const all = withAssumedSizes(
+      [...alive, ...own].map((each) => ({
+        id: each.id,
+        incarnation: each.incarnation,
+        cores: each.cores,
+      })),
+    );
     this.alive = new Set(alive.map(({ id }) => id));
-    this.candidates = large(settled(all));
+    this.candidates = largeInstances(settled(all), LEAST_OWNERS);
     this.assigned = assignOwners(this.pools(), this.candidates);
     this.assignedMs = timers.now();
   }
@@ -143,10 +141,3 @@
   const isSettled = ({ incarnation }: Candidate): boolean => incarnation <= median + LATE_START_MS;
   return byAge.filter((each, at) => at < LEAST_OWNERS || isSettled(each));
 }
-
-/** The instances with the most processor time. */
-function large(all: readonly Candidate[]): Candidate[] {
-  const bySize = [...all].sort((a, b) => b.cores - a.cores || (a.id < b.id ? -1 : 1));
-  const least = LARGE_PART * (bySize[0]?.cores ?? 0);
-  return bySize.filter(({ cores }, at) => at < LEAST_OWNERS || cores >= least);
-}
--- a/src/forward/store-readers.ts
+++ b/src/forward/store-readers.ts
@@ -1,4 +1,5 @@
 import { rendezvousMembers } from "../order/rendezvous.js";
+import { largeInstances, type SizedInstance, withAssumedSizes } from "./instance-size.js";
 
 /** Readers of a small fleet: one of them may be cut off from the store. */
 const LEAST_READERS = 2;
@@ -7,11 +8,16 @@
 
 /**
  * The instances that read a table from the store; the others ask them. Answers the load pattern of
- * many instances that poll a store of which every call has a price.
+ * many instances that poll a store of which every call has a price. In a fleet of large and small
+ * instances the readers are large ones.
  */
-export function storeReaders(table: string, instances: readonly string[]): readonly string[] {
+export function storeReaders(
+  table: string,
+  instances: readonly SizedInstance[],
+): readonly string[] {
   const count = Math.max(LEAST_READERS, Math.ceil(instances.length / INSTANCES_PER_READER));
-  return rendezvousMembers(table, instances, count);
+  const ids = largeInstances(withAssumedSizes(instances), count).map(({ id }) => id);
+  return rendezvousMembers(table, ids, count);
 }
 
 /**
