Log which pools of stage calls an instance fills

The lines of the incident told which instances filled calls, but not which ones should have, nor why. The new line names the pools, the cores of the instance and the number of candidates whenever its pools change.

--- a/features/steps/stage-owner-choice.ts
+++ b/features/steps/stage-owner-choice.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import type { ConsolaInstance } from "consola";
+import { DecisionLines } from "../../src/forward/decision-lines.js";
 import { assignOwners } from "../../src/forward/owner-assignment.js";
 import { OwnerLinks } from "../../src/forward/owner-links.js";
 import { RouteView } from "../../src/forward/route-view.js";
@@ -20,6 +22,11 @@
   firstOwners: string[];
 }
 
+function linesOf(timers: ManualTimers): DecisionLines {
+  const log = { info: () => undefined, warn: () => undefined } as unknown as ConsolaInstance;
+  return DecisionLines.create({ log, timers });
+}
+
 Given("8 instances of which {string} started last", function (this: OwnersWorld, late: string) {
   const others = ["a", "b", "c", "d", "e", "f"].map((id) => ({ id, incarnation: 10_000 }));
   const all = [...others, { id: late, incarnation: 20_000 }];
@@ -30,8 +37,18 @@
   const timers = ManualTimers.create();
   const directory = UpstreamDirectory.create({ timers });
   const routeView = RouteView.create();
+  const decisionLines = linesOf(timers);
   this.owners = StageOwners.create({
-    ...{ timers, self: "self", incarnation: 10_000, cores: 1, members, directory, routeView },
+    ...{
+      timers,
+      self: "self",
+      incarnation: 10_000,
+      cores: 1,
+      members,
+      directory,
+      routeView,
+      decisionLines,
+    },
   });
 });
 
@@ -69,8 +86,18 @@
     const directory = UpstreamDirectory.create({ timers });
     const { id: self, incarnation } = own;
     const routeView = RouteView.create();
+    const decisionLines = linesOf(timers);
     this.owners = StageOwners.create({
-      ...{ timers, self, incarnation, cores: own.cores, members, directory, routeView },
+      ...{
+        timers,
+        self,
+        incarnation,
+        cores: own.cores,
+        members,
+        directory,
+        routeView,
+        decisionLines,
+      },
     });
   },
 );
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -2,6 +2,7 @@
 import { Distrust } from "../peer/distrust.js";
 import type { Members } from "../peer/members.js";
 import type { Timers } from "../time/timers.js";
+import type { DecisionLines } from "./decision-lines.js";
 import { largeInstances, type SizedInstance, withAssumedSizes } from "./instance-size.js";
 import { assignOwners, MOST_OWNERS } from "./owner-assignment.js";
 import type { RouteView } from "./route-view.js";
@@ -30,6 +31,7 @@
   readonly members: Members;
   readonly routeView: RouteView;
   readonly directory: UpstreamDirectory;
+  readonly decisionLines: DecisionLines;
 }
 
 /**
@@ -48,6 +50,8 @@
   private candidates: readonly Candidate[] = [];
   private assigned: ReadonlyMap<string, readonly string[]> = new Map();
   private assignedMs = -Infinity;
+  /** Pools of which this instance was the first owner at the last assignment. */
+  private owned: readonly string[] = [];
 
   private constructor(private readonly parts: Parts) {
     this.silent = Distrust.create(parts.timers);
@@ -121,6 +125,17 @@
     this.candidates = largeInstances(settled(all), LEAST_OWNERS);
     this.assigned = assignOwners(this.pools(), this.candidates);
     this.assignedMs = timers.now();
+    this.noteOwned();
+  }
+
+  /** Logs the pools of this instance when they change, and what they were chosen by. */
+  private noteOwned(): void {
+    const { self, cores, decisionLines } = this.parts;
+    const pools = [...this.assigned].filter(([, [first]]) => first === self).map(([pool]) => pool);
+    if (pools.join() === this.owned.join()) return;
+    this.owned = pools;
+    const candidates = this.candidates.length;
+    decisionLines.write("stage calls owned", { pools, cores, candidates, alive: this.alive.size });
   }
 
   /** The pools of all stage services that are configured. */
