Send nothing to upstreams that leave or ask to be left alone

An answer with 'Server-Leaving: 1' went unnoticed: requests and stage calls reached the upstream until its row changed. 'Retry-After' of a 503 was ignored as well. The platform's adapter now reads both where the head of an answer is read; what they say counts for the process that the request was sent to, on the monotonic clock, and is never shortened. Such upstreams are left out of all choices; what no upstream takes is refused at once as not run.

Not built: telling other instances, spreading the return, releases and probes (docs/PLATFORM.md).

--- a/features/steps/front-path.ts
+++ b/features/steps/front-path.ts
@@ -3,7 +3,8 @@
 import { LinkState } from "../../standin/link-state.js";
 import type { PlatformAnswer } from "../../standin/platform-caller.js";
 import { StoreMode } from "../../standin/platform-store.js";
-import type { PlatformUpstream, UpstreamMode } from "../../standin/platform-upstream.js";
+import type { PlatformUpstream } from "../../standin/platform-upstream.js";
+import type { UpstreamMode } from "../../standin/upstream-mode.js";
 import { FrontHost } from "../support/front-host.js";
 
 const EVENTS = ["1", "2", "3", "4", "5"];
--- a/features/steps/slow-streams.ts
+++ b/features/steps/slow-streams.ts
@@ -7,7 +7,8 @@
 import { UpstreamAttempt } from "../../src/forward/upstream-attempt.js";
 import { SystemTimers } from "../../src/time/system-timers.js";
 import { freePorts } from "../../standin/free-ports.js";
-import { PlatformUpstream, UpstreamMode } from "../../standin/platform-upstream.js";
+import { PlatformUpstream } from "../../standin/platform-upstream.js";
+import { UpstreamMode } from "../../standin/upstream-mode.js";
 import { entryOf } from "../support/forward-samples.js";
 
 interface StreamWorld {
@@ -73,6 +74,7 @@
         progress: StreamProgress.create(undefined),
         streamed: true,
         quietMs,
+        told: () => undefined,
         sent: () => undefined,
         answering: () => undefined,
         signal,
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -1,7 +1,7 @@
 import type { RandomSource } from "../src/random/random-source.js";
 import { LinkState } from "../standin/link-state.js";
 import { StoreMode } from "../standin/platform-store.js";
-import { UpstreamMode } from "../standin/platform-upstream.js";
+import { UpstreamMode } from "../standin/upstream-mode.js";
 import { DaemonSignal, LinkSide, type PlannedFault, type SoakFault } from "./soak-fault.js";
 
 /** Mean time between two disturbances in ms; they last longer, so that they overlap. */
--- a/soak/soak-driver.ts
+++ b/soak/soak-driver.ts
@@ -2,7 +2,7 @@
 import { StoreMode } from "../standin/platform-store.js";
 import { LinkState } from "../standin/link-state.js";
 import { siteBounds } from "../standin/platform-site.js";
-import { UpstreamMode } from "../standin/platform-upstream.js";
+import { UpstreamMode } from "../standin/upstream-mode.js";
 import type { SoakFleet } from "./soak-fleet.js";
 import { DaemonSignal, LinkSide, type PlannedFault, type SoakFault } from "./soak-fault.js";
 
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -1,5 +1,5 @@
 import type { LinkState } from "../standin/link-state.js";
-import type { UpstreamMode } from "../standin/platform-upstream.js";
+import type { UpstreamMode } from "../standin/upstream-mode.js";
 import type { StoreMode } from "../standin/platform-store.js";
 
 /** Parts of the fleet whose links can be harmed. */
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -4,11 +4,8 @@
 import { LinkState } from "../standin/link-state.js";
 import { PlatformSite } from "../standin/platform-site.js";
 import { StoreMode } from "../standin/platform-store.js";
-import {
-  type PlatformUpstream,
-  type SeenRequest,
-  UpstreamMode,
-} from "../standin/platform-upstream.js";
+import type { PlatformUpstream, SeenRequest } from "../standin/platform-upstream.js";
+import { UpstreamMode } from "../standin/upstream-mode.js";
 import { LinkSide } from "./soak-fault.js";
 import { TroubleLog } from "./trouble-log.js";
 
--- a/src/forward/answer-attributes.ts
+++ b/src/forward/answer-attributes.ts
@@ -8,4 +8,8 @@
   readonly notRun: boolean;
   /** Whether it did not run the request because results that it needs no longer exist. */
   readonly inputsGone: boolean;
+  /** Whether the upstream says that it is leaving. */
+  readonly leaving: boolean;
+  /** Time for which a refusing upstream asks for no further requests, in ms; 0 if it does not. */
+  readonly stayAwayMs: number;
 }
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -18,6 +18,7 @@
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamStandings } from "./upstream-standings.js";
+import { noteWord } from "./upstream-word.js";
 
 /** Upstreams that may state, one after the other, that they did not run a request. */
 const MOST_NOT_RUN = 3;
@@ -82,11 +83,11 @@
 
   /** Returns the status that was passed on; throws `ServeError` if nothing more can be tried. */
   async run(): Promise<number> {
-    const { fleetBudget } = this.parts;
-    const { service } = this.context;
+    const { fleetBudget, upstreamChoice } = this.parts;
+    const { service, attributes } = this.context;
     fleetBudget.request(service);
     for (;;) {
-      const entry = this.choose();
+      const entry = upstreamChoice.choose(service, attributes.promptParts, this.tried);
       if (entry === undefined) throw this.failure(ErrorKind.NoUpstream, "no upstream is left");
       const end = await this.attempt(entry);
       const status = this.judge(entry, end);
@@ -98,11 +99,6 @@
     }
   }
 
-  private choose(): UpstreamEntry | undefined {
-    const { service, attributes } = this.context;
-    return this.parts.upstreamChoice.choose(service, attributes.promptParts, this.tried);
-  }
-
   private async attempt(entry: UpstreamEntry): Promise<AttemptEnd> {
     const { timers, standings, dialect, decisionLines, forwardMetrics } = this.parts;
     const { context } = this;
@@ -136,6 +132,9 @@
             sending.sent = true;
             this.expectRead(entry);
           },
+          told: (attributes) => {
+            noteWord(decisionLines, entry, standing, attributes);
+          },
           answering: () => {
             this.inputsRead();
           },
@@ -241,6 +240,7 @@
   private failure(kind: ErrorKind, detail: string): ServeError {
     return ServeError.create(kind, detail, {
       outcome: this.mayHaveRun ? Outcome.MayHaveRun : Outcome.NotRun,
+      ...this.parts.upstreamChoice.returnAfter(this.context.service),
     });
   }
 }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -141,7 +141,10 @@
   private phase(context: RequestContext, run: number, allowedMs: number): StagePhase {
     const { route, attributes, service, configuration } = context;
     const home = this.parts.upstreamChoice.choose(service, attributes.promptParts, new Set());
-    if (home === undefined) throw ServeError.create(ErrorKind.NoUpstream, "no engine is listed");
+    if (home === undefined) {
+      const context = this.parts.upstreamChoice.returnAfter(service);
+      throw ServeError.create(ErrorKind.NoUpstream, "no engine takes work", context);
+    }
     return StagePhase.create(this.parts, {
       route,
       attributes,
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -12,7 +12,9 @@
 import type { StageCapacity } from "./service-definition.js";
 import { StageReleases } from "./stage-releases.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
+import type { UpstreamStanding } from "./upstream-standing.js";
 import type { UpstreamStandings } from "./upstream-standings.js";
+import { noteWord } from "./upstream-word.js";
 
 /** A call that takes this multiple of its expected time is taken as lost. */
 const LOST_FACTOR = 2;
@@ -36,6 +38,13 @@
   /** The upstream may have run the call, or still runs it. */
   | { readonly kind: "lost" };
 
+interface StageCall {
+  readonly entry: UpstreamEntry;
+  readonly pieces: readonly QueuedPiece[];
+  /** That of the process that the call was meant for. */
+  readonly standing: UpstreamStanding;
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
@@ -77,7 +86,7 @@
     let answer: CallAnswer;
     try {
       const droppedMs = Math.max(LEAST_DROPPED_MS, DROPPED_PART * capacity.callMs);
-      answer = await this.exchange(entry, pieces, droppedMs, late.signal);
+      answer = await this.exchange({ entry, pieces, standing }, droppedMs, late.signal);
       if (answer.kind === "results") standing.succeeded((timers.now() - started) / expectedMs);
     } catch (error) {
       detail = String(error);
@@ -112,29 +121,27 @@
 
   /** Makes a call once more on a new connection if the kept one turns out to be dropped. */
   private async exchange(
-    entry: UpstreamEntry,
-    pieces: readonly QueuedPiece[],
+    call: StageCall,
     droppedMs: number,
     signal: AbortSignal,
   ): Promise<CallAnswer> {
     const { timers, keptConnections } = this.parts;
     for (;;) {
-      const taken = await keptConnections.take(entry.address, signal);
+      const taken = await keptConnections.take(call.entry.address, signal);
       const sentMs = timers.now();
       try {
-        return await this.exchangeOn(taken, entry, pieces, signal);
+        return await this.exchangeOn(taken, call, signal);
       } catch (error) {
         const dropped = taken.kept && taken.connection.dropped && !signal.aborted;
         if (!dropped || timers.now() - sentMs > droppedMs) throw error;
-        keptConnections.distrust(entry.address);
+        keptConnections.distrust(call.entry.address);
       }
     }
   }
 
   private async exchangeOn(
     taken: TakenConnection,
-    entry: UpstreamEntry,
-    pieces: readonly QueuedPiece[],
+    { entry, pieces, standing }: StageCall,
     signal: AbortSignal,
   ): Promise<CallAnswer> {
     const { timers, dialect, keptConnections } = this.parts;
@@ -153,9 +160,11 @@
         entry.id,
       );
       const { statusCode, headers, body } = await postCall(taken.connection, encoded, signal);
+      const attributes = dialect.readAnswer(statusCode, headers);
+      noteWord(this.parts.decisionLines, entry, standing, attributes);
       if (statusCode !== OK) {
         body.on("error", () => undefined);
-        const { notRun } = dialect.readAnswer(statusCode, headers);
+        const { notRun } = attributes;
         return { kind: notRun ? "refused" : "lost" };
       }
       const answer: unknown = JSON.parse(await boundedText(body, MOST_ANSWER_BYTES));
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -2,6 +2,7 @@
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import { Connection } from "../upstream/connection.js";
+import type { AnswerAttributes } from "./answer-attributes.js";
 import type { AnswerWriter } from "./answer-writer.js";
 import type { AttemptEnd } from "./attempt-end.js";
 import { flowBody } from "./body-flow.js";
@@ -42,6 +43,8 @@
   readonly quietMs: number | undefined;
   /** Called when the request is sent on an open connection. */
   readonly sent: () => void;
+  /** Called with what the head of an answer to this request says. */
+  readonly told: (attributes: AnswerAttributes) => void;
   /** Called when the upstream has begun its answer. */
   readonly answering: () => void;
   readonly signal: AbortSignal;
@@ -110,6 +113,7 @@
     if (attributes.attemptId !== undefined && attributes.attemptId !== attemptId) {
       return { kind: "broken", detail: "the answer belongs to another request" };
     }
+    this.task.told(attributes);
     if (attributes.inputsGone) return { kind: "inputs-gone" };
     if (attributes.notRun || statusCode === MISDIRECTED) {
       return { kind: "not-run", status: statusCode };
--- a/src/forward/upstream-choice.ts
+++ b/src/forward/upstream-choice.ts
@@ -1,4 +1,5 @@
 import xxhash from "xxhash-wasm";
+import type { ErrorContext } from "../error/error-context.js";
 import { chooseEngine } from "./engine-choice.js";
 import { choosePlain } from "./plain-choice.js";
 import type { PromptPart } from "./prompt-part.js";
@@ -31,7 +32,7 @@
     tried: ReadonlySet<string>,
   ): UpstreamEntry | undefined {
     const { directory, standings, dataCentre, routeView } = this.parts;
-    const candidates = directory.serving(service);
+    const candidates = standings.open(directory.serving(service));
     const standing = (id: string): ReturnType<UpstreamStandings["of"]> => standings.of(id);
     const engine = routeView.configuration?.services.get(service)?.engine;
     if (engine === undefined) return choosePlain({ candidates, standing, dataCentre, tried });
@@ -39,6 +40,13 @@
     const weight = (id: string): number => hashes.h32(`${prefix} ${id}`);
     return chooseEngine({ candidates, standing, weight, tried });
   }
+
+  /** When a request that found no upstream should come back, if that is known. */
+  returnAfter(service: string): Pick<ErrorContext, "retryAfterMs"> {
+    const { directory, standings } = this.parts;
+    const opensInMs = standings.opensInMs(directory.serving(service));
+    return opensInMs > 0 && opensInMs < Infinity ? { retryAfterMs: opensInMs } : {};
+  }
 }
 
 /** The last part belongs to one request or session, so the part before it is the last shared one. */
--- a/src/forward/upstream-standing.ts
+++ b/src/forward/upstream-standing.ts
@@ -1,4 +1,5 @@
 import type { Timers } from "../time/timers.js";
+import type { AnswerAttributes } from "./answer-attributes.js";
 
 /** First time without work after a failure to reach an upstream; doubled by each further one. */
 const FIRST_AVOID_MS = 500;
@@ -23,6 +24,7 @@
   inFlight = 0;
   private avoidedUntil = -Infinity;
   private avoidMs = FIRST_AVOID_MS;
+  private closedUntil = -Infinity;
   private failedShare = 0;
   private results = 0;
   private meanMs: number | undefined;
@@ -54,6 +56,22 @@
     return this.timers.now() < this.avoidedUntil;
   }
 
+  /** Whether the upstream takes no new work: it is leaving, or asked to be left alone. */
+  get closed(): boolean {
+    return this.opensInMs > 0;
+  }
+
+  /** Time until the upstream takes new work again, in ms; infinite if it is leaving. */
+  get opensInMs(): number {
+    return Math.max(0, this.closedUntil - this.timers.now());
+  }
+
+  /** Notes what the head of an answer says; an earlier statement is never shortened. */
+  told({ leaving, stayAwayMs }: Pick<AnswerAttributes, "leaving" | "stayAwayMs">): void {
+    const until = leaving ? Infinity : this.timers.now() + stayAwayMs;
+    if (until > this.timers.now()) this.closedUntil = Math.max(this.closedUntil, until);
+  }
+
   /** Whether too many of the last requests failed. */
   get failing(): boolean {
     return this.failures >= FAILING_SHARE;
--- a/src/forward/upstream-standings.ts
+++ b/src/forward/upstream-standings.ts
@@ -31,9 +31,19 @@
     return standing;
   }
 
-  /** The upstreams that could be reached lately. */
+  /** The upstreams that take new work and could be reached lately. */
   reachable(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
-    return entries.filter(({ id }) => !this.of(id).avoided);
+    return this.open(entries).filter(({ id }) => !this.of(id).avoided);
+  }
+
+  /** The upstreams that take new work, as far as they told. */
+  open(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
+    return entries.filter(({ id }) => !this.of(id).closed);
+  }
+
+  /** Time until the first of the upstreams takes new work, in ms; infinite if none will. */
+  opensInMs(entries: readonly UpstreamEntry[]): number {
+    return Math.min(Infinity, ...entries.map(({ id }) => this.of(id).opensInMs));
   }
 
   /** The lower median of the ratios; an upstream without fresh results counts as expected. */
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -1,32 +1,6 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
 import type { Socket } from "node:net";
-
-/** How an upstream treats requests. */
-export enum UpstreamMode {
-  Serving = "serving",
-  /** Runs the request and closes the connection without an answer. */
-  LosesAnswers = "loses-answers",
-  /** Breaks its answers off in the middle. */
-  BreaksOff = "breaks-off",
-  /** Answers without a length and resets the connection before the end. */
-  ResetsUnframed = "resets-unframed",
-  /** Answers with the id of another request. */
-  AnswersOther = "answers-other",
-  /** States that it is full. */
-  Full = "full",
-  /** Runs requests and never answers. */
-  Mute = "mute",
-  /** Sends a head without end. */
-  EndlessHead = "endless-head",
-  /** Sends a body without end, which is one event where the answer is a stream. */
-  EndlessBody = "endless-body",
-  /** Begins an event and goes on with a byte now and then. */
-  Trickles = "trickles",
-  /** Sends a second copy of the answer to a stage call with the next answer on the connection. */
-  CopiesAnswers = "copies-answers",
-  /** Closes kept connections instead of reading a further stage call. */
-  DropsKept = "drops-kept",
-}
+import { UpstreamMode } from "./upstream-mode.js";
 
 const EVENTS = 5;
 const EVENT_MS = 20;
@@ -58,6 +32,10 @@
   mode = UpstreamMode.Serving;
   /** Time to the first byte of an answer, in ms. */
   delayMs = 0;
+  /** Whether all its answers say that it is leaving. */
+  leaving = false;
+  /** Text of `Retry-After` in refusals. */
+  retryAfter: string | undefined;
   /** Requests that it ran. */
   readonly ran: SeenRequest[] = [];
   /** Requests that reached it. */
@@ -103,6 +81,7 @@
 
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { socket } = request;
+    if (this.leaving) response.setHeader("server-leaving", "1");
     const isStageCall = request.url === "/nutmegstage/stage-run";
     if (this.mode === UpstreamMode.DropsKept && isStageCall && this.earlier.has(socket)) {
       socket.resetAndDestroy();
@@ -119,6 +98,7 @@
       return;
     }
     if (this.mode === UpstreamMode.Full) {
+      if (this.retryAfter !== undefined) response.setHeader("retry-after", this.retryAfter);
       response.writeHead(503, { "nutmegstage-not-executed": "1" }).end();
       return;
     }
