--- a/src/forward/upstream-word.ts
+++ b/src/forward/upstream-word.ts
@@ -10,9 +10,9 @@
   standing: UpstreamStanding,
   attributes: AnswerAttributes,
 ): void {
-  const wasOpen = !standing.closed;
+  const closedMs = standing.opensInMs;
   standing.told(attributes);
-  if (!wasOpen || !standing.closed) return;
+  if (closedMs > 0 || standing.opensInMs === 0) return;
   const { leaving, stayAwayMs } = attributes;
   decisionLines.write("upstream closed", { upstream: id, service, leaving, stayAwayMs });
 }
