Let restarted instances own stage calls again after ten seconds

An instance that started 1.5 s or more after the median was never an owner again. Where the large instances of a mixed fleet are restarted in turn, small ones would have owned all stage calls from then on. A start that is known for ten seconds no longer counts as late. The scenario failed before.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -23,6 +23,13 @@
     Given 8 instances of which "late" started last
     Then "late" owns none of 100 services
 
+  # Guards against small owners after all large instances were restarted in turn.
+  Scenario: An instance that started late becomes an owner after a while
+    Given 8 instances of which "late" started last
+    Then "late" owns none of 100 services
+    When the instances run for 11 s
+    Then "late" owns some of 100 services
+
   Scenario: An owner that accepted a stage stays the owner while it can be reached
     Given 8 instances of which "late" started last
     Then an owner that accepted a stage before comes first, unless it did not answer
--- a/features/steps/stage-owner-choice.ts
+++ b/features/steps/stage-owner-choice.ts
@@ -18,6 +18,7 @@
 interface OwnersWorld {
   owners: StageOwners;
   owner: string | undefined;
+  clock: ManualTimers;
   opened: Set<string>;
   firstOwners: string[];
 }
@@ -35,6 +36,7 @@
     all: () => all.map((each) => ({ ...each, cores: 1, state: MemberState.Alive })),
   } as unknown as Members;
   const timers = ManualTimers.create();
+  this.clock = timers;
   const directory = UpstreamDirectory.create({ timers });
   const routeView = RouteView.create();
   const decisionLines = linesOf(timers);
@@ -59,6 +61,14 @@
   assert.ok(first.size > 1);
 });
 
+When("the instances run for {int} s", async function (this: OwnersWorld, seconds: number) {
+  await this.clock.advance(seconds * 1_000);
+});
+
+Then("{string} owns some of {int} services", function (this: OwnersWorld, id: string, n: number) {
+  assert.ok((countsOf(this.owners, n).get(id) ?? 0) > 0);
+});
+
 Then(
   "an owner that accepted a stage before comes first, unless it did not answer",
   function (this: OwnersWorld) {
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -13,6 +13,8 @@
 const ASSIGNED_MS = 200;
 /** Starts after the median one by more than this make an instance a late one; a restart in turn. */
 const LATE_START_MS = 1_500;
+/** Time after which a late start no longer matters; longer than a queue of stage work lasts. */
+const SETTLED_MS = 10_000;
 /** Fewest instances that may be owners, if there are as many. */
 const LEAST_OWNERS = 4;
 
@@ -21,6 +23,12 @@
   readonly incarnation: number;
 }
 
+interface KnownStart {
+  readonly incarnation: number;
+  /** On the monotonic clock, in ms. */
+  readonly sinceMs: number;
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly self: string;
@@ -50,6 +58,8 @@
   private candidates: readonly Candidate[] = [];
   private assigned: ReadonlyMap<string, readonly string[]> = new Map();
   private assignedMs = -Infinity;
+  /** Since when each instance is known with its present start. */
+  private known: ReadonlyMap<string, KnownStart> = new Map();
   /** Pools of which this instance was the first owner at the last assignment. */
   private owned: readonly string[] = [];
 
@@ -122,7 +132,7 @@
       })),
     );
     this.alive = new Set(alive.map(({ id }) => id));
-    this.candidates = largeInstances(settled(all), LEAST_OWNERS);
+    this.candidates = largeInstances(this.settled(all), LEAST_OWNERS);
     this.assigned = assignOwners(this.pools(), this.candidates);
     this.assignedMs = timers.now();
     this.noteOwned();
@@ -147,12 +157,22 @@
       return Array.from({ length: shards }, (_, shard) => `${name}/${shard}`);
     });
   }
-}
 
-/** The instances that did not start later than most others. */
-function settled(all: readonly Candidate[]): Candidate[] {
-  const byAge = [...all].sort((a, b) => a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1));
-  const median = byAge[Math.floor((byAge.length - 1) / 2)]?.incarnation ?? 0;
-  const isSettled = ({ incarnation }: Candidate): boolean => incarnation <= median + LATE_START_MS;
-  return byAge.filter((each, at) => at < LEAST_OWNERS || isSettled(each));
+  /** The instances that did not start later than most others, or some time ago. */
+  private settled(all: readonly Candidate[]): Candidate[] {
+    const now = this.parts.timers.now();
+    this.known = new Map(
+      all.map(({ id, incarnation }) => {
+        const known = this.known.get(id);
+        const same = known?.incarnation === incarnation;
+        return [id, same ? known : { incarnation, sinceMs: now }];
+      }),
+    );
+    const byAge = [...all].sort((a, b) => a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1));
+    const median = byAge[Math.floor((byAge.length - 1) / 2)]?.incarnation ?? 0;
+    return byAge.filter(({ id, incarnation }, at) => {
+      if (at < LEAST_OWNERS || incarnation <= median + LATE_START_MS) return true;
+      return now - (this.known.get(id)?.sinceMs ?? now) >= SETTLED_MS;
+    });
+  }
 }
