--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -11,7 +11,7 @@
 
 const shared = {
   /** The sender's own entry. */
-  entry: memberEntrySchema,
+  entry: packedEntrySchema,
   /** Configuration version in force at the sender. */
   version: z.number().int().nonnegative(),
   /** Digest of the sender's view of the members. */
@@ -19,7 +19,7 @@
   /** Some entries of the sender's view, if the views differ. */
   members: z.array(packedEntrySchema).max(MEMBERS_PER_HEARTBEAT).default([]),
   /** What the sender believes of the receiver, if that is not what the receiver says. */
-  about: memberEntrySchema.optional(),
+  about: packedEntrySchema.optional(),
 };
 
 /** Schema of the parameters of a heartbeat. */
--- a/src/peer/heartbeats.ts
+++ b/src/peer/heartbeats.ts
@@ -102,11 +102,11 @@
     const { memberTable, configurationView } = this.parts;
     const known = memberTable.record(receiver)?.entry;
     return {
-      entry: memberTable.own,
+      entry: packedEntry(memberTable.own),
       version: configurationView.version,
       hash: memberTable.hash,
       ...(differs ? { members: this.someMembers() } : {}),
-      ...(known !== undefined && isWrong(known, said) ? { about: known } : {}),
+      ...(known !== undefined && isWrong(known, said) ? { about: packedEntry(known) } : {}),
     };
   }
 
