Look at the silence of a connection until it is long enough

'Connections that went silent are replaced' failed once in a run of three features: the timer of the one look at a second of silence fired a fraction of a millisecond early, the connection did not count as silent yet, and the call waited for its whole time limit. The look is repeated when the silence would be long enough.

--- a/src/peer/peer-connection.ts
+++ b/src/peer/peer-connection.ts
@@ -109,24 +109,23 @@
     const { timeoutMs, quietMs } = limits;
     const response = this.rpc.requestAdvanced({ jsonrpc: "2.0", id, method, params });
     const { takeBack } = this;
-    const isSilent = (): boolean =>
-      this.opened && timers.now() - Math.max(this.heardMs, this.calledMs ?? sentMs) >= quietMs;
-    const fail = (ms: number): void => {
-      const detail = `no answer within ${ms} ms`;
+    const silentMs = (): number =>
+      this.opened ? timers.now() - Math.max(this.heardMs, this.calledMs ?? sentMs) : 0;
+    const fail = (): void => {
+      const detail = `no answer within ${Math.round(timers.now() - sentMs)} ms`;
       this.rpc.receive(createJSONRPCErrorResponse(id, NO_ANSWER, detail));
       // A peer that accepts later must not get the call after its caller has turned elsewhere.
       takeBack();
-      if (isSilent()) this.end(detail);
+      if (silentMs() >= quietMs) this.end(detail);
     };
-    let limit = timers.after(Math.min(timeoutMs, quietMs), () => {
-      if (quietMs >= timeoutMs || isSilent()) {
-        fail(Math.min(timeoutMs, quietMs));
-        return;
-      }
-      limit = timers.after(timeoutMs - quietMs, () => {
-        fail(timeoutMs);
-      });
-    });
+    // Timers may fire a fraction of a millisecond early, so that one look is not enough.
+    const check = (): void => {
+      const leftMs = sentMs + timeoutMs - timers.now();
+      const quietLeftMs = quietMs - silentMs();
+      if (leftMs <= 0 || quietLeftMs <= 0) fail();
+      else limit = timers.after(Math.max(1, Math.min(leftMs, quietLeftMs)), check);
+    };
+    let limit = timers.after(Math.min(timeoutMs, quietMs), check);
     try {
       return resultOf(await response);
     } finally {
