--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -5,7 +5,7 @@
 const BULKY_BYTES = 1_000_000;
 /** Longest such wait; about one call of a stage. */
 const MOST_PATIENCE_MS = 400;
-/** Part of its slack that a piece may spend on that wait; later stages need some as well. */
+/** Part of the time to the target that a piece may spend on that wait. */
 const PATIENCE_PART = 0.25;
 
 /** The upstream that a call is filled for. */
@@ -174,7 +174,8 @@
   const { dataCentre, pieces, movedBytes } = owner.submission;
   if (dataCentre === undefined || pieces * movedBytes < BULKY_BYTES) return 0;
   const slackMs = doneByMs(owner) - ENGINE_MS - fullMs - owner.enqueuedMs;
-  return Math.max(0, Math.min(MOST_PATIENCE_MS, PATIENCE_PART * slackMs));
+  const partMs = PATIENCE_PART * (owner.targetMs - owner.enqueuedMs);
+  return Math.max(0, Math.min(MOST_PATIENCE_MS, partMs, slackMs));
 }
 
 function before(
