Allow the soak a refusal of a request whose key is replaced under way

The logs show that the request was sent 29 ms before the daemon adopted the version that replaced its key, and was read after it. Either configuration may judge such a request, so that the check was wrong; it still finds a 401 where the key is replaced only after the answer. One scenario for each.

--- a/features/soak-checks.feature
+++ b/features/soak-checks.feature
@@ -28,3 +28,15 @@
     When its key was removed 3 s before
     And its daemon was disturbed a second before
     Then the checks find nothing
+
+  Scenario: A request that is under way when its key is replaced may be refused
+    Given a request of kind "plain" that was answered well and ran once
+    When it was answered 401
+    And its key was replaced while it was under way
+    Then the checks find nothing
+
+  Scenario: A key that is replaced after the answer excuses no refusal
+    Given a request of kind "plain" that was answered well and ran once
+    When it was answered 401
+    And its key was replaced after its answer
+    Then the checks find "was answered 401 with a valid key"
--- a/features/steps/soak-checks.ts
+++ b/features/steps/soak-checks.ts
@@ -115,6 +115,14 @@
   this.keys.push({ key: "key-1", fromMs: SENT_MS - seconds * 1_000 });
 });
 
+When("its key was replaced while it was under way", function (this: ChecksWorld) {
+  this.keys.push({ key: "key-1", fromMs: SENT_MS + 1 });
+});
+
+When("its key was replaced after its answer", function (this: ChecksWorld) {
+  this.keys.push({ key: "key-1", fromMs: ENDED_MS + 1 });
+});
+
 When("its upstream had left {int} s before", function (this: ChecksWorld, seconds: number) {
   this.leavings.push({ upstream: "u1", fromMs: SENT_MS - seconds * 1_000 });
 });
--- a/soak/promise-check.ts
+++ b/soak/promise-check.ts
@@ -81,7 +81,12 @@
   }
   if (status === OK && request.whole) findings.push(...checkContent(request));
   const current = witness.keys.findLast(({ fromMs }) => fromMs <= request.sentMs);
-  const known = current?.key === request.key && request.sentMs > current.fromMs + APPLY_MS;
+  // A request that is under way when its key is replaced may be judged by either configuration.
+  const replaced = witness.keys.some(({ fromMs }) => {
+    return fromMs > request.sentMs && fromMs <= request.endedMs;
+  });
+  const inForce = current?.key === request.key && request.sentMs > current.fromMs + APPLY_MS;
+  const known = inForce && !replaced;
   if (status === UNAUTHORIZED && known && inTouch(witness, request)) {
     findings.push(`${id} was answered ${status} with a valid key`);
   }
