Log the limits that upstreams state and what is sent to them

The records of the incident do not tell instances that ignore a stated limit from instances that each use all of it: neither the statement nor its receiver is logged, and attempts are logged only when they end.

Each change of a stated limit is logged with the instance that received the statement, and each request, stage call and release to an upstream that states a limit is logged and counted when it is sent, with the age of the statement. Responses to releases are read for statements too. Nothing decides by the limit yet.

The scenario of the log lines passes; without the lines there is nothing that it could compare.

--- /dev/null
+++ b/features/upstream-limits.feature
@@ -0,0 +1,34 @@
+Feature: Limits that upstreams state for all instances together
+  A response may state how many requests per second its upstream accepts from all instances.
+
+  Scenario Outline: Stated limits are parsed as requests per second
+    Then the limit "<text>" is parsed as "<perSecond>" requests per second
+
+    Examples:
+      | text       | perSecond |
+      | 1          | 1         |
+      | 0.25       | 0.25      |
+      | 12.5       | 12.5      |
+      | 0          | 0         |
+      |  3         | 3         |
+      |            | none      |
+      | -1         | none      |
+      | 1e3        | none      |
+      | 1, 2       | none      |
+      | NaN        | none      |
+      | Infinity   | none      |
+      | 9999999999 | none      |
+      | many       | none      |
+
+  # Guards against logs that do not tell instances that ignore a limit from those that learn it late.
+  Scenario: The log tells what an upstream stated and what was sent to it afterwards
+    Given an instance that logs its decisions
+    When a response of "u" states a limit of 2 requests per second
+    And 300 ms later a stage call is sent to "u"
+    And a response of "u" states no limit
+    And a request is sent to "u"
+    Then the log has the lines
+      | message          | upstream | perSecond | ageMs | kind       |
+      | upstream limit   | u        | 2         |       |            |
+      | sent under limit | u        | 2         | 300   | stage-call |
+      | upstream limit   | u        | null      |       |            |
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -29,6 +29,7 @@
 import { StoreView } from "../forward/store-view.js";
 import { UpstreamSelector } from "../forward/upstream-selector.js";
 import { UpstreamDirectory } from "../forward/upstream-directory.js";
+import { UpstreamStatements } from "../forward/upstream-statements.js";
 import { UpstreamHealthRegistry } from "../forward/upstream-health-registry.js";
 import type { PeerSettings } from "../peer/peer-settings.js";
 import { RandomSource } from "../random/random-source.js";
@@ -67,6 +68,7 @@
   readonly instanceList: InstanceList;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly upstreamStatements: UpstreamStatements;
   readonly upstreamSelector: UpstreamSelector;
   readonly retryBudgetLimits: RetryBudgetLimits;
   readonly liveInstances: () => number;
@@ -127,6 +129,7 @@
     instanceList: asFunction(instanceList).singleton(),
     directory: asFunction(UpstreamDirectory.create).singleton(),
     upstreamHealth: asFunction(UpstreamHealthRegistry.create).singleton(),
+    upstreamStatements: asFunction(UpstreamStatements.create).singleton(),
     upstreamSelector: asFunction(UpstreamSelector.create).singleton(),
     retryBudgetLimits: asValue({
       ratio: frontSettings.bounds.budgetRatio,
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -18,7 +18,7 @@
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
-import { recordAvailability } from "./upstream-availability.js";
+import { SentKind, type UpstreamStatements } from "./upstream-statements.js";
 
 /** Upstreams that may decline a request without running it before the request is refused. */
 const MAX_NOT_RUN_ATTEMPTS = 3;
@@ -42,6 +42,7 @@
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamSelector: UpstreamSelector;
+  readonly upstreamStatements: UpstreamStatements;
   readonly retryBudget: RetryBudget;
   readonly crashRegistry: CrashRegistry;
   readonly crashProbe: CrashProbe;
@@ -128,10 +129,11 @@
           silenceTimeoutMs: this.silenceTimeoutMs(),
           onSent: () => {
             sendState.sent = true;
+            this.parts.upstreamStatements.recordSent(entry, health, SentKind.Request);
             this.scheduleInputsRead(entry);
           },
           onResponseHead: (responseAttributes) => {
-            recordAvailability(decisionLines, entry, health, responseAttributes);
+            this.parts.upstreamStatements.recordResponse(entry, health, responseAttributes);
           },
           onResponseStart: () => {
             this.onInputsRead();
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -48,6 +48,12 @@
     registers: [this.registry],
   });
 
+  private readonly sentUnderLimit = new Counter({
+    name: "nutmegstage_sent_under_limit_total",
+    help: "Requests, stage calls and releases sent to upstreams that state a limit, by service",
+    labelNames: ["service", "kind"],
+    registers: [this.registry],
+  });
   private readonly connections = new Counter({
     name: "nutmegstage_upstream_connections_total",
     help: "Connections of stage calls and releases by use",
@@ -84,6 +90,10 @@
     this.attempts.inc({ service, end });
   }
 
+  recordSentUnderLimit(service: string, kind: string): void {
+    this.sentUnderLimit.inc({ service, kind });
+  }
+
   recordConnectionUse(use: ConnectionUse): void {
     this.connections.inc({ use });
   }
--- a/src/forward/response-attributes.ts
+++ b/src/forward/response-attributes.ts
@@ -10,6 +10,11 @@
   readonly inputsGone: boolean;
   /** Whether the upstream states that it is leaving. */
   readonly leaving: boolean;
+  /**
+   * Requests per second that the upstream accepts from all instances together; undefined if it
+   * states no limit.
+   */
+  readonly requestsPerSecond: number | undefined;
   /** Time for which a refusing upstream asks to get no further requests, in ms; 0 if none. */
   readonly stayAwayMs: number;
 }
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -11,10 +11,11 @@
 import type { QueuedPiece } from "./queued-submission.js";
 import type { StageCapacity } from "./service-definition.js";
 import { StageReleases } from "./stage-releases.js";
+import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealth } from "./upstream-health.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
-import { recordAvailability } from "./upstream-availability.js";
+import { SentKind, type UpstreamStatements } from "./upstream-statements.js";
 
 /** Time limit of a call, as a multiple of its expected time. */
 const CALL_TIMEOUT_FACTOR = 2;
@@ -49,7 +50,9 @@
   readonly timers: Timers;
   readonly dialect: Dialect;
   readonly connectionPools: ConnectionPools;
+  readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly upstreamStatements: UpstreamStatements;
   readonly decisionLines: DecisionLines;
 }
 
@@ -147,7 +150,7 @@
     { entry, pieces, health }: StageCall,
     signal: AbortSignal,
   ): Promise<CallOutcome> {
-    const { timers, dialect, connectionPools } = this.parts;
+    const { timers, dialect, connectionPools, upstreamStatements } = this.parts;
     let reusable = false;
     try {
       const now = timers.now();
@@ -162,9 +165,10 @@
         })),
         entry.id,
       );
+      upstreamStatements.recordSent(entry, health, SentKind.StageCall);
       const { statusCode, headers, body } = await postCall(acquired.connection, encoded, signal);
       const attributes = dialect.parseResponse(statusCode, headers);
-      recordAvailability(this.parts.decisionLines, entry, health, attributes);
+      upstreamStatements.recordResponse(entry, health, attributes);
       if (statusCode !== OK) {
         body.on("error", () => undefined);
         const { notRun } = attributes;
--- a/src/forward/stage-releases.ts
+++ b/src/forward/stage-releases.ts
@@ -4,6 +4,9 @@
 import type { Dialect } from "./dialect.js";
 import type { ConnectionPools } from "./connection-pools.js";
 import { postCall } from "./post-call.js";
+import type { UpstreamDirectory } from "./upstream-directory.js";
+import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
+import { SentKind, type UpstreamStatements } from "./upstream-statements.js";
 
 /** Time for which releases are batched; short, as unreleased results limit the calls. */
 const RELEASE_DELAY_MS = 15;
@@ -21,6 +24,9 @@
   readonly timers: Timers;
   readonly dialect: Dialect;
   readonly connectionPools: ConnectionPools;
+  readonly directory: UpstreamDirectory;
+  readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly upstreamStatements: UpstreamStatements;
   readonly decisionLines: DecisionLines;
 }
 
@@ -77,16 +83,26 @@
     handles: readonly string[],
     signal: AbortSignal,
   ): Promise<void> {
-    const { dialect, connectionPools } = this.parts;
+    const { dialect, connectionPools, directory, upstreamHealth, upstreamStatements } = this.parts;
+    const entry = directory.findByAddress(address);
+    const health = entry === undefined ? undefined : upstreamHealth.of(entry.id);
     for (;;) {
       const acquired = await connectionPools.acquire(address, signal);
       let reusable = false;
       try {
-        const { statusCode, body } = await postCall(
+        if (entry !== undefined && health !== undefined)
+          upstreamStatements.recordSent(entry, health, SentKind.Release);
+        const { statusCode, headers, body } = await postCall(
           acquired.connection,
           dialect.releaseCall(handles),
           signal,
         );
+        if (entry !== undefined && health !== undefined)
+          upstreamStatements.recordResponse(
+            entry,
+            health,
+            dialect.parseResponse(statusCode, headers),
+          );
         await readBoundedText(body, MAX_RESPONSE_BYTES);
         reusable = statusCode === OK;
         return;
--- a/src/forward/upstream-availability.ts
+++ b/src/forward/upstream-availability.ts
@@ -6,9 +6,9 @@
 /** Records the availability that a response states, and logs when the upstream closes. */
 export function recordAvailability(
   decisionLines: DecisionLines,
-  { id, service }: UpstreamEntry,
+  { id, service }: Pick<UpstreamEntry, "id" | "service">,
   health: UpstreamHealth,
-  attributes: ResponseAttributes,
+  attributes: Pick<ResponseAttributes, "leaving" | "stayAwayMs">,
 ): void {
   const previousMs = health.availableInMs;
   health.recordAvailability(attributes);
--- a/src/forward/upstream-directory.ts
+++ b/src/forward/upstream-directory.ts
@@ -15,6 +15,7 @@
 export class UpstreamDirectory {
   private readonly listings = new Map<string, Listing>();
   private byService = new Map<string, UpstreamEntry[]>();
+  private byAddress = new Map<string, UpstreamEntry>();
 
   private constructor(private readonly timers: Timers) {}
 
@@ -26,6 +27,12 @@
     return this.listings.get(id)?.entry;
   }
 
+  /** The upstream at an address; if the address was reused, the one that is still listed. */
+  findByAddress(address: string): UpstreamEntry | undefined {
+    this.expire();
+    return this.byAddress.get(address);
+  }
+
   /** All upstreams of a service that are not draining, ordered by ID. */
   forService(service: string): readonly UpstreamEntry[] {
     this.expire();
@@ -74,7 +81,10 @@
 
   private rebuild(): void {
     const byService = new Map<string, UpstreamEntry[]>();
-    for (const { entry } of this.listings.values()) {
+    const byAddress = new Map<string, UpstreamEntry>();
+    for (const { entry, expiresMs } of this.listings.values()) {
+      if (expiresMs === undefined || !byAddress.has(entry.address))
+        byAddress.set(entry.address, entry);
       if (entry.draining) continue;
       const entries = byService.get(entry.service);
       if (entries === undefined) byService.set(entry.service, [entry]);
@@ -82,5 +92,6 @@
     }
     for (const entries of byService.values()) entries.sort((a, b) => (a.id < b.id ? -1 : 1));
     this.byService = byService;
+    this.byAddress = byAddress;
   }
 }
--- a/src/forward/upstream-health.ts
+++ b/src/forward/upstream-health.ts
@@ -1,5 +1,6 @@
 import type { Timers } from "../time/timers.js";
 import type { ResponseAttributes } from "./response-attributes.js";
+import type { StatedLimit } from "./stated-limit.js";
 
 /** Backoff after the first failure to reach an upstream; doubled by each further failure. */
 const INITIAL_BACKOFF_MS = 500;
@@ -22,6 +23,8 @@
 export class UpstreamHealth {
   /** Attempts of this instance that are in progress. */
   inFlight = 0;
+  /** Undefined while the upstream states no limit. */
+  statedLimit: StatedLimit | undefined;
   private backoffUntilMs = -Infinity;
   private backoffMs = INITIAL_BACKOFF_MS;
   private unavailableUntilMs = -Infinity;
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -36,6 +36,10 @@
   leaving = false;
   /** Text of `Retry-After` in refusals. */
   retryAfter: string | undefined;
+  /** Text of the limit that all its answers state, in requests per second of all daemons. */
+  requestLimit: string | undefined;
+  /** When it first stated a limit, since the epoch in ms. */
+  firstLimitMs: number | undefined;
   /** Requests that it ran. */
   readonly ran: SeenRequest[] = [];
   /** Requests that reached it. */
@@ -74,6 +78,12 @@
     return { service, address: this.address, zone: "a", slots: 4, state, seq: 1, born: 1 };
   }
 
+  /** The most requests that reached it in any span of a length, from a time on; both in ms. */
+  mostRequestsWithin(spanMs: number, fromMs: number): number {
+    const times = this.seen.flatMap(({ atMs }) => (atMs >= fromMs ? [atMs] : []));
+    return Math.max(0, ...times.map((first) => countBetween(times, first, first + spanMs)));
+  }
+
   async stop(): Promise<void> {
     this.server.closeAllConnections();
     await new Promise((resolve) => this.server.close(resolve));
@@ -82,6 +92,10 @@
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { socket } = request;
     if (this.leaving) response.setHeader("server-leaving", "1");
+    if (this.requestLimit !== undefined) {
+      response.setHeader("server-limit", this.requestLimit);
+      this.firstLimitMs ??= Date.now();
+    }
     const isStageCall = request.url === "/nutmegstage/stage-run";
     if (this.mode === UpstreamMode.DropsKept && isStageCall && this.earlier.has(socket)) {
       socket.resetAndDestroy();
@@ -213,6 +227,10 @@
   }
 }
 
+function countBetween(times: readonly number[], fromMs: number, toMs: number): number {
+  return times.filter((atMs) => atMs >= fromMs && atMs < toMs).length;
+}
+
 /** Writes pieces to the connection of a response until it is closed. */
 function endless(response: ServerResponse, first: string, piece: string): void {
   const { socket } = response;
