Show that instances ignore the limit that an upstream states

A stand-in upstream states a limit of 1 request per second in each response and counts what reaches it: requests, stage calls and releases.

--- a/features/upstream-limits.feature
+++ b/features/upstream-limits.feature
@@ -1,6 +1,14 @@
 Feature: Limits that upstreams state for all instances together
   A response may state how many requests per second its upstream accepts from all instances.
 
+  # Guards against instances that ignore the limit, or that each use all of it.
+  Scenario: An upstream that states a limit gets no more requests than that from all instances
+    Given a platform with the upstreams "u1" and "u2" and 8 daemons
+    And "u1" states a limit of "1" requests per second
+    When callers send 40 requests per second to all daemons for 9 s
+    Then "u1" got at most 11 requests in any 4 s that begin 3 s after its first statement
+    And all of the callers were served
+
   Scenario Outline: Stated limits are parsed as requests per second
     Then the limit "<text>" is parsed as "<perSecond>" requests per second
 
