Keep the limit that an upstream states for the whole fleet

Cause: no instance obeyed the statement, and a bound of the whole fleet cannot be kept by each instance alone.

One instance owns each limit, by rendezvous hashing among the large ones. It grants permits at the stated pace, by rank and in turn to the teams; nothing is sent to an upstream that states a limit without a permit: requests, stage calls and releases pass the same check just before they are written. Permits expire after 400 ms, counted on the requester's clock from before the grant, and the pace is lowered so that late use does not exceed the limit in a window of 4 s. A lower limit applies at once; a higher one, or none, only from a response to a request that was sent after the present limit was stated. A limit that has ended opens in steps. The owner tells the fleet of changes in one broadcast. Owners that have started or paused do not grant at once, the deputy of a suspect owner grants half, and the smaller part of a split fleet its proportion, so that instances that disagree on the owner stay within one and a half times the limit.

Requests that may be served elsewhere do not wait. If all upstreams of a service state limits, a request waits for a permit that comes before its target; otherwise it is refused at once as not run, with the expected wait as the retry delay.

A response from another process at the address (421) no longer counts as a statement of the upstream.

--- a/features/steps/slow-streams.ts
+++ b/features/steps/slow-streams.ts
@@ -75,7 +75,7 @@
         streamed: true,
         silenceTimeoutMs,
         onResponseHead: () => undefined,
-        onSent: () => undefined,
+        trySend: () => true,
         onResponseStart: () => undefined,
         signal,
       },
--- a/features/steps/stage-owners.ts
+++ b/features/steps/stage-owners.ts
@@ -94,6 +94,7 @@
     routeView,
     directory,
     upstreamHealth: UpstreamHealthRegistry.create({ timers, directory }),
+    heldPermits: { isReady: () => true, take: () => undefined },
     stageCaller: { call: () => new Promise(() => undefined) } as unknown as StageCaller,
     retryBudget: RetryBudget.create({ timers, retryBudgetLimits, liveInstances: () => 1 }),
     decisionLines: DecisionLines.create({ log, timers }),
--- a/features/steps/upstream-limits.ts
+++ b/features/steps/upstream-limits.ts
@@ -1,29 +1,21 @@
 import assert from "node:assert/strict";
 import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
-import type { ConsolaInstance } from "consola";
 import { parseRequestLimit } from "../../platform/request-limit.js";
-import { DecisionLines } from "../../src/forward/decision-lines.js";
-import { ForwardMetrics } from "../../src/forward/forward-metrics.js";
-import { UpstreamHealth } from "../../src/forward/upstream-health.js";
-import { SentKind, UpstreamStatements } from "../../src/forward/upstream-statements.js";
-import { ManualTimers } from "../../src/time/manual-timers.js";
 import type { PlatformAnswer } from "../../standin/platform-caller.js";
 import type { PlatformUpstream } from "../../standin/platform-upstream.js";
 import { FrontHost } from "../support/front-host.js";
+import { LimitFleet } from "../support/limit-fleet.js";
 
 const MS_PER_SECOND = 1_000;
 const OK = 200;
+/** Time in which a response arrives and its statement is known to the fleet. */
+const LEARNING_MS = 100;
 const PATHS = ["/plain/1", "/stream/staged/1", "/stream/resumable/1"];
 
-type LogFields = Readonly<Record<string, unknown>>;
-
 interface LimitWorld {
   front: FrontHost;
   responses: PlatformAnswer[];
-  timers: ManualTimers;
-  lines: LogFields[];
-  health: UpstreamHealth;
-  statements: UpstreamStatements;
+  limitFleet: LimitFleet;
 }
 
 function upstreamOf({ front }: LimitWorld, id: string): PlatformUpstream {
@@ -85,43 +77,32 @@
   },
 );
 
-Given("an instance that logs its decisions", function (this: LimitWorld) {
-  this.timers = ManualTimers.create();
-  this.lines = [];
-  const log = { info: (line: LogFields) => this.lines.push(line) } as unknown as ConsolaInstance;
-  this.statements = UpstreamStatements.create({
-    self: "i1",
-    timers: this.timers,
-    decisionLines: DecisionLines.create({ log, timers: this.timers }),
-    forwardMetrics: ForwardMetrics.create(),
-  });
-  this.health = UpstreamHealth.create(this.timers, 0);
+Given("an instance that logs its decisions", async function (this: LimitWorld) {
+  this.limitFleet = await LimitFleet.create(1);
 });
 
 When(
-  /^a response of "(.+)" states (?:no limit|a limit of (\d+) requests per second)$/,
-  function (this: LimitWorld, id: string, perSecond: string | null) {
-    const requestsPerSecond = perSecond === null ? undefined : Number(perSecond);
-    const statements = { leaving: false, stayAwayMs: 0, requestsPerSecond };
-    this.statements.recordResponse({ id, service: "s" }, this.health, statements);
+  /^a response of "u" states (?:no limit|a limit of (\d+) requests per second)$/,
+  async function (this: LimitWorld, perSecond: string | null) {
+    const { limitFleet: fleet } = this;
+    fleet.perSecond = perSecond === null ? undefined : Number(perSecond);
+    void fleet.send(fleet.owner);
+    await fleet.timers.advance(LEARNING_MS);
   },
 );
 
 When(
-  "{int} ms later a stage call is sent to {string}",
-  async function (this: LimitWorld, ms: number, id: string) {
-    await this.timers.advance(ms);
-    this.statements.recordSent({ id, service: "s" }, this.health, SentKind.StageCall);
+  '{int} ms later a request that waits {int} ms for a permit is sent to "u"',
+  async function (this: LimitWorld, ms: number, maxWaitMs: number) {
+    await this.limitFleet.timers.advance(ms - LEARNING_MS);
+    void this.limitFleet.send(this.limitFleet.owner, { maxWaitMs });
+    await this.limitFleet.timers.advance(maxWaitMs);
   },
 );
 
-When("a request is sent to {string}", function (this: LimitWorld, id: string) {
-  this.statements.recordSent({ id, service: "s" }, this.health, SentKind.Request);
-});
-
 Then("the log has the lines", function (this: LimitWorld, table: DataTable) {
   const columns = table.raw()[0] ?? [];
-  const logged = this.lines.map((line) =>
+  const logged = this.limitFleet.owner.lines.map((line) =>
     columns.map((column) => (column in line ? String(line[column]) : "")),
   );
   assert.deepEqual(logged, table.raw().slice(1));
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -63,6 +63,7 @@
     this.pool = StagePool.create({
       timers: this.timers,
       upstreamHealth: this.healthRegistry,
+      heldPermits: { isReady: () => true, take: () => undefined },
       stageCaller: {
         call: (entry, pieces) => this.call(entry, pieces),
         release: (handles, released) => {
--- a/features/upstream-limits.feature
+++ b/features/upstream-limits.feature
@@ -32,11 +32,10 @@
   Scenario: The log tells what an upstream stated and what was sent to it afterwards
     Given an instance that logs its decisions
     When a response of "u" states a limit of 2 requests per second
-    And 300 ms later a stage call is sent to "u"
-    And a response of "u" states no limit
-    And a request is sent to "u"
+    And 200 ms later a request that waits 100 ms for a permit is sent to "u"
+    And 600 ms later a request that waits 100 ms for a permit is sent to "u"
     Then the log has the lines
-      | message          | upstream | perSecond | ageMs | kind       |
-      | upstream limit   | u        | 2         |       |            |
-      | sent under limit | u        | 2         | 300   | stage-call |
-      | upstream limit   | u        | null      |       |            |
+      | message          | upstream | perSecond | ageMs | receiver | owner | kind    | availableInMs |
+      | upstream limit   | u        | 2         |       | i0       |       |         |               |
+      | permit refused   | u        | 2         | 150   | i0       | i0    |         | 401           |
+      | sent under limit | u        | 2         | 750   | i0       | i0    | request |               |
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -29,6 +29,12 @@
 import { StoreView } from "../forward/store-view.js";
 import { UpstreamSelector } from "../forward/upstream-selector.js";
 import { UpstreamDirectory } from "../forward/upstream-directory.js";
+import { PermittedSelection } from "../forward/permitted-selection.js";
+import { HeldPermits } from "../limit/held-permits.js";
+import { LimitGrants } from "../limit/limit-grants.js";
+import { LimitKnowledge } from "../limit/limit-knowledge.js";
+import { LimitOwners } from "../limit/limit-owners.js";
+import { UpstreamPermits } from "../limit/upstream-permits.js";
 import { UpstreamStatements } from "../forward/upstream-statements.js";
 import { UpstreamHealthRegistry } from "../forward/upstream-health-registry.js";
 import type { PeerSettings } from "../peer/peer-settings.js";
@@ -68,7 +74,13 @@
   readonly instanceList: InstanceList;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly limitOwners: LimitOwners;
+  readonly limitGrants: LimitGrants;
+  readonly limitKnowledge: LimitKnowledge;
+  readonly upstreamPermits: UpstreamPermits;
+  readonly heldPermits: HeldPermits;
   readonly upstreamStatements: UpstreamStatements;
+  readonly permittedSelection: PermittedSelection;
   readonly upstreamSelector: UpstreamSelector;
   readonly retryBudgetLimits: RetryBudgetLimits;
   readonly liveInstances: () => number;
@@ -129,7 +141,13 @@
     instanceList: asFunction(instanceList).singleton(),
     directory: asFunction(UpstreamDirectory.create).singleton(),
     upstreamHealth: asFunction(UpstreamHealthRegistry.create).singleton(),
+    limitOwners: asFunction(LimitOwners.create).singleton(),
+    limitGrants: asFunction(LimitGrants.create).singleton(),
+    limitKnowledge: asFunction(LimitKnowledge.create).singleton(),
+    upstreamPermits: asFunction(UpstreamPermits.create).singleton(),
+    heldPermits: asFunction(HeldPermits.create).singleton(),
     upstreamStatements: asFunction(UpstreamStatements.create).singleton(),
+    permittedSelection: asFunction(PermittedSelection.create).singleton(),
     upstreamSelector: asFunction(UpstreamSelector.create).singleton(),
     retryBudgetLimits: asValue({
       ratio: frontSettings.bounds.budgetRatio,
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -70,12 +70,13 @@
   }
 
   private async drainAndClose(): Promise<void> {
-    const { timers, log, readiness, membership, frontServer, stagePools } = this.parts;
+    const { timers, log, readiness, membership, frontServer, stagePools, limitGrants } = this.parts;
     const end = timers.now() + GRACE_PART * this.settings.bounds.graceSeconds;
     log.info({ message: "stopping", inProgress: frontServer.inProgress });
     readiness.block(UnreadyReason.Draining);
     frontServer.startClosing();
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
+    limitGrants.leave();
     stagePools.handOver();
     await timers.sleep(BALANCER_LAG_MS - LEAVE_MS);
     readiness.refuseRequests();
--- a/src/forward/attempt-outcome.ts
+++ b/src/forward/attempt-outcome.ts
@@ -13,6 +13,8 @@
     }
   /** No connection was opened, so nothing was sent. */
   | { readonly kind: "unsent"; readonly detail: string }
+  /** Nothing was sent, as the upstream states a limit and there was no valid permit. */
+  | { readonly kind: "withheld" }
   /** The upstream states that it did not run the request. */
   | { readonly kind: "not-run"; readonly status: number }
   /** The engine did not run the request because stage results that it needs no longer exist. */
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -1,19 +1,24 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
+import type { Permit } from "../limit/permit.js";
 import type { Timers } from "../time/timers.js";
+import { attemptLine } from "./attempt-line.js";
 import type { AttemptOutcome } from "./attempt-outcome.js";
 import type { CrashProbe } from "./crash-probe.js";
 import type { CrashRegistry } from "./crash-registry.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { Dialect } from "./dialect.js";
 import type { RetryBudget } from "./retry-budget.js";
+import { attemptLatencyRatio } from "./expected-latency.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
+import { readsInputsAtOnce } from "./inputs-read.js";
 import type { RequestContext } from "./request-context.js";
 import { silenceTimeoutMs } from "./silence-timeout.js";
 import { Repeatability } from "./repeatability.js";
 import { isRepeatable } from "./route.js";
 import { UpstreamAttempt } from "./upstream-attempt.js";
+import type { PermittedSelection } from "./permitted-selection.js";
 import type { UpstreamSelector } from "./upstream-selector.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
@@ -24,24 +29,16 @@
 const MAX_NOT_RUN_ATTEMPTS = 3;
 /** Connection failures, each at a different upstream, after which a request fails. */
 const MAX_UNSENT_ATTEMPTS = 4;
-/** Typical latency of a plain service; only ratios between upstreams matter. */
-const EXPECTED_PLAIN_LATENCY_MS = 45;
-/** Events that a stream needs before its event interval is used to rate the engine. */
-const MIN_RATED_EVENTS = 4;
-/** Typical time between stream events; only ratios between engines matter. */
-const EXPECTED_EVENT_INTERVAL_MS = 20;
 const MAX_URGENCY = 9;
 /** Time in which an engine with free slots reads the stage results; several transfers. */
 const INPUTS_READ_DELAY_MS = 120;
-/** Slot utilization of an engine up to which it starts a request immediately. */
-const MAX_UTILIZATION = 0.5;
-
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamSelector: UpstreamSelector;
+  readonly permittedSelection: PermittedSelection;
   readonly upstreamStatements: UpstreamStatements;
   readonly retryBudget: RetryBudget;
   readonly crashRegistry: CrashRegistry;
@@ -82,24 +79,42 @@
 
   /** Returns the status sent to the caller; throws `ServeError` if no attempt is left. */
   async run(): Promise<number> {
-    const { retryBudget, upstreamSelector } = this.parts;
-    const { service, attributes } = this.context;
+    const { retryBudget } = this.parts;
+    const { service } = this.context;
     retryBudget.recordRequest(service);
     for (;;) {
-      const entry = upstreamSelector.select(service, attributes.promptParts, this.tried);
-      if (entry === undefined) throw this.createError(ErrorKind.NoUpstream, "no upstream is left");
-      const outcome = await this.attempt(entry);
+      const { entry, permit } = await this.select();
+      const outcome = await this.attempt(entry, permit);
       const status = this.handleOutcome(entry, outcome);
       if (status !== undefined) return status;
-      const sent = outcome.kind !== "unsent";
+      const sent = outcome.kind !== "unsent" && outcome.kind !== "withheld";
       if (sent && !retryBudget.tryTakeRetry(service)) {
         throw this.createError(ErrorKind.UpstreamFailed, "the retry budget is exhausted");
       }
     }
   }
 
-  private async attempt(entry: UpstreamEntry): Promise<AttemptOutcome> {
-    const { timers, upstreamHealth, dialect, decisionLines, forwardMetrics } = this.parts;
+  private async select(): Promise<{ entry: UpstreamEntry; permit: Permit | undefined }> {
+    const { permittedSelection } = this.parts;
+    const workSpent = this.mayHaveRun || (this.inputs?.length ?? 0) > 0;
+    const outcome = await permittedSelection.select(this.context, this.tried, workSpent);
+    switch (outcome.kind) {
+      case "selected":
+        return outcome;
+      case "limited":
+        throw this.createError(
+          ErrorKind.Overloaded,
+          "all upstreams have reached the limits that they state",
+          outcome.availableInMs,
+        );
+      case "none":
+        throw this.createError(ErrorKind.NoUpstream, "no upstream is left");
+    }
+  }
+
+  private async attempt(entry: UpstreamEntry, permit: Permit | undefined): Promise<AttemptOutcome> {
+    const { timers, upstreamHealth, upstreamStatements, dialect } = this.parts;
+    const { decisionLines, forwardMetrics } = this.parts;
     const { context } = this;
     const { request, attributes, route, progress, writer, team, service } = context;
     const health = upstreamHealth.of(entry.id);
@@ -127,13 +142,13 @@
           progress,
           streamed,
           silenceTimeoutMs: this.silenceTimeoutMs(),
-          onSent: () => {
-            sendState.sent = true;
-            this.parts.upstreamStatements.recordSent(entry, health, SentKind.Request);
-            this.scheduleInputsRead(entry);
+          trySend: () => {
+            sendState.sent = upstreamStatements.trySend(entry, health, SentKind.Request, permit);
+            if (sendState.sent) this.scheduleInputsRead(entry);
+            return sendState.sent;
           },
           onResponseHead: (responseAttributes) => {
-            this.parts.upstreamStatements.recordResponse(entry, health, responseAttributes);
+            upstreamStatements.recordResponse(entry, health, responseAttributes, permit);
           },
           onResponseStart: () => {
             this.onInputsRead();
@@ -142,18 +157,12 @@
         },
       ).run();
       forwardMetrics.recordAttempt(service, outcome.kind);
-      decisionLines.write("attempt", {
-        attempt: attributes.attemptId,
-        upstream: entry.id,
-        service,
-        leftMs: Math.round(context.deadlineMs - startedMs),
-        promptTokens: attributes.promptParts.reduce((sum, { tokens }) => sum + tokens, 0),
-        ms: Math.round(timers.now() - startedMs),
-        end: outcome.kind,
-        ...("status" in outcome ? { status: outcome.status } : {}),
-        ...("detail" in outcome ? { detail: outcome.detail } : {}),
-      });
-      if (outcome.kind === "relayed") this.recordSuccess(entry, timers.now() - startedMs);
+      const span = { startedMs, endedMs: timers.now() };
+      decisionLines.write("attempt", attemptLine(context, entry, outcome, span));
+      if (outcome.kind === "relayed") {
+        const latencyRatio = attemptLatencyRatio(context, timers.now() - startedMs, this.runCount);
+        if (latencyRatio !== undefined) health.recordSuccess(latencyRatio);
+      }
       return outcome;
     } catch (error) {
       // The deadline passed or the caller disconnected while the upstream had the request.
@@ -177,6 +186,12 @@
         this.unsentAttempts += 1;
         if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) return undefined;
         throw this.createError(ErrorKind.NoUpstream, outcome.detail);
+      case "withheld":
+        // The limit was stated, or the permit expired, while the connection was opened.
+        this.tried.delete(entry.id);
+        this.unsentAttempts += 1;
+        if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) return undefined;
+        throw this.createError(ErrorKind.Overloaded, "permits expired before they could be used");
       case "not-run":
         this.notRunAttempts += 1;
         if (this.notRunAttempts < MAX_NOT_RUN_ATTEMPTS) return undefined;
@@ -200,18 +215,9 @@
     }
   }
 
-  /** An engine with free slots reads the stage results as soon as the request arrives. */
   private scheduleInputsRead(entry: UpstreamEntry): void {
-    const { timers, upstreamHealth, directory, retryBudget } = this.parts;
-    if (this.inputs === undefined || this.inputs.length === 0) return;
-    // A repeatable request needs the results again when it is retried.
-    if (isRepeatable(this.context.route)) return;
-    const utilization = upstreamHealth.of(entry.id).inFlight / Math.max(1, entry.slots);
-    if (
-      utilization * retryBudget.instanceCount > MAX_UTILIZATION ||
-      directory.remainingWarmupMs(entry.id) > 0
-    )
-      return;
+    const { timers } = this.parts;
+    if (!readsInputsAtOnce(this.parts, this.context.route, this.inputs ?? [], entry)) return;
     timers.after(INPUTS_READ_DELAY_MS, () => {
       this.onInputsRead();
     });
@@ -230,21 +236,11 @@
     return silenceTimeoutMs(route, targetMs - request.arrivedMs);
   }
 
-  private recordSuccess(entry: UpstreamEntry, durationMs: number): void {
-    const health = this.parts.upstreamHealth.of(entry.id);
-    const { events, firstEventMs, lastEventMs } = this.context.progress;
-    if (this.context.route.repeatability !== Repeatability.Stream) {
-      health.recordSuccess(durationMs / EXPECTED_PLAIN_LATENCY_MS);
-    } else if (events >= MIN_RATED_EVENTS && firstEventMs !== undefined && this.runCount === 0) {
-      const eventIntervalMs = ((lastEventMs ?? firstEventMs) - firstEventMs) / (events - 1);
-      health.recordSuccess(eventIntervalMs / EXPECTED_EVENT_INTERVAL_MS);
-    }
-  }
-
-  private createError(kind: ErrorKind, detail: string): ServeError {
+  private createError(kind: ErrorKind, detail: string, retryAfterMs?: number): ServeError {
     return ServeError.create(kind, detail, {
       outcome: this.mayHaveRun ? Outcome.MayHaveRun : Outcome.NotRun,
       ...this.parts.upstreamSelector.retryAfter(this.context.service),
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
     });
   }
 }
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -54,6 +54,12 @@
     labelNames: ["service", "kind"],
     registers: [this.registry],
   });
+  private readonly permits = new Counter({
+    name: "nutmegstage_permits_total",
+    help: "Requests for permits of upstreams that state a limit, by service and outcome",
+    labelNames: ["service", "outcome"],
+    registers: [this.registry],
+  });
   private readonly connections = new Counter({
     name: "nutmegstage_upstream_connections_total",
     help: "Connections of stage calls and releases by use",
@@ -94,6 +100,10 @@
     this.sentUnderLimit.inc({ service, kind });
   }
 
+  recordPermit(service: string, outcome: string): void {
+    this.permits.inc({ service, outcome });
+  }
+
   recordConnectionUse(use: ConnectionUse): void {
     this.connections.inc({ use });
   }
--- /dev/null
+++ b/src/forward/permitted-selection.ts
@@ -0,0 +1,158 @@
+import type { Permit } from "../limit/permit.js";
+import type { UpstreamPermits } from "../limit/upstream-permits.js";
+import type { Timers } from "../time/timers.js";
+import { expectedLatencyMs } from "./expected-latency.js";
+import type { RequestContext } from "./request-context.js";
+import type { UpstreamDirectory } from "./upstream-directory.js";
+import type { UpstreamEntry } from "./upstream-entry.js";
+import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
+import type { UpstreamSelector } from "./upstream-selector.js";
+
+/**
+ * Wait for a permit while other upstreams may take the request; about a round trip between data
+ * centres. Without it, requests and permits would miss each other under a high limit.
+ */
+const PATIENCE_MS = 25;
+/** Owners of limits that are asked before only upstreams without a limit are considered. */
+const MAX_ASKED = 3;
+/** Upstreams at which a request waits for a permit, one after the other. */
+const MAX_WAITS = 2;
+
+/** The upstream for an attempt. */
+export type SelectionOutcome =
+  | {
+      readonly kind: "selected";
+      readonly entry: UpstreamEntry;
+      readonly permit: Permit | undefined;
+    }
+  /** All upstreams that are left state a limit that has no permit in time. */
+  | { readonly kind: "limited"; readonly availableInMs: number }
+  | { readonly kind: "none" };
+
+interface Parts {
+  readonly timers: Timers;
+  readonly directory: UpstreamDirectory;
+  readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly upstreamSelector: UpstreamSelector;
+  readonly upstreamPermits: UpstreamPermits;
+}
+
+/** Selects upstreams for requests, with permits for those that state a limit. */
+export class PermittedSelection {
+  private constructor(private readonly parts: Parts) {}
+
+  static create(parts: Parts): PermittedSelection {
+    return new PermittedSelection(parts);
+  }
+
+  /**
+   * Selects an upstream that may be used now; if all are limited, waits for the first permit until
+   * the target can no longer be met, or until the deadline if work was already spent on the
+   * request. `tried` holds the IDs of upstreams already attempted.
+   */
+  async select(
+    context: RequestContext,
+    tried: ReadonlySet<string>,
+    workSpent: boolean,
+  ): Promise<SelectionOutcome> {
+    const { upstreamSelector } = this.parts;
+    const { service, attributes, route } = context;
+    const excluded = new Set(tried);
+    const limited: UpstreamEntry[] = [];
+    let asked = 0;
+    for (;;) {
+      const entry = upstreamSelector.select(service, attributes.promptParts, excluded);
+      if (entry === undefined) break;
+      const isLimited = this.isLimited(entry);
+      const worthAsking = asked < MAX_ASKED && this.waitMs(entry, context) <= PATIENCE_MS;
+      if (!isLimited || worthAsking) {
+        if (isLimited) asked += 1;
+        const outcome = await this.acquire(entry, context, PATIENCE_MS);
+        if (outcome !== undefined) return outcome;
+      }
+      excluded.add(entry.id);
+      limited.push(entry);
+    }
+    if (limited.length === 0) return { kind: "none" };
+    const endMs = workSpent ? context.deadlineMs : context.targetMs;
+    return this.waitFor(limited, context, endMs - expectedLatencyMs(route));
+  }
+
+  /** Expected wait for the first permit of a service in ms; 0 if an upstream has no limit. */
+  expectedWaitMs({ service, rank, team }: RequestContext): number {
+    const { directory, upstreamHealth, upstreamPermits } = this.parts;
+    const waits = upstreamHealth
+      .available(directory.forService(service))
+      .map((entry) => upstreamPermits.expectedWaitMs(entry, { rank, team: team?.name ?? "" }));
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
+  /** Waits at the upstreams with the shortest expected waits. */
+  private async waitFor(
+    limited: readonly UpstreamEntry[],
+    context: RequestContext,
+    endMs: number,
+  ): Promise<SelectionOutcome> {
+    const waitMs = (entry: UpstreamEntry): number => this.waitMs(entry, context);
+    const byWait = [...limited].sort((a, b) => waitMs(a) - waitMs(b));
+    for (const entry of byWait.slice(0, MAX_WAITS)) {
+      const leftMs = endMs - this.parts.timers.now();
+      if (waitMs(entry) > leftMs) break;
+      const outcome = await this.acquire(entry, context, leftMs);
+      if (outcome !== undefined) return outcome;
+    }
+    return { kind: "limited", availableInMs: Math.min(...limited.map(waitMs)) };
+  }
+
+  private async acquire(
+    entry: UpstreamEntry,
+    { attributes, rank, team, signal }: RequestContext,
+    maxWaitMs: number,
+  ): Promise<Extract<SelectionOutcome, { kind: "selected" }> | undefined> {
+    const outcome = await untilAborted(
+      this.parts.upstreamPermits.acquire(entry, {
+        rank,
+        team: team?.name ?? "",
+        maxWaitMs: Math.max(0, maxWaitMs),
+        attempt: attributes.attemptId,
+      }),
+      signal,
+    );
+    switch (outcome.kind) {
+      case "unlimited":
+        return { kind: "selected", entry, permit: undefined };
+      case "granted":
+        return { kind: "selected", entry, permit: outcome.permit };
+      case "refused":
+        return undefined;
+    }
+  }
+
+  private waitMs(entry: UpstreamEntry, { rank, team }: RequestContext): number {
+    return this.parts.upstreamPermits.expectedWaitMs(entry, { rank, team: team?.name ?? "" });
+  }
+
+  private isLimited({ id }: UpstreamEntry): boolean {
+    return this.parts.upstreamHealth.of(id).statedLimit !== undefined;
+  }
+}
+
+/** Rejects with the reason of the signal if it aborts first. */
+async function untilAborted<Result>(
+  promise: Promise<Result>,
+  signal: AbortSignal,
+): Promise<Result> {
+  signal.throwIfAborted();
+  let abort = (): void => undefined;
+  const aborted = new Promise<never>((_, reject) => {
+    abort = () => {
+      reject(signal.reason as Error);
+    };
+    signal.addEventListener("abort", abort, { once: true });
+  });
+  try {
+    return await Promise.race([promise, aborted]);
+  } finally {
+    signal.removeEventListener("abort", abort);
+  }
+}
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -111,6 +111,7 @@
    * request before its latency target.
    */
   private admitToStages(context: RequestContext): number {
+    this.requirePermitsInTime(context);
     const { route, attributes, configuration, rank, targetMs, returning } = context;
     const { stageLoads, timers, decisionLines } = this.parts;
     const { attemptId, pieces } = attributes;
@@ -129,6 +130,18 @@
     });
   }
 
+  /** Throws `Overloaded` if all engines state limits that leave no permit before the target. */
+  private requirePermitsInTime(context: RequestContext): void {
+    const { permittedSelection, timers } = this.parts;
+    const waitMs = permittedSelection.expectedWaitMs(context);
+    if (waitMs === 0 || waitMs <= context.targetMs - timers.now()) return;
+    throw ServeError.create(
+      ErrorKind.Overloaded,
+      "all engines have reached the limits that they state",
+      { retryAfterMs: waitMs },
+    );
+  }
+
   private async dispatch(
     context: RequestContext,
     stagePhase: StagePhase,
--- a/src/forward/response-attributes.ts
+++ b/src/forward/response-attributes.ts
@@ -6,6 +6,8 @@
   readonly signed: boolean;
   /** Whether the upstream states that it did not run the request. */
   readonly notRun: boolean;
+  /** Whether another upstream than the expected one answered; it did not run the request. */
+  readonly misdirected: boolean;
   /** Whether the request did not run because stage results that it needs no longer exist. */
   readonly inputsGone: boolean;
   /** Whether the upstream states that it is leaving. */
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -2,6 +2,8 @@
 import type { Connection } from "../upstream/connection.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import type { Permit } from "../limit/permit.js";
+import type { UpstreamPermits } from "../limit/upstream-permits.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { Dialect } from "./dialect.js";
@@ -34,7 +36,7 @@
 /** Outcome of a stage call. */
 export type CallOutcome =
   | { readonly kind: "results"; readonly results: readonly PieceResult[] }
-  /** The upstream did not run the call. */
+  /** The upstream did not run the call, or it was not sent for want of a permit. */
   | { readonly kind: "refused" }
   /** The upstream may have run the call, or still runs it. */
   | { readonly kind: "lost" };
@@ -44,6 +46,8 @@
   readonly pieces: readonly QueuedPiece[];
   /** Health of the upstream process that the call is sent to. */
   readonly health: UpstreamHealth;
+  /** Undefined if the upstream states no limit. */
+  readonly permit: Permit | undefined;
 }
 
 interface Parts {
@@ -53,6 +57,7 @@
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamStatements: UpstreamStatements;
+  readonly upstreamPermits: UpstreamPermits;
   readonly decisionLines: DecisionLines;
 }
 
@@ -75,6 +80,7 @@
     entry: UpstreamEntry,
     pieces: readonly QueuedPiece[],
     capacity: StageCapacity,
+    permit: Permit | undefined,
   ): Promise<CallOutcome> {
     const { timers, decisionLines, upstreamHealth } = this.parts;
     const startedAtMs = timers.now();
@@ -91,7 +97,7 @@
     let answer: CallOutcome;
     try {
       const dropWindowMs = Math.max(MIN_DROP_WINDOW_MS, DROP_WINDOW_FRACTION * capacity.baseCallMs);
-      answer = await this.exchange({ entry, pieces, health }, dropWindowMs, timeout.signal);
+      answer = await this.exchange({ entry, pieces, health, permit }, dropWindowMs, timeout.signal);
       if (answer.kind === "results")
         health.recordSuccess((timers.now() - startedAtMs) / expectedMs);
     } catch (error) {
@@ -147,7 +153,7 @@
 
   private async exchangeOn(
     acquired: AcquiredConnection,
-    { entry, pieces, health }: StageCall,
+    { entry, pieces, health, permit }: StageCall,
     signal: AbortSignal,
   ): Promise<CallOutcome> {
     const { timers, dialect, connectionPools, upstreamStatements } = this.parts;
@@ -165,10 +171,13 @@
         })),
         entry.id,
       );
-      upstreamStatements.recordSent(entry, health, SentKind.StageCall);
+      if (!upstreamStatements.trySend(entry, health, SentKind.StageCall, permit)) {
+        reusable = true;
+        return { kind: "refused" };
+      }
       const { statusCode, headers, body } = await postCall(acquired.connection, encoded, signal);
       const attributes = dialect.parseResponse(statusCode, headers);
-      upstreamStatements.recordResponse(entry, health, attributes);
+      upstreamStatements.recordResponse(entry, health, attributes, permit);
       if (statusCode !== OK) {
         body.on("error", () => undefined);
         const { notRun } = attributes;
--- a/src/forward/stage-pool-parts.ts
+++ b/src/forward/stage-pool-parts.ts
@@ -1,3 +1,4 @@
+import type { HeldPermits } from "../limit/held-permits.js";
 import type { Timers } from "../time/timers.js";
 import type { StageCapacity } from "./service-definition.js";
 import type { StageCaller } from "./stage-caller.js";
@@ -10,6 +11,7 @@
 export interface StagePoolParts {
   readonly timers: Timers;
   readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly heldPermits: Pick<HeldPermits, "isReady" | "take">;
   readonly stageCaller: Pick<StageCaller, "call" | "release">;
   /** Upstreams that this pool sends calls to. */
   readonly upstreams: () => readonly UpstreamEntry[];
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -7,7 +7,8 @@
 import { StageWaitForecast } from "./stage-wait-forecast.js";
 import type { StageTicket } from "./stage-outcome.js";
 import { type CallTarget, StageQueue } from "./stage-queue.js";
-import { expectedCallMs, fullCallMs, piecesPerMs } from "./stage-timing.js";
+import { effectiveUpstreams, queueThroughput } from "./effective-upstreams.js";
+import { expectedCallMs, fullCallMs } from "./stage-timing.js";
 import { type StageSubmission, submissionKey } from "./stage-submission.js";
 import { type StageWaits, TRACKED_RANKS, waitMsForRank } from "./stage-wait.js";
 import type { StagePoolParts } from "./stage-pool-parts.js";
@@ -31,6 +32,9 @@
   private readonly registry: SubmissionRegistry;
   private readonly delays: CallDelays;
   private fillScheduled = false;
+  private readonly refill = (): void => {
+    this.fillCalls();
+  };
 
   private constructor(private readonly parts: StagePoolParts) {
     this.registry = SubmissionRegistry.create(parts.timers, {
@@ -99,7 +103,7 @@
     const reachable = upstreamHealth.reachable(upstreams());
     return this.forecast.waits({
       capacity,
-      upstreams: Math.max(1, reachable.length),
+      upstreams: effectiveUpstreams(reachable, upstreamHealth, capacity),
       callTimeRatio: upstreamHealth.medianLatencyRatio(reachable),
       allBusy: this.calls.busyUpstreams >= reachable.length,
       workByRank: this.queue.workByRank(TRACKED_RANKS),
@@ -116,26 +120,16 @@
     if (capacity === undefined || this.queue.size === 0) return;
     const { maxPieces, baseCallMs } = capacity;
     const reachable = upstreamHealth.reachable(this.parts.upstreams());
-    const isFree = ({ id }: UpstreamEntry): boolean => this.calls.canAccept(id, capacity.maxCalls);
-    if (!retryDue && !reachable.some(isFree)) {
+    if (!retryDue && !reachable.some((entry) => this.isFree(entry, capacity))) {
       this.scheduleFill(capacity);
       return;
     }
-    const latencyRatio = Math.max(1, upstreamHealth.medianLatencyRatio(reachable));
-    const expired = this.queue.removeExpired(timers.now(), {
-      baseCallMs,
-      // Assumes at least one upstream, as upstreams can be unreachable for a moment only.
-      piecesPerMs: piecesPerMs(capacity, Math.max(1, reachable.length)) / latencyRatio,
-    });
+    const throughput = queueThroughput(reachable, upstreamHealth, capacity);
+    const expired = this.queue.removeExpired(timers.now(), throughput);
     for (const parent of expired) this.registry.fail(parent, PieceFailure.Late);
     if (this.queue.size === 0) return;
-    const split = {
-      entries: reachable,
-      upstreamHealth,
-      mostPieces: maxPieces,
-      waiting: this.queue.size,
-    };
-    const { degraded, healthy } = splitDegraded(split);
+    const split = { entries: reachable, upstreamHealth, mostPieces: maxPieces };
+    const { degraded, healthy } = splitDegraded({ ...split, waiting: this.queue.size });
     const dataCentres = new Set(healthy.map(({ dataCentre }) => dataCentre));
     const fullMs = fullCallMs(capacity);
     const limits = { maxPieces, baseCallMs, fullMs, probe: false, dataCentres };
@@ -153,7 +147,7 @@
     capacity: StageCapacity,
     limits: Omit<CallTarget, "dataCentre" | "resultBytes">,
   ): void {
-    if (this.queue.size === 0 || !this.calls.canAccept(entry.id, capacity.maxCalls)) return;
+    if (this.queue.size === 0 || !this.isFree(entry, capacity)) return;
     const resultBytes = this.memory.of(entry.id).freeBytes(capacity.resultBytes);
     const target = { ...limits, dataCentre: entry.dataCentre, resultBytes };
     const pieces = this.queue.takeBatch(target, this.parts.timers.now());
@@ -162,6 +156,12 @@
     } else if (pieces.length > 0) void this.call(entry, pieces, capacity);
   }
 
+  /** Whether the upstream can accept a call; requests a permit for it if it states a limit. */
+  private isFree(entry: UpstreamEntry, { maxCalls }: StageCapacity): boolean {
+    if (!this.calls.canAccept(entry.id, maxCalls)) return false;
+    return this.parts.heldPermits.isReady(entry, () => this.queue.mostUrgentRank, this.refill);
+  }
+
   private scheduleFill(capacity: StageCapacity): void {
     if (this.fillScheduled) return;
     this.fillScheduled = true;
@@ -181,13 +181,12 @@
     for (const { parent } of pieces) parent.started = true;
     const latencyRatio = this.parts.upstreamHealth.of(entry.id).latencyRatio ?? 1;
     const expectedMs = latencyRatio * expectedCallMs(capacity, pieces.length);
-    const endCall = this.calls.begin(entry.id, capacity.maxCalls, expectedMs, () => {
-      this.fillCalls();
-    });
+    const endCall = this.calls.begin(entry.id, capacity.maxCalls, expectedMs, this.refill);
     const bytes = pieces.reduce((sum, { parent }) => sum + parent.submission.resultBytes, 0);
     const endReservation = this.memory.of(entry.id).reserve(bytes);
     try {
-      const outcome = await stageCaller.call(entry, pieces, capacity);
+      const permit = this.parts.heldPermits.take(entry);
+      const outcome = await stageCaller.call(entry, pieces, capacity, permit);
       switch (outcome.kind) {
         case "results":
           pieces.forEach((piece, index) => {
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import type { HeldPermits } from "../limit/held-permits.js";
 import type { PeerCalls } from "../peer/peer-calls.js";
 import { PeerMethod } from "../peer/peer-method.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
@@ -12,6 +13,7 @@
 import type { StageCaller } from "./stage-caller.js";
 import { type StageOutcome, type StageTicket, stageOutcomeSchema } from "./stage-outcome.js";
 import { StagePool } from "./stage-pool.js";
+import { effectiveUpstreams } from "./effective-upstreams.js";
 import { piecesPerMs } from "./stage-timing.js";
 import type { StageOwners } from "./stage-owners.js";
 import { shardOf, shardUpstreams, shardCount } from "./stage-shard.js";
@@ -51,6 +53,7 @@
   readonly routeView: RouteView;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly heldPermits: Pick<HeldPermits, "isReady" | "take">;
   readonly stageCaller: StageCaller;
   readonly stageOwners: StageOwners;
   readonly retryBudget: RetryBudget;
@@ -158,10 +161,13 @@
 
   /** Throughput of the upstreams of a service in pieces per ms, over all shards. */
   private piecesPerMs(service: string): number {
-    const { directory, routeView } = this.parts;
+    const { directory, routeView, upstreamHealth } = this.parts;
     const capacity = routeView.configuration?.services.get(service)?.stage;
     if (capacity === undefined) return 0;
-    return CALL_FILL_FRACTION * piecesPerMs(capacity, directory.forService(service).length);
+    const entries = directory.forService(service);
+    const upstreams =
+      entries.length === 0 ? 0 : effectiveUpstreams(entries, upstreamHealth, capacity);
+    return CALL_FILL_FRACTION * piecesPerMs(capacity, upstreams);
   }
 
   cancel(submission: SubmissionIdentity & Pick<StageSubmission, "service">): void {
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -62,6 +62,11 @@
     return this.pieceCount;
   }
 
+  /** Rank of the most urgent waiting submission; infinite if none waits. */
+  get mostUrgentRank(): number {
+    return Math.min(...[...this.waiting.keys()].map(({ submission }) => submission.rank));
+  }
+
   /** Waiting submissions none of whose pieces has been sent in a call. */
   get unstartedSubmissions(): ReadonlySet<QueuedSubmission> {
     return new Set([...this.waiting.keys()].filter(({ ended, started }) => !ended && !started));
--- a/src/forward/stage-releases.ts
+++ b/src/forward/stage-releases.ts
@@ -1,3 +1,5 @@
+import type { Permit } from "../limit/permit.js";
+import type { UpstreamPermits } from "../limit/upstream-permits.js";
 import type { Timers } from "../time/timers.js";
 import { readBoundedText } from "../upstream/read-bounded-text.js";
 import type { DecisionLines } from "./decision-lines.js";
@@ -5,6 +7,7 @@
 import type { ConnectionPools } from "./connection-pools.js";
 import { postCall } from "./post-call.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
+import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
 import { SentKind, type UpstreamStatements } from "./upstream-statements.js";
 
@@ -13,6 +16,10 @@
 const RELEASE_TIMEOUT_MS = 1_000;
 /** Only the status of the response to a release is used. */
 const MAX_RESPONSE_BYTES = 65_536;
+/** Wait for a permit; results that are not released expire at their upstream. */
+const MAX_PERMIT_WAIT_MS = 2_000;
+/** Releases come after all requests and stage calls. */
+const RELEASE_RANK = Number.MAX_SAFE_INTEGER;
 const OK = 200;
 
 interface Release {
@@ -20,6 +27,13 @@
   readonly onReleased: (handle: string) => void;
 }
 
+interface ReleaseTarget {
+  readonly address: string;
+  /** Undefined if no upstream is listed at the address. */
+  readonly entry: UpstreamEntry | undefined;
+  readonly permit: Permit | undefined;
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
@@ -27,6 +41,7 @@
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamStatements: UpstreamStatements;
+  readonly upstreamPermits: UpstreamPermits;
   readonly decisionLines: DecisionLines;
 }
 
@@ -59,7 +74,10 @@
   }
 
   private async sendRelease(address: string): Promise<void> {
-    const { timers, decisionLines } = this.parts;
+    const { timers, decisionLines, directory } = this.parts;
+    const entry = directory.findByAddress(address);
+    // More releases join while this one waits for a permit.
+    const permit = entry === undefined ? undefined : await this.acquire(entry);
     const releases = this.waiting.get(address) ?? [];
     const handles = releases.map(({ handle }) => handle);
     this.waiting.delete(address);
@@ -68,7 +86,8 @@
       timeout.abort(new Error("release call exceeded its time limit"));
     });
     try {
-      await this.releaseOn(address, handles, timeout.signal);
+      if (!(await this.releaseOn({ address, entry, permit }, handles, timeout.signal)))
+        throw new Error("the upstream states a limit, and there is no permit");
       for (const { handle, onReleased } of releases) onReleased(handle);
     } catch (error) {
       decisionLines.write("results not released", { address, detail: String(error) });
@@ -77,21 +96,36 @@
     }
   }
 
-  /** Releases are idempotent, so one is retried when a reused connection fails. */
+  /** Undefined if no permit is needed or none was granted. */
+  private async acquire(entry: UpstreamEntry): Promise<Permit | undefined> {
+    const purpose = { rank: RELEASE_RANK, team: "", maxWaitMs: MAX_PERMIT_WAIT_MS };
+    const outcome = await this.parts.upstreamPermits.acquire(entry, {
+      ...purpose,
+      attempt: undefined,
+    });
+    return outcome.kind === "granted" ? outcome.permit : undefined;
+  }
+
+  /**
+   * Returns false if the release must not be sent. Releases are idempotent, so one is retried when
+   * a reused connection fails.
+   */
   private async releaseOn(
-    address: string,
+    { address, entry, permit }: ReleaseTarget,
     handles: readonly string[],
     signal: AbortSignal,
-  ): Promise<void> {
-    const { dialect, connectionPools, directory, upstreamHealth, upstreamStatements } = this.parts;
-    const entry = directory.findByAddress(address);
+  ): Promise<boolean> {
+    const { dialect, connectionPools, upstreamHealth, upstreamStatements } = this.parts;
     const health = entry === undefined ? undefined : upstreamHealth.of(entry.id);
     for (;;) {
       const acquired = await connectionPools.acquire(address, signal);
       let reusable = false;
       try {
-        if (entry !== undefined && health !== undefined)
-          upstreamStatements.recordSent(entry, health, SentKind.Release);
+        if (entry !== undefined && health !== undefined) {
+          const maySend = upstreamStatements.trySend(entry, health, SentKind.Release, permit);
+          reusable = !maySend;
+          if (!maySend) return false;
+        }
         const { statusCode, headers, body } = await postCall(
           acquired.connection,
           dialect.releaseCall(handles),
@@ -102,10 +136,11 @@
             entry,
             health,
             dialect.parseResponse(statusCode, headers),
+            permit,
           );
         await readBoundedText(body, MAX_RESPONSE_BYTES);
         reusable = statusCode === OK;
-        return;
+        return true;
       } catch (error) {
         if (!acquired.reused || signal.aborted) throw error;
         connectionPools.discardIdle(address);
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -17,7 +17,6 @@
 const CONNECT_TIMEOUT_MS = 250;
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_ERROR_STATUS = 400;
-const MISDIRECTED_REQUEST = 421;
 /** Maximum size of a response that is not streamed; these are buffered before relaying. */
 const MAX_BUFFERED_BYTES = 4_194_304;
 /** Maximum size of an incomplete stream event; regular events hold a few tokens. */
@@ -41,8 +40,8 @@
   readonly streamed: boolean;
   /** Time without progress after which the attempt is aborted; undefined disables the check. */
   readonly silenceTimeoutMs: number | undefined;
-  /** Called just before the request is sent on the open connection. */
-  readonly onSent: () => void;
+  /** Called just before the request is sent on the open connection; false if it must not be. */
+  readonly trySend: () => boolean;
   /** Called with the attributes of the response head, also if the upstream declined. */
   readonly onResponseHead: (attributes: ResponseAttributes) => void;
   /** Called when the head of a signed response to a request that ran has arrived. */
@@ -98,7 +97,7 @@
   private async exchange(connection: Connection, signal: AbortSignal): Promise<AttemptOutcome> {
     const { request, attemptId, dispatch, streamed } = this.task;
     const { dialect } = this.parts;
-    this.task.onSent();
+    if (!this.task.trySend()) return { kind: "withheld" };
     const { statusCode, headers, body } = await connection.request({
       path: request.target,
       method: request.method,
@@ -115,7 +114,7 @@
     }
     this.task.onResponseHead(attributes);
     if (attributes.inputsGone) return { kind: "inputs-gone" };
-    if (attributes.notRun || statusCode === MISDIRECTED_REQUEST) {
+    if (attributes.notRun) {
       return { kind: "not-run", status: statusCode };
     }
     if (!attributes.signed)
--- a/src/forward/upstream-health.ts
+++ b/src/forward/upstream-health.ts
@@ -1,6 +1,6 @@
 import type { Timers } from "../time/timers.js";
 import type { ResponseAttributes } from "./response-attributes.js";
-import type { StatedLimit } from "./stated-limit.js";
+import type { StatedLimit } from "../limit/stated-limit.js";
 
 /** Backoff after the first failure to reach an upstream; doubled by each further failure. */
 const INITIAL_BACKOFF_MS = 500;
--- a/src/forward/upstream-statements.ts
+++ b/src/forward/upstream-statements.ts
@@ -1,8 +1,9 @@
+import type { LimitKnowledge } from "../limit/limit-knowledge.js";
+import type { Permit } from "../limit/permit.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
 import type { ResponseAttributes } from "./response-attributes.js";
-import type { StatedLimit } from "./stated-limit.js";
 import { recordAvailability } from "./upstream-availability.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealth } from "./upstream-health.js";
@@ -15,16 +16,19 @@
 }
 
 interface Parts {
-  readonly self: string;
   readonly timers: Timers;
+  readonly limitKnowledge: Pick<LimitKnowledge, "recordResponse">;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
 }
 
-type Statements = Pick<ResponseAttributes, "leaving" | "stayAwayMs" | "requestsPerSecond">;
+type Statements = Pick<
+  ResponseAttributes,
+  "misdirected" | "leaving" | "stayAwayMs" | "requestsPerSecond"
+>;
 type Upstream = Pick<UpstreamEntry, "id" | "service">;
 
-/** Records what upstreams state in responses, and what is sent to those that state a limit. */
+/** Records what upstreams state in responses, and lets through what may be sent to them. */
 export class UpstreamStatements {
   private constructor(private readonly parts: Parts) {}
 
@@ -32,39 +36,37 @@
     return new UpstreamStatements(parts);
   }
 
-  /** Records the availability and limit in a response of the upstream process with this health. */
-  recordResponse(upstream: Upstream, health: UpstreamHealth, attributes: Statements): void {
-    recordAvailability(this.parts.decisionLines, upstream, health, attributes);
-    this.recordLimit(upstream, health, attributes.requestsPerSecond);
-  }
-
-  private recordLimit(
-    { id, service }: Upstream,
+  /**
+   * Records the availability and limit in a response of the upstream process with this health.
+   * `permit` is the one with which the request was sent.
+   */
+  recordResponse(
+    upstream: Upstream,
     health: UpstreamHealth,
-    requestsPerSecond: number | undefined,
+    attributes: Statements,
+    permit: Permit | undefined,
   ): void {
-    const { self, timers, decisionLines } = this.parts;
-    const previous = health.statedLimit;
-    const stated: StatedLimit | undefined =
-      requestsPerSecond === undefined
-        ? undefined
-        : { perSecond: requestsPerSecond, receiver: self, learntMs: timers.now() };
-    health.statedLimit = stated;
-    if (stated?.perSecond === previous?.perSecond) return;
-    decisionLines.write("upstream limit", {
-      upstream: id,
-      service,
-      perSecond: stated?.perSecond ?? null,
-      previous: previous?.perSecond ?? null,
-      receiver: self,
-    });
+    // Another process answers at the address.
+    if (attributes.misdirected) return;
+    const { decisionLines, limitKnowledge } = this.parts;
+    recordAvailability(decisionLines, upstream, health, attributes);
+    limitKnowledge.recordResponse(upstream.id, health, attributes.requestsPerSecond, permit);
   }
 
-  /** Logs and counts what is sent to an upstream while it states a limit. */
-  recordSent({ id, service }: Upstream, health: UpstreamHealth, kind: SentKind): void {
+  /**
+   * Must be called just before anything is sent to an upstream; returns false if it must not be
+   * sent, because the upstream states a limit and there is no valid permit. Uses the permit.
+   */
+  trySend(
+    { id, service }: Upstream,
+    health: UpstreamHealth,
+    kind: SentKind,
+    permit: Permit | undefined,
+  ): boolean {
     const { timers, decisionLines, forwardMetrics } = this.parts;
     const limit = health.statedLimit;
-    if (limit === undefined) return;
+    if (limit === undefined) return true;
+    if (permit?.tryUse() !== true) return false;
     forwardMetrics.recordSentUnderLimit(service, kind);
     decisionLines.write("sent under limit", {
       upstream: id,
@@ -73,6 +75,8 @@
       perSecond: limit.perSecond,
       receiver: limit.receiver,
       ageMs: Math.round(timers.now() - limit.learntMs),
+      owner: permit.grant.owner,
     });
+    return true;
   }
 }
--- a/src/forward/stated-limit.ts
+++ b/src/limit/stated-limit.ts
@@ -6,4 +6,6 @@
   readonly receiver: string;
   /** Time at which this instance learnt of it, on the monotonic clock in ms. */
   readonly learntMs: number;
+  /** Whether the owner of the limit knows of it. */
+  readonly reported: boolean;
 }
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -31,6 +31,9 @@
   [PeerMethod.StageRelease]: true,
   [PeerMethod.StageResults]: true,
   [PeerMethod.StoreRows]: false,
+  [PeerMethod.LimitPermit]: false,
+  [PeerMethod.LimitReport]: true,
+  [PeerMethod.LimitsKnown]: true,
 };
 
 /** JSON-RPC calls to one peer. */
--- a/src/peer/peer-method.ts
+++ b/src/peer/peer-method.ts
@@ -13,4 +13,7 @@
   StageRelease = "stage.release",
   StageResults = "stage.results",
   StoreRows = "store.rows",
+  LimitPermit = "limit.permit",
+  LimitReport = "limit.report",
+  LimitsKnown = "limit.known",
 }
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { changeSchema } from "../configuration/configuration-change.js";
+import { knownLimitsSchema } from "../limit/limit-messages.js";
 
 /** Schema of the updates that daemons broadcast. */
 export const updateSchema = z.discriminatedUnion("kind", [
@@ -28,6 +29,8 @@
     contentDigest: z.string(),
     expiresMs: z.number(),
   }),
+  /** Limits that upstreams state for the requests of all instances together. */
+  knownLimitsSchema.extend({ kind: z.literal("upstream-limits") }),
   /** Request content that ran to completion and is no longer suspect. */
   z.object({ kind: z.literal("crash-acquittal"), team: z.string(), contentDigest: z.string() }),
 ]);
--- a/src/routing/crash-suspects.ts
+++ b/src/routing/crash-suspects.ts
@@ -206,6 +206,7 @@
   private applyUpdate(update: Update): void {
     switch (update.kind) {
       case "configuration":
+      case "upstream-limits":
         return;
       case "crash-acquittal":
         this.suspicions.delete(update);
