Play limits that upstreams state in the soak

The check counts the requests of daemons that had passed on such an answer half a second before and were not disturbed: from 3 s after the first statement, no 4 s may have more than one and a half times the limit and 5.

The check has a case that fails it and one that passes it.

--- a/features/soak-checks.feature
+++ b/features/soak-checks.feature
@@ -22,6 +22,12 @@
       | plain            | it runs with its key                          | ran with the key or for another team      |
       | plain            | its key was removed 3 s before                | ran with a key that was removed           |
       | plain            | its upstream had left 3 s before              | too late at u1                            |
+      | plain            | its upstream gets 12 such requests in 3 s from 4 s after it states a limit of 1 | got 12 requests in 4 s |
+
+  Scenario: Requests within a stated limit are no finding
+    Given a request of kind "plain" that was answered well and ran once
+    When its upstream gets 11 such requests in 3 s from 4 s after it states a limit of 1
+    Then the checks find nothing
 
   Scenario: The bounds do not hold for a daemon that was disturbed
     Given a request of kind "plain" that was answered well and ran once
--- a/features/steps/soak-checks.ts
+++ b/features/steps/soak-checks.ts
@@ -14,6 +14,7 @@
 
 interface ChecksWorld {
   asked: SoakRequest;
+  others: SoakRequest[];
   runs: SeenRequest[];
   keys: KeyChange[];
   leavings: Leaving[];
@@ -33,8 +34,8 @@
 }
 
 function findings(world: ChecksWorld): string[] {
-  const { runs, keys, leavings, troubles, asked } = world;
-  return checkPromises({ ran: runs, keys, leavings, troubles }, [asked]);
+  const { runs, keys, leavings, troubles, asked, others } = world;
+  return checkPromises({ ran: runs, seen: runs, keys, leavings, troubles }, [asked, ...others]);
 }
 
 Given(
@@ -67,8 +68,10 @@
         key: undefined,
         leftMs: 1_000,
         inputs: [],
+        limit: undefined,
       },
     ];
+    this.others = [];
     this.keys = [{ key: KEY, fromMs: 0 }];
     this.leavings = [];
     this.troubles = TroubleLog.create();
@@ -79,6 +82,25 @@
   this.runs = [...this.runs, ...this.runs];
 });
 
+When(
+  "its upstream gets {int} such requests in {int} s from 4 s after it states a limit of {int}",
+  function (this: ChecksWorld, count: number, seconds: number, limit: number) {
+    const [run] = this.runs;
+    assert.ok(run !== undefined);
+    changeRun(this, { limit });
+    for (let at = 0; at < count; at += 1) {
+      const id = `limited-${at}`;
+      const atMs = run.atMs + 4_000 + (at * seconds * 1_000) / count;
+      const url = run.url.replace(ID, id);
+      const body = run.body.replace(ID, id);
+      this.runs.push({ ...run, limit, attemptId: id, url, body, atMs });
+      const times = { sentMs: atMs - 10, endedMs: atMs + 20 };
+      const answered = { id, answered: id, body: `answer to ${id}` };
+      this.others.push({ ...this.asked, ...answered, ...times });
+    }
+  },
+);
+
 When("it was answered {int}", function (this: ChecksWorld, status: number) {
   change(this, { status });
 });
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -13,6 +13,11 @@
 const SERIES_SHARE = 0.25;
 const SERIES_GAP_MS = 400;
 
+const MEAN_LIMIT_GAP_MS = 4_000;
+const LEAST_LIMIT_MS = 8_000;
+/** Limits that upstreams state, in requests per second. */
+const LIMITS = [0.5, 1, 2, 10];
+
 const HARMED = Object.values(LinkState).filter((state) => state !== LinkState.Open);
 const UNWELL = Object.values(UpstreamMode).filter((mode) => mode !== UpstreamMode.Serving);
 const AWAY = [StoreMode.Busy, StoreMode.Silent];
@@ -42,6 +47,20 @@
   return plan.sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Draws limits that upstreams state, each long enough for the bound on it to hold. */
+export function drawLimits(random: RandomSource, size: PlanSize): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = random.exponential(MEAN_LIMIT_GAP_MS);
+  while (atMs < size.lengthMs) {
+    const perSecond = LIMITS[random.below(LIMITS.length)] ?? 1;
+    const target = random.below(size.upstreams);
+    const forMs = LEAST_LIMIT_MS + random.exponential(MEAN_MS);
+    plan.push({ atMs, forMs, fault: { kind: "limit", perSecond, target } });
+    atMs += random.exponential(MEAN_LIMIT_GAP_MS);
+  }
+  return plan;
+}
+
 function ofUpstream(fault: SoakFault): boolean {
   if (fault.kind === "link") return fault.side === LinkSide.Upstream;
   return fault.kind === "upstream" || fault.kind === "leaving";
--- a/soak/promise-check.ts
+++ b/soak/promise-check.ts
@@ -1,5 +1,6 @@
 import { siteBounds } from "../standin/platform-site.js";
 import type { SeenRequest } from "../standin/platform-upstream.js";
+import { checkLimits } from "./limit-check.js";
 import type { KeyChange, Leaving } from "./soak-fleet.js";
 import type { TroubleLog } from "./trouble-log.js";
 import { RequestKind, type SoakRequest, runsOnce } from "./soak-request.js";
@@ -21,6 +22,8 @@
 export interface Witness {
   /** Requests that upstreams ran. */
   readonly ran: readonly SeenRequest[];
+  /** Requests that reached upstreams, also if these did not run them. */
+  readonly seen: readonly SeenRequest[];
   readonly keys: readonly KeyChange[];
   readonly leavings: readonly Leaving[];
   readonly troubles: TroubleLog;
@@ -42,6 +45,7 @@
   for (const request of requests) {
     findings.push(...checkAnswer(witness, request, runs.get(request.id) ?? []));
   }
+  findings.push(...checkLimits(witness.seen, sent, (request) => inTouch(witness, request)));
   return findings;
 }
 
--- a/soak/soak-driver.ts
+++ b/soak/soak-driver.ts
@@ -81,6 +81,15 @@
           fleet.rejoin(fault.target);
         });
         return;
+      case "limit": {
+        const upstream = fleet.site.upstreams[fault.target];
+        if (upstream === undefined) return;
+        upstream.requestLimit = String(fault.perSecond);
+        await this.hold(`limit ${fault.target}`, forMs, () => {
+          upstream.requestLimit = undefined;
+        });
+        return;
+      }
       case "key":
         fleet.changeKey();
     }
@@ -144,6 +153,7 @@
         ? `upstream ${fault.target}`
         : `daemon ${fault.target}`;
     case "upstream":
+    case "limit":
       return `upstream ${fault.target}`;
     case "leaving":
       return "leaving";
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -34,6 +34,7 @@
   | { readonly kind: "history" }
   | { readonly kind: "upstream"; readonly mode: UpstreamMode; readonly target: number }
   | { readonly kind: "leaving"; readonly target: number }
+  | { readonly kind: "limit"; readonly perSecond: number; readonly target: number }
   | { readonly kind: "key" };
 
 /** A disturbance and its time from the start of the traffic, in ms. */
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -84,6 +84,11 @@
     return link;
   }
 
+  /** Requests that reached upstreams. */
+  get seen(): SeenRequest[] {
+    return this.site.upstreams.flatMap(({ seen }) => seen);
+  }
+
   /** Requests that upstreams ran. */
   get ran(): SeenRequest[] {
     return this.site.upstreams.flatMap(({ ran }) => ran);
@@ -119,7 +124,10 @@
   /** Ends all disturbances and starts the daemons that are down. */
   async heal(): Promise<void> {
     this.site.store.mode = StoreMode.Serving;
-    for (const upstream of this.site.upstreams) upstream.mode = UpstreamMode.Serving;
+    for (const upstream of this.site.upstreams) {
+      upstream.mode = UpstreamMode.Serving;
+      upstream.requestLimit = undefined;
+    }
     for (const link of this.links) link.state = LinkState.Open;
     for (const { daemon } of this.instances) {
       daemon.signal("SIGCONT");
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -25,6 +25,8 @@
   readonly leftMs: number;
   /** Handles of results. */
   readonly inputs: readonly string[];
+  /** Limit that the upstream stated then, in requests per second of all daemons. */
+  readonly limit: number | undefined;
 }
 
 /** A small stand-in of one upstream: engine, plain service and stage service at once. */
@@ -137,6 +139,7 @@
       key: text("x-api-key"),
       leftMs: Number(text("nutmegstage-deadline-ms")),
       inputs: text("nutmegstage-inputs")?.split(",") ?? [],
+      limit: this.requestLimit === undefined ? undefined : Number(this.requestLimit),
     };
   }
 
