Do not ask an owner of a limit again that did not answer

A request that could have gone to another upstream waited 425 ms for the owner of a limit if that instance was frozen or gone, and so did the next ones, until the members saw that it was missing 4.5 s later. An owner that does not answer within 200 ms beside the wait is now avoided for 2 s, as owners of stage calls are; meanwhile the upstream gets nothing from this instance.

--- a/features/fleet-limits.feature
+++ b/features/fleet-limits.feature
@@ -64,6 +64,14 @@
       | 100   | 3 of 8 instances are cut off                     | 1.5 times 100 per second and 5   |
       | 10    | all instances are cut off from each other        | 1.5 times 10 per second and 5    |
 
+  # Guards against requests that each wait for an owner that does not answer.
+  Scenario: An owner that does not answer delays no further requests
+    Given 8 instances and an upstream that accepts 1 request per second
+    When 1 instance sends a request
+    And nothing is sent for 2 s
+    And the owner does not answer while an instance sends 5 requests within 2 s
+    Then they were refused after 450 ms in all
+
   # Guards against a permit that is used after a pause of the process.
   Scenario: An instance that was frozen does not use an old permit
     Given 8 instances and an upstream that accepts 10 requests per second
--- a/features/steps/fleet-limit-checks.ts
+++ b/features/steps/fleet-limit-checks.ts
@@ -178,3 +178,7 @@
     { numRuns: 100 },
   );
 });
+
+Then("they were refused after {int} ms in all", function (this: FleetWorld, ms: number) {
+  assert.ok(this.refusedAfterMs <= ms, `${this.refusedAfterMs} ms`);
+});
--- a/features/steps/fleet-limits.ts
+++ b/features/steps/fleet-limits.ts
@@ -165,3 +165,24 @@
     await fleet.timers.advance(2 * MS_PER_SECOND);
   },
 );
+
+When(
+  "the owner does not answer while an instance sends {int} requests within {int} s",
+  async function (this: FleetWorld, count: number, seconds: number) {
+    const { limitFleet: fleet } = this;
+    const { owner } = fleet;
+    const instance = fleet.instances.find((each) => each !== owner);
+    assert.ok(instance !== undefined);
+    fleet.network.frozen.add(owner.id);
+    this.refusedAfterMs = 0;
+    const send = async (): Promise<void> => {
+      const startMs = fleet.timers.now();
+      assert.equal(await fleet.send(instance, { maxWaitMs: 25 }), false);
+      this.refusedAfterMs += fleet.timers.now() - startMs;
+    };
+    for (let at = 0; at < count; at += 1) {
+      void send();
+      await fleet.timers.advance((seconds * MS_PER_SECOND) / count);
+    }
+  },
+);
--- a/features/support/limit-world.ts
+++ b/features/support/limit-world.ts
@@ -8,4 +8,5 @@
   eventMs: number;
   sent: Promise<boolean>[];
   refusedAtOnce: number;
+  refusedAfterMs: number;
 }
--- a/src/limit/upstream-permits.ts
+++ b/src/limit/upstream-permits.ts
@@ -3,6 +3,7 @@
 import type { UpstreamEntry } from "../forward/upstream-entry.js";
 import type { UpstreamHealth } from "../forward/upstream-health.js";
 import type { UpstreamHealthRegistry } from "../forward/upstream-health-registry.js";
+import { AvoidedInstances } from "../peer/avoided-instances.js";
 import type { PeerCalls } from "../peer/peer-calls.js";
 import { PeerMethod } from "../peer/peer-method.js";
 import type { Timers } from "../time/timers.js";
@@ -13,8 +14,8 @@
 import type { PermitApplicant } from "./permit-queue.js";
 import type { StatedLimit } from "./stated-limit.js";
 
-/** Time limit of a call to the owner of a limit beside the wait; some round trips in a region. */
-const OWNER_CALL_TIMEOUT_MS = 400;
+/** Time limit of a call to the owner of a limit beside the wait; a round trip between regions. */
+const OWNER_CALL_TIMEOUT_MS = 200;
 /** Longest time for which the expected wait of a refusal is used instead of another request. */
 const MAX_REFUSAL_AGE_MS = 1_000;
 /** Wait after an owner that did not answer, or was not the owner. */
@@ -60,8 +61,12 @@
   /** The last refusal by process of an upstream. */
   private readonly refusals = new WeakMap<UpstreamHealth, Refusal>();
   private readonly waitingByOwner = new Map<string, number>();
+  /** Owners that did not answer; each further request would wait for the time limit again. */
+  private readonly silentOwners: AvoidedInstances;
 
-  private constructor(private readonly parts: Parts) {}
+  private constructor(private readonly parts: Parts) {
+    this.silentOwners = AvoidedInstances.create(parts.timers);
+  }
 
   static create(parts: Parts): UpstreamPermits {
     return new UpstreamPermits(parts);
@@ -113,7 +118,7 @@
     const owner = limitOwners.ownerOf(id);
     const waiting = this.waitingByOwner.get(owner) ?? 0;
     const retry = { kind: "refused", availableInMs: OWNER_RETRY_MS } as const;
-    if (waiting >= MAX_WAITING_PER_OWNER) return retry;
+    if (waiting >= MAX_WAITING_PER_OWNER || this.silentOwners.has(owner)) return retry;
     const { startedMs } = health;
     const { perSecond, receiver } = limit;
     const request = { upstream: id, startedMs, perSecond, receiver, rank, team, maxWaitMs };
@@ -146,6 +151,7 @@
         await peerCalls.call(owner, PeerMethod.LimitPermit, request, timeoutMs),
       );
     } catch (error) {
+      this.silentOwners.add(owner);
       const { upstream } = request;
       decisionLines.write("no permit answer", { upstream, owner, detail: String(error) });
       return undefined;
