--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -13,7 +13,7 @@
  * centres. Without it, requests and permits would miss each other under a high limit.
  */
 const PATIENCE_MS = 25;
-/** Owners of limits that are asked before only upstreams without a limit are considered. */
+/** Refusals by owners of limits after which only upstreams without a limit are considered. */
 const MAX_ASKED = 3;
 /** Upstreams at which a request waits for a permit, one after the other. */
 const MAX_WAITS = 2;
@@ -59,19 +59,19 @@
     const { service, attributes, route } = context;
     const excluded = new Set(tried);
     const limited: UpstreamEntry[] = [];
-    let asked = 0;
-    for (;;) {
+    const exclude = (entries: readonly UpstreamEntry[]): void => {
+      for (const entry of entries) excluded.add(entry.id);
+      limited.push(...entries);
+    };
+    const untriedLimited = this.limitedUpstreams(service).filter(({ id }) => !tried.has(id));
+    exclude(untriedLimited.filter((entry) => this.waitMs(entry, context) > PATIENCE_MS));
+    for (let refusals = 0; ; refusals += 1) {
+      if (refusals === MAX_ASKED) exclude(untriedLimited.filter(({ id }) => !excluded.has(id)));
       const entry = upstreamSelector.select(service, attributes.promptParts, excluded);
       if (entry === undefined) break;
-      const isLimited = this.isLimited(entry);
-      const worthAsking = asked < MAX_ASKED && this.waitMs(entry, context) <= PATIENCE_MS;
-      if (!isLimited || worthAsking) {
-        if (isLimited) asked += 1;
-        const outcome = await this.acquire(entry, context, PATIENCE_MS);
-        if (outcome !== undefined) return outcome;
-      }
-      excluded.add(entry.id);
-      limited.push(entry);
+      const outcome = await this.acquire(entry, context, PATIENCE_MS);
+      if (outcome !== undefined) return outcome;
+      exclude([entry]);
     }
     if (limited.length === 0) return { kind: "none" };
     const endMs = workSpent ? context.deadlineMs : context.targetMs;
@@ -132,8 +132,10 @@
     return this.parts.upstreamPermits.expectedWaitMs(entry, { rank, team: team?.name ?? "" });
   }
 
-  private isLimited({ id }: UpstreamEntry): boolean {
-    return this.parts.upstreamHealth.of(id).statedLimit !== undefined;
+  private limitedUpstreams(service: string): UpstreamEntry[] {
+    const { directory, upstreamHealth } = this.parts;
+    const available = upstreamHealth.available(directory.forService(service));
+    return available.filter(({ id }) => upstreamHealth.of(id).statedLimit !== undefined);
   }
 }
 
--- a/src/limit/limit-grants.ts
+++ b/src/limit/limit-grants.ts
@@ -22,8 +22,8 @@
 const PUBLISH_DELAY_MS = 50;
 /** Time after which a refused requester asks whether another instance has become the owner. */
 const RETRY_MS = 200;
-/** Time limit of the call that tells a new instance the limits. */
-const TELL_TIMEOUT_MS = 1_000;
+/** Time limit of the call that sends the limits to a new instance. */
+const NOTIFY_TIMEOUT_MS = 1_000;
 
 interface Parts {
   readonly timers: Timers;
@@ -47,7 +47,7 @@
   private readonly unpublished = new Set<string>();
   private readonly knownIncarnations = new Map<string, number>();
   private sequence: number;
-  private tellLocally: (limits: readonly KnownLimit[]) => void = () => undefined;
+  private notifyLocally: (limits: readonly KnownLimit[]) => void = () => undefined;
 
   private constructor(private readonly parts: Parts) {
     // Higher than the sequences of an earlier process of this instance.
@@ -64,7 +64,7 @@
       Promise.resolve(grants.report(limitReportSchema.parse(params))),
     );
     members.subscribe(({ id, incarnation, state }) => {
-      if (state === MemberState.Alive) grants.tellNewInstance(id, incarnation);
+      if (state === MemberState.Alive) grants.notifyNewInstance(id, incarnation);
       else if (state === MemberState.Dead) grants.knownIncarnations.delete(id);
     });
     return grants;
@@ -72,7 +72,7 @@
 
   /** Sets the receiver of changes on this instance, which does not get its own updates. */
   onPublished(receiver: (limits: readonly KnownLimit[]) => void): void {
-    this.tellLocally = receiver;
+    this.notifyLocally = receiver;
   }
 
   /** Grants no permits any more; other instances become the owners. */
@@ -164,7 +164,7 @@
       this.unpublished.clear();
       if (limits.length === 0) return;
       updates.publish({ kind: "upstream-limits", limits });
-      this.tellLocally(limits);
+      this.notifyLocally(limits);
     });
   }
 
@@ -178,7 +178,7 @@
   }
 
   /** An instance that has just started has missed earlier updates. */
-  private tellNewInstance(id: string, incarnation: number): void {
+  private notifyNewInstance(id: string, incarnation: number): void {
     const { timers, peerCalls, decisionLines } = this.parts;
     if (this.knownIncarnations.get(id) === incarnation) return;
     this.knownIncarnations.set(id, incarnation);
@@ -186,9 +186,9 @@
       const limits = this.known([...this.limits.keys()]);
       if (limits.length === 0) return;
       peerCalls
-        .call(id, PeerMethod.LimitsKnown, { limits }, TELL_TIMEOUT_MS)
+        .call(id, PeerMethod.LimitsKnown, { limits }, NOTIFY_TIMEOUT_MS)
         .catch((error: unknown) => {
-          decisionLines.write("limits not told", { instance: id, detail: String(error) });
+          decisionLines.write("limits not sent", { instance: id, detail: String(error) });
         });
     });
   }
--- a/src/limit/permit-queue.ts
+++ b/src/limit/permit-queue.ts
@@ -43,9 +43,9 @@
  */
 export class PermitQueue {
   private waiting: Waiting[] = [];
-  /** Earliest tag of the next grant by team; a team that did not wait begins at the present tag. */
+  /** Earliest tag of the next grant by team; a team that did not wait begins at the current tag. */
   private readonly nextTags = new Map<string, number>();
-  private presentTag = 0;
+  private currentTag = 0;
   /** A full pace passes before the first grant, as others may have sent a request just before. */
   private lastGrantMs: number;
   private timer: Subscription | undefined;
@@ -63,7 +63,7 @@
 
   /** Applies a changed rate to what waits. */
   applyRate(): void {
-    this.refuseHopeless();
+    this.refuseLate();
     this.schedule();
   }
 
@@ -101,9 +101,9 @@
   private grant({ team, arrivedMs }: Pick<Waiting, "team" | "arrivedMs">): PermitDecision {
     const now = this.timers.now();
     this.lastGrantMs = Math.max(this.nextGrantMs, now - TIMER_TOLERANCE_MS);
-    this.presentTag = this.nextTag(team);
+    this.currentTag = this.nextTag(team);
     this.nextTags.delete(team);
-    this.nextTags.set(team, this.presentTag + 1);
+    this.nextTags.set(team, this.currentTag + 1);
     if (this.nextTags.size > MAX_TEAMS) {
       const [oldest = ""] = this.nextTags.keys();
       this.nextTags.delete(oldest);
@@ -112,7 +112,7 @@
   }
 
   /** Refuses at once all that would have to wait longer than they can, in the order of grants. */
-  private refuseHopeless(): void {
+  private refuseLate(): void {
     const { intervalMs } = this;
     const now = this.timers.now();
     let grantMs = Math.max(now, this.nextGrantMs);
@@ -140,7 +140,7 @@
   }
 
   private nextTag(team: string): number {
-    return Math.max(this.presentTag, this.nextTags.get(team) ?? 0);
+    return Math.max(this.currentTag, this.nextTags.get(team) ?? 0);
   }
 
   private schedule(): void {
@@ -154,7 +154,7 @@
 
   private grantNext(): void {
     // The process may have been paused, and the right to grant lost meanwhile.
-    this.refuseHopeless();
+    this.refuseLate();
     if (this.timers.now() >= this.nextGrantMs) {
       const [first, ...others] = this.waiting;
       this.waiting = others;
--- a/src/limit/upstream-permits.ts
+++ b/src/limit/upstream-permits.ts
@@ -62,10 +62,10 @@
   private readonly refusals = new WeakMap<UpstreamHealth, Refusal>();
   private readonly waitingByOwner = new Map<string, number>();
   /** Owners that did not answer; each further request would wait for the time limit again. */
-  private readonly silentOwners: AvoidedInstances;
+  private readonly unresponsiveOwners: AvoidedInstances;
 
   private constructor(private readonly parts: Parts) {
-    this.silentOwners = AvoidedInstances.create(parts.timers);
+    this.unresponsiveOwners = AvoidedInstances.create(parts.timers);
   }
 
   static create(parts: Parts): UpstreamPermits {
@@ -118,7 +118,7 @@
     const owner = limitOwners.ownerOf(id);
     const waiting = this.waitingByOwner.get(owner) ?? 0;
     const retry = { kind: "refused", availableInMs: OWNER_RETRY_MS } as const;
-    if (waiting >= MAX_WAITING_PER_OWNER || this.silentOwners.has(owner)) return retry;
+    if (waiting >= MAX_WAITING_PER_OWNER || this.unresponsiveOwners.has(owner)) return retry;
     const { startedMs } = health;
     const { perSecond, receiver } = limit;
     const request = { upstream: id, startedMs, perSecond, receiver, rank, team, maxWaitMs };
@@ -151,7 +151,7 @@
         await peerCalls.call(owner, PeerMethod.LimitPermit, request, timeoutMs),
       );
     } catch (error) {
-      this.silentOwners.add(owner);
+      this.unresponsiveOwners.add(owner);
       const { upstream } = request;
       decisionLines.write("no permit answer", { upstream, owner, detail: String(error) });
       return undefined;
