Keep requests that a limit displaces in the data centre of their results

Cause: the results of a request's stages are made in the data centre of its home engine. If that engine states a limit and has no permit, the next one by hash was taken, in most cases in another data centre.

Such a request now prefers the engines of that data centre that can be reached and have room. The scenario fails before: requests whose home is limited go to data centre b.

--- a/features/upstream-limits.feature
+++ b/features/upstream-limits.feature
@@ -72,3 +72,18 @@
       | upstream limit   | u        | 2         |       | i0       |       |         |               |
       | permit refused   | u        | 2         | 150   | i0       | i0    |         | 401           |
       | sent under limit | u        | 2         | 750   | i0       | i0    | request |               |
+
+  # Guards against large stage results that cross between data centres for want of a permit.
+  Scenario Outline: A request that a limit displaces stays near its stage results
+    Given engines "a1" and "a2" in data centre "a" and "b1", "b2" and "b3" in data centre "b"
+    And "a1" states a limit and has no permits
+    And "a2" is "<state>"
+    When 40 requests with stage results in data centre "a" are dispatched
+    Then none of them goes to "a1"
+    And those whose home is "a1" go to <engines>
+
+    Examples:
+      | state       | engines        |
+      | idle        | "a2"           |
+      | half full   | other engines  |
+      | unreachable | other engines  |
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -19,6 +19,7 @@
 import { isRepeatable } from "./route.js";
 import { UpstreamAttempt } from "./upstream-attempt.js";
 import type { PermittedSelection } from "./permitted-selection.js";
+import type { StageInputs } from "./stage-inputs.js";
 import type { UpstreamSelector } from "./upstream-selector.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
@@ -58,15 +59,15 @@
   private constructor(
     private readonly parts: Parts,
     private readonly context: RequestContext,
-    private readonly inputs: readonly string[] | undefined,
+    private readonly inputs: StageInputs | undefined,
     private readonly onInputsRead: () => void,
   ) {}
 
-  /** `onInputsRead` is called when an engine has read the stage results of the handles `inputs`. */
+  /** `onInputsRead` is called when an engine has read the stage results `inputs`. */
   static create(
     parts: Parts,
     context: RequestContext,
-    inputs: readonly string[] | undefined,
+    inputs: StageInputs | undefined,
     onInputsRead: () => void,
   ): DispatchLoop {
     return new DispatchLoop(parts, context, inputs, onInputsRead);
@@ -96,8 +97,8 @@
 
   private async select(): Promise<{ entry: UpstreamEntry; permit: Permit | undefined }> {
     const { permittedSelection } = this.parts;
-    const workSpent = this.mayHaveRun || (this.inputs?.length ?? 0) > 0;
-    const outcome = await permittedSelection.select(this.context, this.tried, workSpent);
+    const { context, tried, mayHaveRun, inputs } = this;
+    const outcome = await permittedSelection.select({ context, tried, mayHaveRun, inputs });
     switch (outcome.kind) {
       case "selected":
         return outcome;
@@ -134,7 +135,7 @@
             upstream: entry.id,
             remainingMs: Math.max(1, Math.floor(context.deadlineMs - startedMs)),
             team: team?.name,
-            inputs: this.inputs,
+            inputs: this.inputs?.handles,
             lastEventId: progress.lastEventId,
             urgency: streamed ? Math.min(MAX_URGENCY, context.rank) : undefined,
           },
@@ -217,7 +218,7 @@
 
   private scheduleInputsRead(entry: UpstreamEntry): void {
     const { timers } = this.parts;
-    if (!readsInputsAtOnce(this.parts, this.context.route, this.inputs ?? [], entry)) return;
+    if (!readsInputsAtOnce(this.parts, this.context.route, this.inputs, entry)) return;
     timers.after(INPUTS_READ_DELAY_MS, () => {
       this.onInputsRead();
     });
--- a/src/forward/engine-selection.ts
+++ b/src/forward/engine-selection.ts
@@ -4,7 +4,7 @@
 /** Latency ratio, relative to the median, above which an engine counts as slow. */
 const SLOW_RATIO = 2.5;
 /** Share of an engine's slots that one instance fills before it uses the next engine. */
-const MAX_UTILIZATION = 0.5;
+export const MAX_UTILIZATION = 0.5;
 
 /** Input of the engine selection. */
 export interface EngineSelection {
--- a/src/forward/inputs-read.ts
+++ b/src/forward/inputs-read.ts
@@ -1,5 +1,6 @@
 import type { RetryBudget } from "./retry-budget.js";
 import { isRepeatable, type Route } from "./route.js";
+import type { StageInputs } from "./stage-inputs.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
@@ -17,11 +18,11 @@
 export function readsInputsAtOnce(
   { upstreamHealth, directory, retryBudget }: Parts,
   route: Route,
-  inputs: readonly string[],
+  inputs: StageInputs | undefined,
   { id, slots }: UpstreamEntry,
 ): boolean {
   // A repeatable request needs the results again when it is retried.
-  if (inputs.length === 0 || isRepeatable(route)) return false;
+  if ((inputs?.handles.length ?? 0) === 0 || isRepeatable(route)) return false;
   const utilization = upstreamHealth.of(id).inFlight / Math.max(1, slots);
   return (
     utilization * retryBudget.instanceCount <= MAX_UTILIZATION &&
--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -1,8 +1,10 @@
 import type { Permit } from "../limit/permit.js";
 import type { UpstreamPermits } from "../limit/upstream-permits.js";
 import type { Timers } from "../time/timers.js";
+import { MAX_UTILIZATION } from "./engine-selection.js";
 import { expectedLatencyMs } from "./expected-latency.js";
 import type { RequestContext } from "./request-context.js";
+import type { StageInputs } from "./stage-inputs.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
@@ -18,6 +20,17 @@
 /** Upstreams at which a request waits for a permit, one after the other. */
 const MAX_WAITS = 2;
 
+/** Input of a selection. */
+export interface SelectionInput {
+  readonly context: RequestContext;
+  /** IDs of upstreams already attempted. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether an attempt of the request may have run. */
+  readonly mayHaveRun: boolean;
+  /** Undefined if the request has no stages. */
+  readonly inputs: StageInputs | undefined;
+}
+
 /** The upstream for an attempt. */
 export type SelectionOutcome =
   | {
@@ -48,15 +61,10 @@
   /**
    * Selects an upstream that may be used now; if all are limited, waits for the first permit until
    * the target can no longer be met, or until the deadline if work was already spent on the
-   * request. `tried` holds the IDs of upstreams already attempted.
+   * request.
    */
-  async select(
-    context: RequestContext,
-    tried: ReadonlySet<string>,
-    workSpent: boolean,
-  ): Promise<SelectionOutcome> {
-    const { upstreamSelector } = this.parts;
-    const { service, attributes, route } = context;
+  async select({ context, tried, mayHaveRun, inputs }: SelectionInput): Promise<SelectionOutcome> {
+    const { service, route } = context;
     const excluded = new Set(tried);
     const limited: UpstreamEntry[] = [];
     const exclude = (entries: readonly UpstreamEntry[]): void => {
@@ -67,17 +75,44 @@
     exclude(untriedLimited.filter((entry) => this.waitMs(entry, context) > PATIENCE_MS));
     for (let refusals = 0; ; refusals += 1) {
       if (refusals === MAX_ASKED) exclude(untriedLimited.filter(({ id }) => !excluded.has(id)));
-      const entry = upstreamSelector.select(service, attributes.promptParts, excluded);
+      const entry = this.selectNear(context, excluded, limited, inputs?.dataCentre);
       if (entry === undefined) break;
       const outcome = await this.acquire(entry, context, PATIENCE_MS);
       if (outcome !== undefined) return outcome;
       exclude([entry]);
     }
     if (limited.length === 0) return { kind: "none" };
+    const workSpent = mayHaveRun || (inputs?.handles.length ?? 0) > 0;
     const endMs = workSpent ? context.deadlineMs : context.targetMs;
     return this.waitFor(limited, context, endMs - expectedLatencyMs(route));
   }
 
+  /**
+   * Selects an upstream; if a limit displaces the request from the data centre of its stage results,
+   * prefers the others there, as the results may be large.
+   */
+  private selectNear(
+    { service, attributes }: RequestContext,
+    excluded: ReadonlySet<string>,
+    limited: readonly UpstreamEntry[],
+    dataCentre: string | undefined,
+  ): UpstreamEntry | undefined {
+    const { directory, upstreamSelector, upstreamHealth } = this.parts;
+    const entry = upstreamSelector.select(service, attributes.promptParts, excluded);
+    if (entry === undefined || dataCentre === undefined) return entry;
+    const displaced =
+      entry.dataCentre !== dataCentre && limited.some((each) => each.dataCentre === dataCentre);
+    if (!displaced) return entry;
+    const elsewhere = directory
+      .forService(service)
+      .flatMap((each) => (each.dataCentre === dataCentre ? [] : [each.id]));
+    const others = new Set([...excluded, ...elsewhere]);
+    const near = upstreamSelector.select(service, attributes.promptParts, others);
+    if (near === undefined) return entry;
+    const { backingOff, inFlight } = upstreamHealth.of(near.id);
+    return backingOff || inFlight >= MAX_UTILIZATION * near.slots ? entry : near;
+  }
+
   /** Expected wait for the first permit of a service in ms; 0 if an upstream has no limit. */
   expectedWaitMs({ service, rank, team }: RequestContext): number {
     const { directory, upstreamHealth, upstreamPermits } = this.parts;
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -145,11 +145,12 @@
   private async dispatch(
     context: RequestContext,
     stagePhase: StagePhase,
-    inputs: readonly string[],
+    handles: readonly string[],
   ): Promise<number> {
     const onInputsRead = (): void => {
       stagePhase.release();
     };
+    const inputs = { handles, dataCentre: stagePhase.engineDataCentre };
     return DispatchLoop.create(this.parts, context, inputs, onInputsRead).run();
   }
 
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -59,6 +59,11 @@
     return new StagePhase(parts, task);
   }
 
+  /** Data centre that the results are made for. */
+  get engineDataCentre(): string | undefined {
+    return this.task.engineDataCentre;
+  }
+
   /** Whether any piece of the request may have run. */
   get begun(): boolean {
     return this.possiblyRunSubmissions > 0;
