State a retry delay when a request gets no permit and no wait is known

A request that waited at two upstreams in vain was refused with a retry delay of 0 ms if the refusals of the others were older than a second, so that its caller returned at once into the same shortage.

--- a/features/steps/limited-selection.ts
+++ b/features/steps/limited-selection.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { PermittedSelection } from "../../src/forward/permitted-selection.js";
+import {
+  PermittedSelection,
+  type SelectionOutcome,
+} from "../../src/forward/permitted-selection.js";
 import type { RequestContext } from "../../src/forward/request-context.js";
 import { RouteView } from "../../src/forward/route-view.js";
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
@@ -17,6 +20,7 @@
   upstreamHealth: UpstreamHealthRegistry;
   upstreamSelector: UpstreamSelector;
   selection: PermittedSelection;
+  outcome: SelectionOutcome;
   /** IDs of the home engine and the selected one, by request. */
   selected: { home: string | undefined; id: string }[];
 }
@@ -80,15 +84,33 @@
   },
 );
 
+function limit(world: SelectionWorld, id: string): void {
+  const stated = { perSecond: 1, receiver: "i0", learntMs: 0, reported: true };
+  world.upstreamHealth.of(id).statedLimit = stated;
+}
+
 Given("{string} states a limit and has no permits", function (this: SelectionWorld, id: string) {
-  this.upstreamHealth.of(id).statedLimit = {
-    perSecond: 1,
-    receiver: "i0",
-    learntMs: 0,
-    reported: true,
-  };
+  limit(this, id);
+});
+
+Given("all engines state a limit and have no permits", function (this: SelectionWorld) {
+  for (const id of ["a1", "a2", "b1", "b2", "b3"]) limit(this, id);
+});
+
+When("a request is dispatched", async function (this: SelectionWorld) {
+  const tried = new Set<string>();
+  const input = { context: contextOf("p"), tried, mayHaveRun: false, inputs: undefined };
+  this.outcome = await this.selection.select(input);
 });
 
+Then(
+  "it is refused with a retry delay of at least {int} ms",
+  function (this: SelectionWorld, ms: number) {
+    assert.ok(this.outcome.kind === "limited");
+    assert.ok(this.outcome.availableInMs >= ms, `${this.outcome.availableInMs} ms`);
+  },
+);
+
 Given(
   /^"(.+)" is "(idle|half full|unreachable)"$/,
   function (this: SelectionWorld, id: string, state: string) {
--- a/features/upstream-limits.feature
+++ b/features/upstream-limits.feature
@@ -87,3 +87,10 @@
       | idle        | "a2"           |
       | half full   | other engines  |
       | unreachable | other engines  |
+
+  # Guards against refused callers that return at once into the same shortage.
+  Scenario: A request that gets no permit is told to retry later although no wait is known
+    Given engines "a1" and "a2" in data centre "a" and "b1", "b2" and "b3" in data centre "b"
+    And all engines state a limit and have no permits
+    When a request is dispatched
+    Then it is refused with a retry delay of at least 300 ms
--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -20,6 +20,9 @@
 /** Upstreams at which a request waits for a permit, one after the other. */
 const MAX_WAITS = 2;
 
+/** Lower bound of the retry delay of a refused request, as the expected wait may be unknown. */
+const MIN_RETRY_AFTER_MS = 300;
+
 /** Input of a selection. */
 export interface SelectionInput {
   readonly context: RequestContext;
@@ -136,7 +139,8 @@
       const outcome = await this.acquire(entry, context, leftMs);
       if (outcome !== undefined) return outcome;
     }
-    return { kind: "limited", availableInMs: Math.min(...limited.map(waitMs)) };
+    const availableInMs = Math.max(MIN_RETRY_AFTER_MS, Math.min(...limited.map(waitMs)));
+    return { kind: "limited", availableInMs };
   }
 
   private async acquire(
