Register owners of limits when the instance starts

Traced: no permit was granted until 2.5 s after the first request, also if the daemon had been running for 3 s. The parts of an instance are made when they are first used, so that an owner registered for permits and reports, and began to count its settling time, with its first request. An instance without requests of its own granted nothing to others.

The parts now register when the instance starts.

--- a/features/steps/upstream-limits.ts
+++ b/features/steps/upstream-limits.ts
@@ -67,13 +67,16 @@
 );
 
 When(
-  "callers send {int} requests per second to all daemons for {int} s",
-  async function (this: LimitWorld, perSecond: number, seconds: number) {
+  /^callers send (\d+) requests per second to (all daemons|the first daemon) for (\d+) s$/,
+  async function (this: LimitWorld, rate: string, receivers: string, duration: string) {
+    const perSecond = Number(rate);
+    const seconds = Number(duration);
     const { front } = this;
     this.latenciesMs = new Map();
     const sent: Promise<PlatformAnswer>[] = [];
     for (let at = 0; at < perSecond * seconds; at += 1) {
-      const daemon = front.daemons[at % front.daemons.length];
+      const receiver = receivers === "all daemons" ? at % front.daemons.length : 0;
+      const daemon = front.daemons[receiver];
       const path = PATHS[Math.floor(at / front.daemons.length) % PATHS.length] ?? "";
       sent.push(
         timed(this, front.request(path, { pieces: 1, pieceKey: "k", id: `sent-${at}` }, daemon)),
--- a/features/support/limit-instance.ts
+++ b/features/support/limit-instance.ts
@@ -70,6 +70,7 @@
     const parts = { ...shared, limitOwners: this.owners, limitGrants: this.grants };
     this.upstreamPermits = UpstreamPermits.create(parts);
     const limitKnowledge = LimitKnowledge.create(parts);
+    limitKnowledge.start();
     this.statements = UpstreamStatements.create({ ...parts, limitKnowledge });
   }
 
--- a/features/upstream-limits.feature
+++ b/features/upstream-limits.feature
@@ -26,10 +26,20 @@
     Given a platform with the upstreams "u1" and "u2" and 1 daemons
     And "u1" states a limit of "1" requests per second
     And "u2" states a limit of "1" requests per second
+    And 3000 ms pass in real time
     When callers send 10 requests per second to all daemons for 5 s
     Then the refused callers were told to retry, within 500 ms, and their requests did not run
     And at least 20 of the callers were refused
-    And at least 6 of the callers were served
+    And at least 7 of the callers were served
+
+  # Guards against owners of limits that register for calls with their first request.
+  Scenario: An instance without requests of its own grants permits
+    Given a platform with the upstreams "u1" and "u2" and 4 daemons
+    And "u1" states a limit of "1" requests per second
+    And "u2" states a limit of "1" requests per second
+    And 3000 ms pass in real time
+    When callers send 10 requests per second to the first daemon for 5 s
+    Then at least 7 of the callers were served
 
   # Guards against a limit that applies to another process at the same address.
   Scenario: A response of another upstream than the expected one states no limit
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -27,8 +27,9 @@
   async start(): Promise<void> {
     const { peerServer, membership, storeView, frontServer, statusServer, readiness } = this.parts;
     this.parts.pauses.start();
-    // Peer calls are registered when their part is made, which must happen before they arrive.
+    // Peer calls must be registered before they arrive, also if this instance has no requests yet.
     this.parts.stageDispatch.start();
+    this.parts.limitKnowledge.start();
     await Promise.all([peerServer.listen(), frontServer.listen(), statusServer.listen()]);
     storeView.start();
     this.parts.ownerConnections.start();
--- a/src/limit/limit-grants.ts
+++ b/src/limit/limit-grants.ts
@@ -55,19 +55,23 @@
   }
 
   static create(parts: Parts): LimitGrants {
-    const grants = new LimitGrants(parts);
-    const { peerMethods, members } = parts;
+    return new LimitGrants(parts);
+  }
+
+  /** Registers for the calls of other instances. */
+  start(): void {
+    const { peerMethods, members, limitOwners } = this.parts;
+    limitOwners.start();
     peerMethods.register(PeerMethod.LimitPermit, (params) =>
-      grants.request(permitRequestSchema.parse(params)),
+      this.request(permitRequestSchema.parse(params)),
     );
     peerMethods.register(PeerMethod.LimitReport, (params) =>
-      Promise.resolve(grants.report(limitReportSchema.parse(params))),
+      Promise.resolve(this.report(limitReportSchema.parse(params))),
     );
     members.subscribe(({ id, incarnation, state }) => {
-      if (state === MemberState.Alive) grants.notifyNewInstance(id, incarnation);
-      else if (state === MemberState.Dead) grants.knownIncarnations.delete(id);
+      if (state === MemberState.Alive) this.notifyNewInstance(id, incarnation);
+      else if (state === MemberState.Dead) this.knownIncarnations.delete(id);
     });
-    return grants;
   }
 
   /** Sets the receiver of changes on this instance, which does not get its own updates. */
--- a/src/limit/limit-knowledge.ts
+++ b/src/limit/limit-knowledge.ts
@@ -35,18 +35,23 @@
   private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): LimitKnowledge {
-    const knowledge = new LimitKnowledge(parts);
-    parts.updates.subscribe((update) => {
-      if (update.kind === "upstream-limits") knowledge.apply(update.limits);
+    return new LimitKnowledge(parts);
+  }
+
+  /** Registers for the limits that other instances tell, and as an owner of limits. */
+  start(): void {
+    const { updates, limitGrants, peerMethods } = this.parts;
+    updates.subscribe((update) => {
+      if (update.kind === "upstream-limits") this.apply(update.limits);
     });
-    parts.limitGrants.onPublished((limits) => {
-      knowledge.apply(limits);
+    limitGrants.onPublished((limits) => {
+      this.apply(limits);
     });
-    parts.peerMethods.register(PeerMethod.LimitsKnown, (params) => {
-      knowledge.apply(knownLimitsSchema.parse(params).limits);
+    peerMethods.register(PeerMethod.LimitsKnown, (params) => {
+      this.apply(knownLimitsSchema.parse(params).limits);
       return Promise.resolve(true);
     });
-    return knowledge;
+    limitGrants.start();
   }
 
   /**
--- a/src/limit/limit-owners.ts
+++ b/src/limit/limit-owners.ts
@@ -44,20 +44,25 @@
 export class LimitOwners {
   private view: View = { candidates: [], withSuspects: [], fraction: 1 };
   private viewedMs = -Infinity;
-  private settledMs: number;
+  private settledMs = Infinity;
   private isLeaving = false;
 
-  private constructor(private readonly parts: Parts) {
-    this.settledMs = parts.timers.now() + SETTLE_MS;
-    parts.pauses.subscribe(() => {
-      this.settledMs = parts.timers.now() + SETTLE_MS;
-    });
-  }
+  private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): LimitOwners {
     return new LimitOwners(parts);
   }
 
+  /** Must be called when the instance starts; it grants nothing before. */
+  start(): void {
+    const { timers, pauses } = this.parts;
+    const settle = (): void => {
+      this.settledMs = timers.now() + SETTLE_MS;
+    };
+    settle();
+    pauses.subscribe(settle);
+  }
+
   /** Time until this instance may grant permits, in ms; 0 unless it started or paused recently. */
   get settlesInMs(): number {
     return Math.max(0, this.settledMs - this.parts.timers.now());
