Show that streams go on at another software version

Daemons before stand-in engines of two versions, which break off streams; callers who resume them at other daemons, and all daemons ended at the same moment.

--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -30,6 +30,7 @@
 export class FrontHost {
   readonly daemons: RunningDaemon[] = [];
   private sequence = 0;
+  private started = 0;
 
   private constructor(readonly site: PlatformSite) {}
 
@@ -50,7 +51,8 @@
     const free = await PlatformSite.daemonPorts();
     const storeLink = await FaultLink.create(SystemTimers.create(), site.storePort);
     const ports = { ...free, store: storeLink.port };
-    const id = `i${this.daemons.length}`;
+    const id = `i${this.started}`;
+    this.started += 1;
     const settings = frontSettingsSchema.parse(site.settingsOf(id, ports, "error"));
     const daemon = FrontDaemon.create(settings, {
       dialect: RequestDialect.create(),
@@ -75,6 +77,14 @@
     return askPlatform({ port: callers, path, id: `r${this.sequence}`, key: KEY, ...fields });
   }
 
+  /** Ends all daemons at the same moment and starts as many new ones, which know nothing. */
+  async replaceAll(): Promise<void> {
+    const ended = this.daemons.splice(0);
+    await Promise.all(ended.map(({ daemon }) => daemon.close()));
+    await Promise.all(ended.map(({ storeLink }) => storeLink.stop()));
+    await Promise.all(ended.map(() => this.startDaemon()));
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map(({ daemon }) => daemon.close()));
     await Promise.all(this.daemons.map(({ storeLink }) => storeLink.stop()));
--- a/standin/platform-caller.ts
+++ b/standin/platform-caller.ts
@@ -19,6 +19,10 @@
   readonly pieceKey?: string;
   /** IDs of the parts of the prompt. */
   readonly promptParts?: readonly string[];
+  /** Attempt that brought the first event of the stream that this request resumes. */
+  readonly resumes?: string;
+  /** ID of the last event that the caller got. */
+  readonly lastEventId?: string;
   /** Keeps connections for further requests. */
   readonly agent?: Agent;
   /** The caller leaves when it aborts. */
@@ -68,6 +72,7 @@
           ...(asked.pieces === undefined ? {} : { "nutmegstage-pieces": String(asked.pieces) }),
           ...(asked.pieceKey === undefined ? {} : { "nutmegstage-piece-key": asked.pieceKey }),
           ...promptHeader(asked),
+          ...resumeHeaders(asked),
         },
       },
       (response) => {
@@ -100,3 +105,10 @@
   if (promptParts === undefined) return {};
   return { "nutmegstage-prompt-prefix": promptParts.map((id) => `${id}:100`).join(",") };
 }
+
+function resumeHeaders({ resumes, lastEventId }: PlatformRequest): Record<string, string> {
+  return {
+    ...(resumes === undefined ? {} : { resumes }),
+    ...(lastEventId === undefined ? {} : { "last-event-id": lastEventId }),
+  };
+}
