Log software versions of engines and which stream a request resumes

The log did not tell at which version an attempt ran, after which event it went on, nor that a request resumed a stream, so that joins within an answer could not be told from joins by resumptions.

--- a/features/support/forward-samples.ts
+++ b/features/support/forward-samples.ts
@@ -14,6 +14,7 @@
     draining: false,
     warmupMs: 0,
     startedMs: 0,
+    softwareVersion: "",
     ...fields,
   };
 }
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -57,6 +57,7 @@
       draining: false,
       warmupMs: 0,
       startedMs: 0,
+      softwareVersion: "",
     }));
     const directory = UpstreamDirectory.create({ timers: this.timers });
     this.healthRegistry = UpstreamHealthRegistry.create({ timers: this.timers, directory });
--- a/src/forward/attempt-line.ts
+++ b/src/forward/attempt-line.ts
@@ -2,20 +2,29 @@
 import type { RequestContext } from "./request-context.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 
-/** Fields of the log line about an attempt; times are on the monotonic clock, in ms. */
+/** Times on the monotonic clock in ms, and the ID of the last event before the attempt. */
+interface AttemptSpan {
+  readonly startedMs: number;
+  readonly endedMs: number;
+  readonly after: string | undefined;
+}
+
+/** Fields of the log line about an attempt. */
 export function attemptLine(
   { attributes, service, deadlineMs, progress }: RequestContext,
   entry: UpstreamEntry,
   outcome: AttemptOutcome,
-  { startedMs, endedMs }: { readonly startedMs: number; readonly endedMs: number },
+  { startedMs, endedMs, after }: AttemptSpan,
 ): Readonly<Record<string, unknown>> {
   return {
     attempt: attributes.attemptId,
     upstream: entry.id,
     service,
+    softwareVersion: entry.softwareVersion,
     leftMs: Math.round(deadlineMs - startedMs),
     promptTokens: attributes.promptParts.reduce((sum, { tokens }) => sum + tokens, 0),
     ms: Math.round(endedMs - startedMs),
+    ...(after === undefined ? {} : { after }),
     end: outcome.kind,
     ...("status" in outcome ? { status: outcome.status } : {}),
     ...("detail" in outcome ? { detail: outcome.detail } : {}),
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -103,6 +103,7 @@
     const health = upstreamHealth.of(entry.id);
     this.tried.add(entry.id);
     const startedMs = timers.now();
+    const after = progress.lastEventId;
     const sendState = { sent: false };
     health.inFlight += 1;
     try {
@@ -137,7 +138,7 @@
         },
       ).run();
       forwardMetrics.recordAttempt(service, outcome.kind);
-      const span = { startedMs, endedMs: timers.now() };
+      const span = { startedMs, endedMs: timers.now(), after };
       decisionLines.write("attempt", attemptLine(context, entry, outcome, span));
       if (outcome.kind === "relayed") {
         const latencyRatio = attemptLatencyRatio(context, timers.now() - startedMs, this.runCount);
--- a/src/forward/request-attributes.ts
+++ b/src/forward/request-attributes.ts
@@ -12,4 +12,6 @@
   readonly pieceKey: string | undefined;
   /** ID of the last event that the caller received from an earlier response. */
   readonly lastEventId: string | undefined;
+  /** Attempt of the caller that brought the first event of the stream that this request resumes. */
+  readonly resumes: string | undefined;
 }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -214,6 +214,7 @@
       route,
       team: context?.team?.name,
       rank: context?.rank,
+      resumes: context?.attributes.resumes,
       version: routeView.version,
       status,
       outcome,
--- a/src/forward/upstream-entry.ts
+++ b/src/forward/upstream-entry.ts
@@ -13,4 +13,6 @@
   readonly warmupMs: number;
   /** Start of its process in ms since the epoch; 0 if unknown. */
   readonly startedMs: number;
+  /** Version of its software; empty if it states none. */
+  readonly softwareVersion: string;
 }
