Let streams begin and go on at one software version

Callers got streams that held events of two software versions of an engine: an attempt that broke off went on at any engine that was left, and a resumption at whatever engine its instance chose.

Cause: nothing in the selection of an upstream knew versions, and the header that names the attempt that brought the first event was not read. The record fits: one request went on at an engine of another version within one instance.

The version of a resumable stream now follows from its attempt ID and a plan of the places of each version, kept in the store and changed only when versions change (rendezvous hashing), so that any instance can derive it, also after all have lost power. A stream that begins otherwise, or while two plans disagree on it, is recorded in the store before its events are passed on; if that fails, it is held until it is complete. An answer goes on at its version only; a resumption whose version is gone or not known is refused as not run.

--- a/features/steps/slow-streams.ts
+++ b/features/steps/slow-streams.ts
@@ -78,6 +78,8 @@
         trySend: () => true,
         onResponseStart: () => undefined,
         onAnswer: () => undefined,
+        beginStream: () => undefined,
+        onEvents: () => undefined,
         signal,
       },
     );
--- a/features/steps/stream-versions.ts
+++ b/features/steps/stream-versions.ts
@@ -8,16 +8,18 @@
 /** Events of a stream that lasts through a restart of all daemons. */
 const LONG = { events: 60, eventMs: 50, breakAfter: Infinity };
 const RUNNING_MS = 1_000;
+/** Streams in the message of a failed check. */
+const SHOWN = 3;
 
 interface VersionsWorld {
   front: FrontHost | undefined;
-  fleet: VersionedFleet | undefined;
+  versionedFleet: VersionedFleet | undefined;
   inProgress: Promise<void>;
 }
 
-function fleetOf({ fleet }: VersionsWorld): VersionedFleet {
-  assert(fleet !== undefined);
-  return fleet;
+function fleetOf({ versionedFleet }: VersionsWorld): VersionedFleet {
+  assert(versionedFleet !== undefined);
+  return versionedFleet;
 }
 
 /** The streams that were resumed; a test without any would show nothing. */
@@ -28,7 +30,7 @@
 }
 
 After(async function (this: VersionsWorld) {
-  await this.fleet?.stop();
+  await this.versionedFleet?.stop();
 });
 
 Given(
@@ -42,11 +44,11 @@
     otherCount: number,
     otherVersion: string,
   ) {
-    this.fleet = await VersionedFleet.create(daemons);
-    this.front = this.fleet.front;
-    await this.fleet.addEngines(count, version, WHOLE);
-    await this.fleet.addEngines(otherCount, otherVersion, WHOLE);
-    await this.fleet.settle();
+    this.versionedFleet = await VersionedFleet.create(daemons);
+    this.front = this.versionedFleet.front;
+    await this.versionedFleet.addEngines(count, version, WHOLE);
+    await this.versionedFleet.addEngines(otherCount, otherVersion, WHOLE);
+    await this.versionedFleet.settle();
   },
 );
 
@@ -108,7 +110,9 @@
 Then("every stream is whole", function (this: VersionsWorld) {
   const { streams } = fleetOf(this);
   const whole = streams.filter((stream) => stream.whole);
-  assert.equal(whole.length, streams.length);
+  const broken = streams.filter((stream) => !stream.whole).slice(0, SHOWN);
+  const shown = broken.map(({ eventIds, resumeStatuses }) => ({ eventIds, resumeStatuses }));
+  assert.equal(whole.length, streams.length, `${whole.length} whole; ${JSON.stringify(shown)}`);
 });
 
 Then(
--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -57,7 +57,7 @@
     const daemon = FrontDaemon.create(settings, {
       dialect: RequestDialect.create(),
       rowDecoder: PlatformRowDecoder.create(),
-      rowFeed: ({ timers, forwardMetrics }) =>
+      rowStore: ({ timers, forwardMetrics }) =>
         StoreClient.create({ timers, forwardMetrics, address: settings.store }),
     });
     const { callers, readiness, metrics } = ports;
--- a/features/support/paused-retry.ts
+++ b/features/support/paused-retry.ts
@@ -1,3 +1,4 @@
+import { StreamVersion } from "../../src/version/stream-version.js";
 import type { CrashReports } from "../../src/crash/crash-reports.js";
 import type { PromptGuard } from "../../src/crash/prompt-guard.js";
 import { ErrorKind } from "../../src/error/error-kind.js";
@@ -34,6 +35,7 @@
   const parts = {
     timers,
     dialect: RequestDialect.create(),
+    directory: { forService: () => [entry] },
     upstreamHealth: { of: () => health },
     upstreamSelector: { retryAfter: () => ({}) },
     permittedSelection: {
@@ -60,7 +62,13 @@
     progress: StreamProgress.create(undefined),
   } as unknown as RequestContext;
   try {
-    await DispatchLoop.create(parts, context, undefined, ignore).run();
+    await DispatchLoop.create(
+      parts,
+      context,
+      StreamVersion.unrestricted(),
+      undefined,
+      ignore,
+    ).run();
     throw new Error("the request was served");
   } catch (error) {
     return ServeError.from(error, ErrorKind.Internal);
--- a/features/support/response-trial.ts
+++ b/features/support/response-trial.ts
@@ -127,6 +127,8 @@
       trySend: () => true,
       onResponseStart: () => undefined,
       onAnswer: () => undefined,
+      beginStream: () => undefined,
+      onEvents: () => undefined,
       signal,
     },
   );
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -47,6 +47,14 @@
 import { PauseDetection } from "../time/pause-detection.js";
 import { SystemTimers } from "../time/system-timers.js";
 import type { Timers } from "../time/timers.js";
+import { BegunStreams } from "../version/begun-streams.js";
+import { PlanKeeper } from "../version/plan-keeper.js";
+import { RecordReader } from "../version/record-reader.js";
+import { RecordWriter } from "../version/record-writer.js";
+import type { RowStore } from "../version/row-store.js";
+import { StreamRecords } from "../version/stream-records.js";
+import { StreamVersions } from "../version/stream-versions.js";
+import { VersionPlans } from "../version/version-plans.js";
 import { type PeerCradle, peerParts } from "./peer-parts.js";
 import { Readiness } from "./readiness.js";
 
@@ -54,7 +62,7 @@
 export interface PlatformAdapter {
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
-  readonly rowFeed: (parts: FrontCradle) => RowFeed;
+  readonly rowStore: (parts: FrontCradle) => RowStore;
 }
 
 /** The parts of a daemon on the platform by name. */
@@ -73,6 +81,7 @@
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
   readonly rowFeed: RowFeed;
+  readonly rowStore: RowStore;
   readonly routeView: RouteView;
   readonly instanceList: InstanceList;
   readonly directory: UpstreamDirectory;
@@ -103,6 +112,13 @@
   readonly stagePools: StagePools;
   readonly stageDispatch: StageDispatch;
   readonly storeView: StoreView;
+  readonly versionPlans: VersionPlans;
+  readonly planKeeper: PlanKeeper;
+  readonly recordWriter: RecordWriter;
+  readonly recordReader: RecordReader;
+  readonly streamRecords: StreamRecords;
+  readonly begunStreams: BegunStreams;
+  readonly streamVersions: StreamVersions;
   readonly refusalWriter: RefusalWriter;
   readonly readiness: Readiness;
   readonly admit: () => void;
@@ -140,7 +156,8 @@
     pauses: asFunction(PauseDetection.create).singleton(),
     dialect: asValue(adapter.dialect),
     rowDecoder: asValue(adapter.rowDecoder),
-    rowFeed: asFunction(adapter.rowFeed).singleton(),
+    rowStore: asFunction(adapter.rowStore).singleton(),
+    rowFeed: aliasTo("rowStore"),
     routeView: asFunction(() => RouteView.create()).singleton(),
     configurationView: aliasTo("routeView"),
     demandSource: asValue({ digest: () => ({ services: {}, teams: {} }) }),
@@ -179,6 +196,13 @@
     stagePools: asFunction(StagePools.create).singleton(),
     stageDispatch: asFunction(StageDispatch.create).singleton(),
     storeView: asFunction(StoreView.create).singleton(),
+    versionPlans: asFunction(VersionPlans.create).singleton(),
+    planKeeper: asFunction(PlanKeeper.create).singleton(),
+    recordWriter: asFunction(RecordWriter.create).singleton(),
+    recordReader: asFunction(RecordReader.create).singleton(),
+    streamRecords: asFunction(StreamRecords.create).singleton(),
+    begunStreams: asFunction(() => BegunStreams.create()).singleton(),
+    streamVersions: asFunction(StreamVersions.create).singleton(),
     refusalWriter: asFunction(RefusalWriter.create).singleton(),
     readiness: asFunction(() => Readiness.create()).singleton(),
     admit: asFunction((parts: FrontCradle) => (): void => {
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -30,9 +30,11 @@
     // Peer calls must be registered before they arrive, also if this instance has no requests yet.
     this.parts.stageDispatch.start();
     this.parts.limitKnowledge.start();
+    this.parts.streamRecords.start();
     await Promise.all([peerServer.listen(), frontServer.listen(), statusServer.listen()]);
     storeView.start();
     this.parts.storedConvictions.start();
+    this.parts.planKeeper.start();
     this.parts.ownerConnections.start();
     readiness.clear(UnreadyReason.Starting);
     this.parts.log.info({ message: "listening", callers: this.settings.callers });
@@ -64,6 +66,7 @@
     const { storeView, membership, frontServer, statusServer, peerServer, peerCalls } = this.parts;
     storeView.stop();
     this.parts.storedConvictions.stop();
+    this.parts.planKeeper.stop();
     this.parts.ownerConnections.stop();
     membership.stop();
     this.parts.pauses.stop();
--- a/src/error/answer-table.ts
+++ b/src/error/answer-table.ts
@@ -72,6 +72,12 @@
   [ErrorKind.UpstreamRejected]: final(502, "An upstream rejected the request"),
   [ErrorKind.InputsGone]: retryable(503, "Results of earlier stages are gone", SHORT_RETRY_MS),
   [ErrorKind.NoUpstream]: retryable(503, "No upstream is available", LONG_RETRY_MS),
+  [ErrorKind.VersionGone]: final(503, "The software version of the stream no longer serves"),
+  [ErrorKind.VersionUnknown]: retryable(
+    503,
+    "The software version of the stream is not known",
+    SHORT_RETRY_MS,
+  ),
   [ErrorKind.TableUnavailable]: retryable(503, "The table service is unavailable", LONG_RETRY_MS),
   [ErrorKind.TableUncertain]: retryable(503, "The table service did not confirm", LONG_RETRY_MS),
   [ErrorKind.PeerUnavailable]: retryable(
--- a/src/error/error-kind.ts
+++ b/src/error/error-kind.ts
@@ -31,6 +31,8 @@
   UpstreamRejected = "upstream-rejected",
   InputsGone = "inputs-gone",
   NoUpstream = "no-upstream",
+  VersionGone = "version-gone",
+  VersionUnknown = "version-unknown",
   TableUnavailable = "table-unavailable",
   TableUncertain = "table-uncertain",
   PeerUnavailable = "peer-unavailable",
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -15,6 +15,8 @@
 import { UpstreamAttempt } from "./upstream-attempt.js";
 import type { StageInputs } from "./stage-inputs.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
+import { AttemptSelection } from "../version/attempt-selection.js";
+import type { StreamVersion } from "../version/stream-version.js";
 import { SentKind } from "./upstream-statements.js";
 
 /** Upstreams that may decline a request without running it before the request is refused. */
@@ -26,7 +28,7 @@
 
 /** Sends a request to upstreams until one responds or the request may not be retried. */
 export class DispatchLoop {
-  private readonly tried = new Set<string>();
+  private readonly selection: AttemptSelection;
   private notRunAttempts = 0;
   private unsentAttempts = 0;
   /** Attempts that may have run. */
@@ -35,18 +37,22 @@
   private constructor(
     private readonly parts: DispatchParts,
     private readonly context: RequestContext,
+    private readonly streamVersion: StreamVersion,
     private readonly inputs: StageInputs | undefined,
     private readonly onInputsRead: () => void,
-  ) {}
+  ) {
+    this.selection = AttemptSelection.create(parts, context, streamVersion, inputs);
+  }
 
   /** `onInputsRead` is called when an engine has read the stage results `inputs`. */
   static create(
     parts: DispatchParts,
     context: RequestContext,
+    streamVersion: StreamVersion,
     inputs: StageInputs | undefined,
     onInputsRead: () => void,
   ): DispatchLoop {
-    return new DispatchLoop(parts, context, inputs, onInputsRead);
+    return new DispatchLoop(parts, context, streamVersion, inputs, onInputsRead);
   }
 
   /** Whether the request may have run at an upstream. */
@@ -74,13 +80,13 @@
   }
 
   private async select(): Promise<{ entry: UpstreamEntry; permit: Permit | undefined }> {
-    const { permittedSelection, promptGuard, timers } = this.parts;
-    const { context, tried, mayHaveRun, inputs } = this;
+    const { promptGuard, timers } = this.parts;
+    const { context } = this;
     const pauseMs = promptGuard.pauseMs(context.service, context.sharedParts);
     if (pauseMs > 0) await timers.sleep(pauseMs, context.signal);
     if (this.isConvicted)
       throw this.createError(ErrorKind.PartConvicted, "a part of the prompt was convicted");
-    const outcome = await permittedSelection.select({ context, tried, mayHaveRun, inputs });
+    const outcome = await this.selection.select(this.mayHaveRun);
     switch (outcome.kind) {
       case "selected":
         return outcome;
@@ -98,10 +104,10 @@
   private async attempt(entry: UpstreamEntry, permit: Permit | undefined): Promise<AttemptOutcome> {
     const { timers, upstreamHealth, upstreamStatements, dialect } = this.parts;
     const { decisionLines, forwardMetrics, promptGuard } = this.parts;
-    const { context } = this;
+    const { context, streamVersion } = this;
     const { request, attributes, route, progress, writer, service, sharedParts } = context;
     const health = upstreamHealth.of(entry.id);
-    this.tried.add(entry.id);
+    this.selection.recordAttempt(entry);
     const startedMs = timers.now();
     const after = progress.lastEventId;
     const sendState = { sent: false };
@@ -134,6 +140,10 @@
           onAnswer: () => {
             promptGuard.recordAnswer(service, sharedParts);
           },
+          beginStream: () => streamVersion.begin(entry),
+          onEvents: () => {
+            streamVersion.recordEvents(entry);
+          },
           signal: context.signal,
         },
       ).run();
@@ -172,12 +182,13 @@
         throw this.createError(ErrorKind.NoUpstream, outcome.detail);
       case "withheld":
         // The limit was stated, or the permit expired, while the connection was opened.
-        this.tried.delete(entry.id);
+        this.selection.recordUnused(entry);
         this.unsentAttempts += 1;
         if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) return undefined;
         throw this.createError(ErrorKind.Overloaded, "permits expired before they could be used");
       case "not-run":
         this.notRunAttempts += 1;
+        this.selection.recordDeclined(entry);
         if (this.notRunAttempts < MAX_NOT_RUN_ATTEMPTS) return undefined;
         throw this.createError(ErrorKind.Overloaded, `upstreams refused: status ${outcome.status}`);
       case "inputs-gone":
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -78,6 +78,17 @@
     help: "Sets of prompt parts that are refused because they crash upstreams",
     registers: [this.registry],
   });
+  private readonly streamRecords = new Counter({
+    name: "nutmegstage_stream_records_total",
+    help: "Streams whose software version this instance stored for all",
+    registers: [this.registry],
+  });
+  private readonly resumptions = new Counter({
+    name: "nutmegstage_resumptions_total",
+    help: "Requests that resume a stream, by service and whether its software version serves",
+    labelNames: ["service", "outcome"],
+    registers: [this.registry],
+  });
 
   private constructor() {
     // Use `create`.
@@ -124,6 +135,14 @@
     this.partConvictions.set(count);
   }
 
+  recordStreamRecords(count: number): void {
+    this.streamRecords.inc(count);
+  }
+
+  recordResumption(service: string, outcome: string): void {
+    this.resumptions.inc({ service, outcome });
+  }
+
   recordConnectionUse(use: ConnectionUse): void {
     this.connections.inc({ use });
   }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -16,6 +16,9 @@
 import { admitStages } from "./stage-admission.js";
 import type { StageLoads } from "./stage-loads.js";
 import { StagePhase } from "./stage-phase.js";
+import type { StreamVersion } from "../version/stream-version.js";
+import type { StreamVersions } from "../version/stream-versions.js";
+import { hasRoom } from "../version/upstream-room.js";
 import type { UpstreamSelector } from "./upstream-selector.js";
 
 type LoopParts = Parameters<typeof DispatchLoop.create>[0];
@@ -28,6 +31,7 @@
   readonly upstreamSelector: UpstreamSelector;
   readonly crashRegistry: CrashRegistry;
   readonly stageLoads: StageLoads;
+  readonly streamVersions: StreamVersions;
   readonly requestMatcher: RequestMatcher;
   readonly refusalWriter: RefusalWriter;
   readonly decisionLines: DecisionLines;
@@ -75,14 +79,15 @@
 
   private async forward(context: RequestContext): Promise<number> {
     const { route, attributes, service } = context;
+    const version = await this.parts.streamVersions.choose(context);
     if (route.stages.length === 0) {
-      return DispatchLoop.create(this.parts, context, undefined, () => undefined).run();
+      return DispatchLoop.create(this.parts, context, version, undefined, () => undefined).run();
     }
     const allowedMs = this.admitToStages(context);
-    let stagePhase = this.createPhase(context, 0, allowedMs);
+    let stagePhase = this.createPhase(context, version, 0, allowedMs);
     try {
       const inputs = await stagePhase.run();
-      return await this.dispatch(context, stagePhase, inputs);
+      return await this.dispatch(context, version, stagePhase, inputs);
     } catch (error) {
       const failure = ServeError.from(error, ErrorKind.Internal);
       if (failure.kind !== ErrorKind.InputsGone || !this.tryTakeRetries(route)) {
@@ -95,9 +100,9 @@
         detail: failure.message,
       });
       stagePhase.release();
-      stagePhase = this.createPhase(context, 1, allowedMs);
+      stagePhase = this.createPhase(context, version, 1, allowedMs);
       try {
-        return await this.dispatch(context, stagePhase, await stagePhase.run());
+        return await this.dispatch(context, version, stagePhase, await stagePhase.run());
       } catch (retryError) {
         throw ServeError.from(retryError, ErrorKind.Internal).afterDispatch();
       }
@@ -144,6 +149,7 @@
 
   private async dispatch(
     context: RequestContext,
+    version: StreamVersion,
     stagePhase: StagePhase,
     handles: readonly string[],
   ): Promise<number> {
@@ -151,14 +157,23 @@
       stagePhase.release();
     };
     const inputs = { handles, dataCentre: stagePhase.engineDataCentre };
-    return DispatchLoop.create(this.parts, context, inputs, onInputsRead).run();
+    return DispatchLoop.create(this.parts, context, version, inputs, onInputsRead).run();
   }
 
-  private createPhase(context: RequestContext, run: number, allowedMs: number): StagePhase {
+  private createPhase(
+    context: RequestContext,
+    version: StreamVersion,
+    run: number,
+    allowedMs: number,
+  ): StagePhase {
     const { route, attributes, service, configuration } = context;
-    const engine = this.parts.upstreamSelector.select(service, attributes.promptParts, new Set());
+    const { upstreamSelector, upstreamHealth, directory } = this.parts;
+    const otherVersions = version.excluded(directory.forService(service), (entry) =>
+      hasRoom(entry, upstreamHealth.of(entry.id)),
+    );
+    const engine = upstreamSelector.select(service, attributes.promptParts, new Set(otherVersions));
     if (engine === undefined) {
-      const errorContext = this.parts.upstreamSelector.retryAfter(service);
+      const errorContext = upstreamSelector.retryAfter(service);
       throw ServeError.create(ErrorKind.NoUpstream, "no engine accepts requests", errorContext);
     }
     return StagePhase.create(this.parts, {
--- a/src/forward/request-matcher.ts
+++ b/src/forward/request-matcher.ts
@@ -55,7 +55,8 @@
     }
     const digest = CrashRegistry.digest(request, attributes.key);
     crashRegistry.check(digest);
-    const service = selectService(route, attributes.attemptId);
+    // A stream goes on at the service that began it.
+    const service = selectService(route, attributes.resumes ?? attributes.attemptId);
     const sharedParts = sharedPartIds(attributes.promptParts);
     const onTrial = promptGuard.admit(service, sharedParts);
     const elapsedMs = this.parts.routeDeadlines.elapsedMs(route, attributes.deadlineMs);
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -58,7 +58,7 @@
   /** Readers that recently failed to answer or had rows that were not fresh. */
   private readonly avoidedReaders: AvoidedInstances;
   /** Latest time at which the rows are known to have been current. */
-  private currentAsOfMs = -Infinity;
+  currentAsOfMs = -Infinity;
   private readonly stopController = new AbortController();
   private failures = 0;
   /** Whether the rows were compared with those of another instance since the start. */
--- a/src/forward/store-table.ts
+++ b/src/forward/store-table.ts
@@ -4,4 +4,6 @@
   Upstreams = "upstreams",
   Instances = "instances",
   Convictions = "convictions",
+  VersionPlans = "version-plans",
+  StreamRecords = "stream-records",
 }
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -73,6 +73,16 @@
     return this.parts.routeView.version > 0 && this.upstreams.cache.version >= 0;
   }
 
+  /** Era of the store in the rows of the upstreams. */
+  get era(): number {
+    return this.upstreams.cache.era;
+  }
+
+  /** Age of the rows of the upstreams in ms; infinite before they were read. */
+  get upstreamsAgeMs(): number {
+    return this.parts.timers.now() - this.upstreams.currentAsOfMs;
+  }
+
   start(): void {
     void this.configuration.run();
     void this.upstreams.run();
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -3,16 +3,13 @@
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import { Connection } from "../upstream/connection.js";
-import type { ResponseAttributes } from "./response-attributes.js";
-import type { ResponseWriter } from "./response-writer.js";
+import { type ResponseHeaders, endedByReset, hasKnownLength } from "../upstream/response-end.js";
+import type { AttemptTask } from "./attempt-task.js";
 import type { AttemptOutcome } from "./attempt-outcome.js";
 import { consumeBody } from "./consume-body.js";
 import type { Dialect } from "./dialect.js";
-import type { DispatchAttributes } from "./dispatch-attributes.js";
 import { EventSplitter } from "./event-splitter.js";
-import type { ForwardRequest } from "./forward-request.js";
-import type { StreamProgress } from "./stream-progress.js";
-import type { UpstreamEntry } from "./upstream-entry.js";
+import { EventRelay } from "../version/event-relay.js";
 
 /** Time within which an upstream accepts a connection; several round trips in a region. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -24,35 +21,11 @@
 /** Maximum size of an incomplete stream event; regular events hold a few tokens. */
 const MAX_EVENT_BYTES = 1_048_576;
 
-type ResponseHeaders = Awaited<ReturnType<Connection["request"]>>["headers"];
-
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
 }
 
-/** Input of one attempt. */
-export interface AttemptTask {
-  readonly request: ForwardRequest;
-  readonly attemptId: string;
-  readonly entry: UpstreamEntry;
-  readonly dispatch: DispatchAttributes;
-  readonly writer: ResponseWriter;
-  readonly progress: StreamProgress;
-  readonly streamed: boolean;
-  /** Time without progress after which the attempt is aborted; undefined disables the check. */
-  readonly silenceTimeoutMs: number | undefined;
-  /** Called just before the request is sent on the open connection; false if it must not be. */
-  readonly trySend: () => boolean;
-  /** Called with the attributes of the response head, also if the upstream declined. */
-  readonly onResponseHead: (attributes: ResponseAttributes) => void;
-  /** Called when the head of a signed response to a request that ran has arrived. */
-  readonly onResponseStart: () => void;
-  /** Called when the first complete event, or the whole body, has arrived. */
-  readonly onAnswer: () => void;
-  readonly signal: AbortSignal;
-}
-
 /** Sends a request to one upstream on a new connection and relays the response. */
 export class UpstreamAttempt {
   private readonly silenceAbort = new AbortController();
@@ -170,28 +143,44 @@
     headers: ResponseHeaders,
     body: Readable,
   ): Promise<AttemptOutcome> {
-    const { writer, progress } = this.task;
+    const { task } = this;
+    const { writer } = task;
     const { timers, dialect } = this.parts;
     const splitter = EventSplitter.create();
-    if (!writer.started) writer.start(status, dialect.callerHeaders(headers));
-    await consumeBody(body, (chunk) => {
-      const events = splitter.push(chunk);
-      if (splitter.remainder.length > MAX_EVENT_BYTES)
-        throw new Error("a stream event exceeds 1 MiB");
-      // Bytes that do not complete an event do not count as progress.
-      if (events === undefined) return undefined;
-      this.markActive();
-      this.markAnswered();
-      progress.record(events.count, events.lastId, timers.now());
+    const startResponse = (): void => {
+      if (!writer.started) writer.start(status, dialect.callerHeaders(headers));
+    };
+    const mayPass = task.beginStream();
+    if (mayPass === undefined) startResponse();
+    const relay = EventRelay.create((events) => {
+      startResponse();
+      task.onEvents();
+      task.progress.record(events.count, events.lastId, timers.now());
       const drained = writer.write(events.bytes);
       return drained === undefined ? undefined : this.waitForCaller(drained);
-    });
-    if (endedByReset(connection, headers)) {
-      return this.broken("the connection was reset; the response may be truncated");
+    }, mayPass);
+    try {
+      await consumeBody(body, (chunk) => {
+        const events = splitter.push(chunk);
+        if (splitter.remainder.length > MAX_EVENT_BYTES)
+          throw new Error("a stream event exceeds 1 MiB");
+        // Bytes that do not complete an event do not count as progress.
+        if (events === undefined) return undefined;
+        this.markActive();
+        this.markAnswered();
+        return relay.push(events);
+      });
+      const empty = this.phase !== AttemptPhase.Answered && !hasKnownLength(headers);
+      if (endedByReset(connection, headers))
+        throw new Error("the connection was reset; the response may be truncated");
+      if (empty || splitter.remainder.length > 0)
+        throw new Error("the stream ended before or inside an event");
+    } catch (error) {
+      if (!task.signal.aborted) await relay.breakOff();
+      throw error;
     }
-    const empty = this.phase !== AttemptPhase.Answered && !hasKnownLength(headers);
-    if (empty || splitter.remainder.length > 0)
-      return this.broken("the stream ended before or inside an event");
+    relay.complete();
+    startResponse();
     writer.end();
     return { kind: "relayed", status };
   }
@@ -230,12 +219,3 @@
     });
   }
 }
-
-/** A response without a length ends with its connection; a reset may have truncated it. */
-function endedByReset(connection: Connection, headers: ResponseHeaders): boolean {
-  return !hasKnownLength(headers) && connection.wasReset;
-}
-
-function hasKnownLength(headers: ResponseHeaders): boolean {
-  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-}
--- a/src/peer/peer-method.ts
+++ b/src/peer/peer-method.ts
@@ -16,4 +16,5 @@
   LimitPermit = "limit.permit",
   LimitReport = "limit.report",
   LimitsKnown = "limit.known",
+  StreamRecords = "stream.records",
 }
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -2,6 +2,7 @@
 import { changeSchema } from "../configuration/configuration-change.js";
 import { partConvictionSchema } from "../crash/part-conviction.js";
 import { knownLimitsSchema } from "../limit/limit-messages.js";
+import { versionPlanSchema } from "../version/version-plan.js";
 
 /** Schema of the updates that daemons broadcast. */
 export const updateSchema = z.discriminatedUnion("kind", [
@@ -46,6 +47,12 @@
   partConvictionSchema.extend({ kind: z.literal("part-conviction") }),
   /** Limits that upstreams state for the requests of all instances together. */
   knownLimitsSchema.extend({ kind: z.literal("upstream-limits") }),
+  /** The stored plan that says which software version of a service begins which stream. */
+  z.object({
+    kind: z.literal("version-plan"),
+    service: z.string(),
+    plan: versionPlanSchema,
+  }),
   /** Request content that ran to completion and is no longer suspect. */
   z.object({ kind: z.literal("crash-acquittal"), team: z.string(), contentDigest: z.string() }),
 ]);
--- a/standin/platform-store.ts
+++ b/standin/platform-store.ts
@@ -2,6 +2,7 @@
 
 const OK = 200;
 const FORBIDDEN_HISTORY = 410;
+const PRECONDITION_FAILED = 412;
 const UNAVAILABLE = 503;
 const POLL_MS = 20;
 
@@ -19,6 +20,12 @@
   readonly version: number;
 }
 
+interface Transaction {
+  readonly "expect-rev"?: readonly StoredRow[];
+  readonly writes: readonly StoredRow[];
+  readonly remove?: readonly StoredRow[];
+}
+
 /** How the store treats calls. */
 export enum StoreMode {
   Serving = "serving",
@@ -33,6 +40,8 @@
   mode = StoreMode.Serving;
   /** Calls that read rows or wait for changes. */
   reads = 0;
+  /** Transactions of daemons. */
+  writes = 0;
   private rows = new Map<string, StoredRow>();
   private version = 0;
   /** Increases each time when the store comes back from a copy. */
@@ -100,18 +109,14 @@
     switch (url.pathname) {
       case "/nutmegstage/rows-get":
         this.reads += 1;
-        this.send(
-          response,
-          this.since(table, 0).filter(({ tombstone }) => !tombstone),
-        );
+        this.send(response, this.range(table, url.searchParams));
         return;
       case "/nutmegstage/rows-feed":
         this.reads += 1;
         await this.feed(url, table, response);
         return;
       case "/nutmegstage/rows-tx":
-        this.apply(JSON.parse(Buffer.concat(chunks).toString()) as { writes: StoredRow[] });
-        this.send(response, []);
+        this.commit(JSON.parse(Buffer.concat(chunks).toString()) as Transaction, response);
         return;
       default:
         response.writeHead(404).end();
@@ -135,12 +140,32 @@
     this.send(response, this.since(table, after));
   }
 
-  private apply({ writes }: { writes: readonly StoredRow[] }): void {
+  private commit(transaction: Transaction, response: ServerResponse): void {
+    const { writes, remove = [] } = transaction;
+    const isMet = ({ table, key, ver }: StoredRow): boolean => {
+      const row = this.rows.get(`${table}/${key}`);
+      return (row === undefined || row.tombstone ? 0 : row.ver) === ver;
+    };
+    if (!(transaction["expect-rev"] ?? []).every(isMet)) {
+      response.writeHead(PRECONDITION_FAILED).end();
+      return;
+    }
     this.version += 1;
     for (const { table, key, value } of writes) {
       const row = { table, key, value, ver: this.version, tombstone: false };
       this.rows.set(`${table}/${key}`, row);
     }
+    for (const { table, key } of remove) this.put(table, key, undefined);
+    this.writes += 1;
+    this.send(response, []);
+  }
+
+  private range(table: string, query: URLSearchParams): StoredRow[] {
+    const from = query.get("from") ?? "";
+    const to = query.get("to");
+    return this.since(table, 0).filter(
+      ({ key, tombstone }) => !tombstone && key >= from && (to === null || key < to),
+    );
   }
 
   private since(table: string, version: number): StoredRow[] {
