Show that callers of instances without upstreams are not served

Daemons reach their upstreams through links of their own, and those of 3 or 4 of 5 daemons refuse connections.

--- /dev/null
+++ b/features/isolated-instances.feature
@@ -0,0 +1,32 @@
+Feature: Instances that have lost their upstreams
+  Callers, the store and the other instances still reach an instance whose connections to all
+  upstreams fail.
+
+  Background:
+    Given a platform with 4 upstreams and 5 daemons that reach them through links of their own
+
+  # Guards against callers who fail because of the instance that they reached.
+  Scenario Outline: Callers of instances without upstreams are served like those of the others
+    Given the links of <cut> daemons refuse connections for <ms> ms
+    When callers ask each daemon 30 times for "<path>"
+    Then callers of the cut daemons are served at least 0.9 times as often as those of the others
+
+    Examples:
+      | cut | ms   | path               |
+      | 3   | 1000 | /plain/1           |
+      | 3   | 1000 | /once/1            |
+      | 4   | 1000 | /stream/resumable/ |
+
+  # Guards against work that runs again because it was passed on.
+  Scenario: Work that may run once runs once when it is passed on
+    Given the links of 3 daemons refuse connections for 0 ms
+    When callers ask each daemon 30 times for "/once/1"
+    Then no request ran twice
+
+  # Guards against an instance that leaves its callers to others for ever.
+  Scenario: An instance whose upstreams are back serves its callers itself
+    Given the links of 3 daemons refuse connections for 2000 ms
+    When callers ask each daemon 5 times for "/plain/1"
+    And all links accept connections again for 2500 ms
+    And callers ask each daemon 10 times for "/plain/1"
+    Then each daemon got its last 10 answers through its own links
--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -1,4 +1,5 @@
 import { FrontDaemon } from "../../src/daemon/front-daemon.js";
+import type { RowDecoder } from "../../src/forward/row-decoder.js";
 import { frontSettingsSchema } from "../../src/settings/front-settings.js";
 import { PlatformRowDecoder } from "../../platform/platform-row-decoder.js";
 import { RequestDialect } from "../../platform/request-dialect.js";
@@ -24,6 +25,8 @@
   readonly metrics: number;
   /** Proxy between the daemon and the store, in which faults can be injected. */
   readonly storeLink: FaultLink;
+  /** Proxies between the daemon and its upstreams, by address of the upstream. */
+  readonly upstreamLinks: ReadonlyMap<string, FaultLink>;
 }
 
 /** Runs daemons in this process against a simulated platform on loopback. */
@@ -34,9 +37,9 @@
 
   private constructor(readonly site: PlatformSite) {}
 
-  static async create(ids: readonly string[]): Promise<FrontHost> {
+  static async create(ids: readonly string[], ownLinks = false): Promise<FrontHost> {
     const host = new FrontHost(await PlatformSite.create(ids, KEY));
-    await host.startDaemon();
+    await host.startDaemon(ownLinks);
     return host;
   }
 
@@ -46,8 +49,12 @@
     return first;
   }
 
-  async startDaemon(): Promise<RunningDaemon> {
+  /** With `ownLinks`, the daemon reaches each upstream of the site through a proxy of its own. */
+  async startDaemon(ownLinks = false): Promise<RunningDaemon> {
     const { site } = this;
+    const upstreamLinks = new Map<string, FaultLink>();
+    for (const { address, port } of ownLinks ? site.upstreams : [])
+      upstreamLinks.set(address, await FaultLink.create(SystemTimers.create(), port));
     const free = await PlatformSite.daemonPorts();
     const storeLink = await FaultLink.create(SystemTimers.create(), site.storePort);
     const ports = { ...free, store: storeLink.port };
@@ -56,12 +63,12 @@
     const settings = frontSettingsSchema.parse(site.settingsOf(id, ports, "error"));
     const daemon = FrontDaemon.create(settings, {
       dialect: RequestDialect.create(),
-      rowDecoder: PlatformRowDecoder.create(),
+      rowDecoder: linkedDecoder(upstreamLinks),
       rowStore: ({ timers, forwardMetrics }) =>
         StoreClient.create({ timers, forwardMetrics, address: settings.store }),
     });
     const { callers, readiness, metrics } = ports;
-    const running = { daemon, callers, readiness, metrics, storeLink };
+    const running = { daemon, callers, readiness, metrics, storeLink, upstreamLinks };
     this.daemons.push(running);
     await daemon.start();
     await this.waitUntilReady(readiness);
@@ -81,13 +88,13 @@
   async replaceAll(): Promise<void> {
     const ended = this.daemons.splice(0);
     await Promise.all(ended.map(({ daemon }) => daemon.close()));
-    await Promise.all(ended.map(({ storeLink }) => storeLink.stop()));
+    await Promise.all(ended.flatMap(linksOf).map((link) => link.stop()));
     await Promise.all(ended.map(() => this.startDaemon()));
   }
 
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map(({ daemon }) => daemon.close()));
-    await Promise.all(this.daemons.map(({ storeLink }) => storeLink.stop()));
+    await Promise.all(this.daemons.flatMap(linksOf).map((link) => link.stop()));
     await this.site.stop();
   }
 
@@ -99,3 +106,22 @@
     }
   }
 }
+
+function linksOf({ storeLink, upstreamLinks }: RunningDaemon): FaultLink[] {
+  return [storeLink, ...upstreamLinks.values()];
+}
+
+/** Decodes rows so that the addresses of upstreams are those of the links to them. */
+function linkedDecoder(links: ReadonlyMap<string, FaultLink>): RowDecoder {
+  const decoder = PlatformRowDecoder.create();
+  return {
+    configuration: (key, text) => decoder.configuration(key, text),
+    upstreamWrite: (id, text) => decoder.upstreamWrite(id, text),
+    upstream: (id, text) => {
+      const entry = decoder.upstream(id, text);
+      const link = links.get(entry?.address ?? "");
+      if (entry === undefined || link === undefined) return entry;
+      return { ...entry, address: `127.0.0.1:${link.port}` };
+    },
+  };
+}
--- a/standin/fault-link.ts
+++ b/standin/fault-link.ts
@@ -16,6 +16,7 @@
   /** Pieces passed to the target since the count was started. */
   passedForward = 0;
   private current = LinkState.Open;
+  private listenedPort = 0;
   private readonly sockets = new Set<Socket>();
   private readonly silenced = new WeakSet<Socket>();
 
@@ -39,7 +40,9 @@
 
   /** Port on which the link accepts connections. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    const address = this.server.address() as AddressInfo | null;
+    if (address !== null) this.listenedPort = address.port;
+    return this.listenedPort;
   }
 
   get url(): string {
@@ -52,6 +55,9 @@
 
   /** Applies to present and new connections; `Resetting` ends the present ones. */
   set state(state: LinkState) {
+    const { port } = this;
+    if (state === LinkState.Refused) this.server.close();
+    else if (!this.server.listening) this.server.listen(port, "127.0.0.1");
     this.current = state;
     if (state !== LinkState.Resetting) return;
     for (const socket of this.sockets) socket.resetAndDestroy();
@@ -68,6 +74,7 @@
 
   async stop(): Promise<void> {
     for (const socket of this.sockets) socket.destroy();
+    if (!this.server.listening) return;
     this.server.close();
     await once(this.server, "close");
   }
--- a/standin/link-state.ts
+++ b/standin/link-state.ts
@@ -3,6 +3,8 @@
   Open = "open",
   /** Passes bytes on late. */
   Delayed = "delayed",
+  /** Refuses new connections; present ones live on. */
+  Refused = "refused",
   /** Resets connections, present and new ones. */
   Resetting = "resetting",
   /** Passes on only what the connecting side sends. */
