Have requests served by another instance while no upstream is reachable

Callers of an instance that had lost its connections to all upstreams were refused with 503 after four failed connections, while the instance stayed in the balancer.

Cause: only upstreams were judged by failed connections, never the instance itself, and nothing could serve its requests elsewhere.

After connections to two upstreams in a row failed, an instance tries a sample of all; if none accepts, it counts as isolated until one does. It then passes whole requests on to other instances, which take them unless they are suspect themselves or about to stop; a request is passed on once. It hands its stage queues over and declines submissions meanwhile. Nothing is sent while connections are accepted.

--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -47,16 +47,11 @@
 import { PauseDetection } from "../time/pause-detection.js";
 import { SystemTimers } from "../time/system-timers.js";
 import type { Timers } from "../time/timers.js";
-import { BegunStreams } from "../version/begun-streams.js";
-import { PlanKeeper } from "../version/plan-keeper.js";
-import { RecordReader } from "../version/record-reader.js";
-import { RecordWriter } from "../version/record-writer.js";
 import type { RowStore } from "../version/row-store.js";
-import { StreamRecords } from "../version/stream-records.js";
-import { StreamVersions } from "../version/stream-versions.js";
-import { VersionPlans } from "../version/version-plans.js";
 import { type PeerCradle, peerParts } from "./peer-parts.js";
+import { type IsolationCradle, isolationParts } from "./isolation-parts.js";
 import { Readiness } from "./readiness.js";
+import { type VersionCradle, versionParts } from "./version-parts.js";
 
 /** What the platform's adapter gives to a daemon. */
 export interface PlatformAdapter {
@@ -66,7 +61,8 @@
 }
 
 /** The parts of a daemon on the platform by name. */
-export interface FrontCradle extends Omit<PeerCradle, "demandReports" | "peerVersions"> {
+export interface FrontCradle
+  extends Omit<PeerCradle, "demandReports" | "peerVersions">, VersionCradle, IsolationCradle {
   readonly frontSettings: FrontSettings;
   readonly settings: PeerSettings;
   readonly self: string;
@@ -112,13 +108,6 @@
   readonly stagePools: StagePools;
   readonly stageDispatch: StageDispatch;
   readonly storeView: StoreView;
-  readonly versionPlans: VersionPlans;
-  readonly planKeeper: PlanKeeper;
-  readonly recordWriter: RecordWriter;
-  readonly recordReader: RecordReader;
-  readonly streamRecords: StreamRecords;
-  readonly begunStreams: BegunStreams;
-  readonly streamVersions: StreamVersions;
   readonly refusalWriter: RefusalWriter;
   readonly readiness: Readiness;
   readonly admit: () => void;
@@ -137,6 +126,8 @@
   const container = createContainer<FrontCradle>({ strict: true });
   container.register({
     ...peerParts,
+    ...versionParts,
+    ...isolationParts,
     frontSettings: asValue(frontSettings),
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
@@ -196,13 +187,6 @@
     stagePools: asFunction(StagePools.create).singleton(),
     stageDispatch: asFunction(StageDispatch.create).singleton(),
     storeView: asFunction(StoreView.create).singleton(),
-    versionPlans: asFunction(VersionPlans.create).singleton(),
-    planKeeper: asFunction(PlanKeeper.create).singleton(),
-    recordWriter: asFunction(RecordWriter.create).singleton(),
-    recordReader: asFunction(RecordReader.create).singleton(),
-    streamRecords: asFunction(StreamRecords.create).singleton(),
-    begunStreams: asFunction(() => BegunStreams.create()).singleton(),
-    streamVersions: asFunction(StreamVersions.create).singleton(),
     refusalWriter: asFunction(RefusalWriter.create).singleton(),
     readiness: asFunction(() => Readiness.create()).singleton(),
     admit: asFunction((parts: FrontCradle) => (): void => {
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -31,6 +31,10 @@
     this.parts.stageDispatch.start();
     this.parts.limitKnowledge.start();
     this.parts.streamRecords.start();
+    this.parts.relayedRequests.start();
+    this.parts.upstreamReach.subscribe((isolated) => {
+      this.parts.stagePools.suspend(isolated);
+    });
     await Promise.all([peerServer.listen(), frontServer.listen(), statusServer.listen()]);
     storeView.start();
     this.parts.storedConvictions.start();
@@ -43,7 +47,7 @@
 
   /** Requests whose answer has not ended. */
   get inProgress(): number {
-    return this.parts.frontServer.inProgress;
+    return this.parts.frontServer.inProgress + this.parts.relayedRequests.inProgress;
   }
 
   /** Notes changed settings; addresses and bounds take effect at the next start. */
@@ -67,6 +71,7 @@
     storeView.stop();
     this.parts.storedConvictions.stop();
     this.parts.planKeeper.stop();
+    this.parts.upstreamReach.stop();
     this.parts.ownerConnections.stop();
     membership.stop();
     this.parts.pauses.stop();
@@ -86,7 +91,7 @@
     stagePools.handOver();
     await timers.sleep(BALANCER_LAG_MS - LEAVE_MS);
     readiness.refuseRequests();
-    while ((frontServer.inProgress > 0 || stagePools.inProgress > 0) && timers.now() < end) {
+    while ((this.inProgress > 0 || stagePools.inProgress > 0) && timers.now() < end) {
       frontServer.closeIdle();
       await timers.sleep(PROGRESS_CHECK_MS);
     }
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -103,7 +103,7 @@
 
   private async attempt(entry: UpstreamEntry, permit: Permit | undefined): Promise<AttemptOutcome> {
     const { timers, upstreamHealth, upstreamStatements, dialect } = this.parts;
-    const { decisionLines, forwardMetrics, promptGuard } = this.parts;
+    const { decisionLines, forwardMetrics, promptGuard, upstreamReach } = this.parts;
     const { context, streamVersion } = this;
     const { request, attributes, route, progress, writer, service, sharedParts } = context;
     const health = upstreamHealth.of(entry.id);
@@ -132,6 +132,7 @@
             return sendState.sent;
           },
           onResponseHead: (responseAttributes) => {
+            upstreamReach.recordContact();
             upstreamStatements.recordResponse(entry, health, responseAttributes, permit);
           },
           onResponseStart: () => {
@@ -169,7 +170,7 @@
     entry: UpstreamEntry,
     outcome: AttemptOutcome,
   ): Promise<number | undefined> {
-    const { upstreamHealth, dialect } = this.parts;
+    const { upstreamHealth, upstreamReach, dialect } = this.parts;
     const { context } = this;
     const health = upstreamHealth.of(entry.id);
     switch (outcome.kind) {
@@ -177,8 +178,10 @@
         return outcome.status;
       case "unsent":
         health.recordUnreachable();
+        upstreamReach.recordFailure(entry);
         this.unsentAttempts += 1;
-        if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) return undefined;
+        if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS && !upstreamReach.isIsolated)
+          return undefined;
         throw this.createError(ErrorKind.NoUpstream, outcome.detail);
       case "withheld":
         // The limit was stated, or the permit expired, while the connection was opened.
--- a/src/forward/dispatch-parts.ts
+++ b/src/forward/dispatch-parts.ts
@@ -1,5 +1,6 @@
 import type { CrashReports } from "../crash/crash-reports.js";
 import type { PromptGuard } from "../crash/prompt-guard.js";
+import type { UpstreamReach } from "../isolation/upstream-reach.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { Dialect } from "./dialect.js";
@@ -20,6 +21,7 @@
   readonly upstreamSelector: UpstreamSelector;
   readonly permittedSelection: PermittedSelection;
   readonly upstreamStatements: UpstreamStatements;
+  readonly upstreamReach: UpstreamReach;
   readonly retryBudget: RetryBudget;
   readonly crashReports: CrashReports;
   readonly promptGuard: PromptGuard;
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -89,6 +89,12 @@
     labelNames: ["service", "outcome"],
     registers: [this.registry],
   });
+  private readonly relays = new Counter({
+    name: "nutmegstage_relays_total",
+    help: "Requests offered to another instance, as this one reached no upstream, by result",
+    labelNames: ["result"],
+    registers: [this.registry],
+  });
 
   private constructor() {
     // Use `create`.
@@ -135,6 +141,10 @@
     this.partConvictions.set(count);
   }
 
+  recordRelay(result: string): void {
+    this.relays.inc({ result });
+  }
+
   recordStreamRecords(count: number): void {
     this.streamRecords.inc(count);
   }
--- a/src/forward/forward-request.ts
+++ b/src/forward/forward-request.ts
@@ -13,4 +13,6 @@
   readonly arrivedMs: number;
   /** Aborts when the caller closes the connection. */
   readonly signal: AbortSignal;
+  /** Whether another instance, which does not reach its upstreams, has passed it on. */
+  readonly relayed?: boolean;
 }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -16,6 +16,7 @@
 import { admitStages } from "./stage-admission.js";
 import type { StageLoads } from "./stage-loads.js";
 import { StagePhase } from "./stage-phase.js";
+import type { RequestRelay } from "../isolation/request-relay.js";
 import type { StreamVersion } from "../version/stream-version.js";
 import type { StreamVersions } from "../version/stream-versions.js";
 import { hasRoom } from "../version/upstream-room.js";
@@ -32,6 +33,7 @@
   readonly crashRegistry: CrashRegistry;
   readonly stageLoads: StageLoads;
   readonly streamVersions: StreamVersions;
+  readonly requestRelay: RequestRelay;
   readonly requestMatcher: RequestMatcher;
   readonly refusalWriter: RefusalWriter;
   readonly decisionLines: DecisionLines;
@@ -67,7 +69,8 @@
           ServeError.create(ErrorKind.DeadlineExceeded, "the request deadline has passed"),
         );
       });
-      const status = await this.forward(context);
+      const matched = context;
+      const status = await this.parts.requestRelay.serve(matched, () => this.forward(matched));
       this.recordCompletion(request, context, status, "served");
     } catch (error) {
       this.handleError(request, writer, context, ServeError.from(error, ErrorKind.Internal));
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -1,3 +1,4 @@
+import type { UpstreamReach } from "../isolation/upstream-reach.js";
 import { readBoundedText } from "../upstream/read-bounded-text.js";
 import type { Connection } from "../upstream/connection.js";
 import { ErrorKind } from "../error/error-kind.js";
@@ -58,6 +59,7 @@
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamStatements: UpstreamStatements;
   readonly upstreamPermits: UpstreamPermits;
+  readonly upstreamReach: Pick<UpstreamReach, "recordContact" | "recordFailure">;
   readonly decisionLines: DecisionLines;
 }
 
@@ -82,7 +84,7 @@
     capacity: StageCapacity,
     permit: Permit | undefined,
   ): Promise<CallOutcome> {
-    const { timers, decisionLines, upstreamHealth } = this.parts;
+    const { timers, decisionLines, upstreamHealth, upstreamReach } = this.parts;
     const startedAtMs = timers.now();
     const expectedMs = capacity.baseCallMs + pieces.length * capacity.pieceMs;
     const timeout = new AbortController();
@@ -98,12 +100,14 @@
     try {
       const dropWindowMs = Math.max(MIN_DROP_WINDOW_MS, DROP_WINDOW_FRACTION * capacity.baseCallMs);
       answer = await this.exchange({ entry, pieces, health, permit }, dropWindowMs, timeout.signal);
+      upstreamReach.recordContact();
       if (answer.kind === "results")
         health.recordSuccess((timers.now() - startedAtMs) / expectedMs);
     } catch (error) {
       detail = String(error);
       if (error instanceof ServeError && error.undispatched) {
         health.recordUnreachable();
+        upstreamReach.recordFailure(entry);
         answer = { kind: "refused" };
       } else {
         if (timeout.signal.aborted) health.recordSlow((timers.now() - startedAtMs) / expectedMs);
--- a/src/forward/stage-owners.ts
+++ b/src/forward/stage-owners.ts
@@ -54,6 +54,7 @@
   /** Instances that answered late once. */
   private readonly recentlyLate: AvoidedInstances;
   private isLeaving = false;
+  private isSuspended = false;
   private alive: ReadonlySet<string> = new Set();
   private candidates: readonly Candidate[] = [];
   private assigned: ReadonlyMap<string, readonly string[]> = new Map();
@@ -72,9 +73,15 @@
     return new StageOwners(parts);
   }
 
-  /** Whether this instance is about to stop and submits to other owners. */
+  /** Whether this instance is about to stop, or reaches no upstream, and submits to other owners. */
   get leaving(): boolean {
-    return this.isLeaving;
+    return this.isLeaving || this.isSuspended;
+  }
+
+  /** Removes this instance from the candidates for a time, while other instances are alive. */
+  suspend(suspended: boolean): void {
+    this.isSuspended = suspended;
+    this.assignedAtMs = -Infinity;
   }
 
   /** Removes this instance from the candidates while other instances are alive. */
@@ -123,7 +130,7 @@
   private assign(): void {
     const { self, incarnation, cores, members, timers } = this.parts;
     const alive = aliveMembers(members);
-    const own = this.isLeaving && alive.length > 0 ? [] : [{ id: self, incarnation, cores }];
+    const own = this.leaving && alive.length > 0 ? [] : [{ id: self, incarnation, cores }];
     const all = withAssumedSizes(
       [...alive, ...own].map((each) => ({
         id: each.id,
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -105,10 +105,16 @@
     for (const pool of this.pools.values()) pool.handOver();
   }
 
+  /** Hands submissions over while this instance reaches no upstream. */
+  suspend(suspended: boolean): void {
+    this.parts.stageOwners.suspend(suspended);
+    if (suspended) for (const pool of this.pools.values()) pool.handOver();
+  }
+
   /** Throws `NotReady` for submissions of other instances once this one is about to stop. */
   submit(submission: StageSubmission, from: string): StageTicket {
     if (this.parts.stageOwners.leaving && from !== this.parts.self) {
-      throw ServeError.create(ErrorKind.NotReady, "this instance is about to stop");
+      throw ServeError.create(ErrorKind.NotReady, "this instance is not an owner");
     }
     const key = submissionKey(submission);
     // Set first, as a repeated submission that has ended is reported before `admit` returns.
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -1,6 +1,6 @@
 import bearerAuth from "@fastify/bearer-auth";
 import websocket, { type WebSocket } from "@fastify/websocket";
-import { type FastifyInstance, type FastifyRequest, fastify } from "fastify";
+import { type FastifyInstance, type FastifyReply, type FastifyRequest, fastify } from "fastify";
 import {
   type JSONRPCRequest,
   type JSONRPCResponse,
@@ -82,6 +82,21 @@
     this.rpc.addMethod(method, handler);
   }
 
+  /** Handles POST requests with a path; must be called before `listen`. */
+  handlePosts(
+    path: string,
+    handler: (request: FastifyRequest, reply: FastifyReply) => Promise<void>,
+  ): void {
+    void this.server.register((scope, _options, done) => {
+      scope.removeAllContentTypeParsers();
+      scope.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, parsed) => {
+        parsed(null, body);
+      });
+      scope.post(path, handler);
+      done();
+    });
+  }
+
   async listen(): Promise<void> {
     const { host, port } = this.settings.peers;
     await this.server.listen({ host, port });
