--- a/standin/platform-store.ts
+++ b/standin/platform-store.ts
@@ -62,9 +62,13 @@
 
   /** Writes a row; a content of undefined removes it. */
   put(table: string, key: string, content: unknown): void {
+    this.putText(table, key, JSON.stringify(content ?? null), content === undefined);
+  }
+
+  /** Writes a row of any text. */
+  putText(table: string, key: string, text: string, tombstone = false): void {
     this.version += 1;
-    const value = Buffer.from(JSON.stringify(content ?? null)).toString("base64");
-    const tombstone = content === undefined;
+    const value = Buffer.from(text).toString("base64");
     this.rows.set(`${table}/${key}`, { table, key, value, ver: this.version, tombstone });
   }
 
