Refuse run-once work that a stopping daemon may cut

In a planned stop, requests are taken until the balancer has noticed it (2.6 s). One that may run once only and may last longer than the rest of the grace period was cut without an answer: sent 1.8 s after the stop, with 5 s at its upstream, its connection was closed at the end.

Such a request is now refused at once as not run, if its deadline lies beyond the end of the daemon; other instances can take it. late-requests.feature failed before (after 1.8 s) and passes now. Other requests are taken as before: they may be repeated, or are streams, which would all be refused for their long deadlines.

--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -85,6 +85,7 @@
     const end = timers.now() + GRACE_PART * this.settings.bounds.graceSeconds;
     log.info({ message: "stopping", inProgress: frontServer.inProgress });
     readiness.block(UnreadyReason.Draining);
+    readiness.announceEnd(end);
     frontServer.startClosing();
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
     limitGrants.leave();
--- a/src/daemon/readiness.ts
+++ b/src/daemon/readiness.ts
@@ -16,6 +16,8 @@
   private readonly blocking = new Set<UnreadyReason>([UnreadyReason.Starting]);
 
   private refusing = false;
+  /** Time at which this instance ends at the latest, on the monotonic clock in ms. */
+  private endsMs = Infinity;
 
   private constructor() {
     // Instances come from `create`.
@@ -38,6 +40,19 @@
     this.refusing = true;
   }
 
+  /** Announces that this instance ends at a time, on the monotonic clock in ms. */
+  announceEnd(endsMs: number): void {
+    this.endsMs = endsMs;
+  }
+
+  /** Throws `Draining` if this instance may end before a request that may run once only. */
+  admitRunOnce(deadlineMs: number): void {
+    if (deadlineMs <= this.endsMs) return;
+    throw ServeError.create(ErrorKind.Draining, "the instance may end before the request", {
+      retryAfterMs: DRAINING_RETRY_MS,
+    });
+  }
+
   /** Throws `Draining` if no further request may be taken. */
   admit(): void {
     if (!this.refusing) return;
--- a/src/forward/request-matcher.ts
+++ b/src/forward/request-matcher.ts
@@ -7,6 +7,8 @@
 import type { ForwardRequest } from "./forward-request.js";
 import { hashFraction } from "./hash-fraction.js";
 import { sharedPartIds } from "./prompt-part.js";
+import { Repeatability } from "./repeatability.js";
+import type { Readiness } from "../daemon/readiness.js";
 import { rankOf } from "./rank-of.js";
 import type { RequestContext } from "./request-context.js";
 import type { RouteDeadlines } from "./route-deadlines.js";
@@ -20,6 +22,7 @@
   readonly crashRegistry: CrashRegistry;
   readonly promptGuard: PromptGuard;
   readonly routeDeadlines: RouteDeadlines;
+  readonly readiness: Pick<Readiness, "admitRunOnce">;
 }
 
 /** Determines the route, team and time limits of a request. */
@@ -32,7 +35,7 @@
 
   /**
    * Throws `NotReady`, `UnknownRoute`, `MalformedRequest`, `BodyTooLarge`, `Unauthenticated`,
-   * `RequestSuspected` or `PartConvicted`.
+   * `RequestSuspected`, `PartConvicted` or `Draining`.
    */
   match(request: ForwardRequest, writer: ResponseWriter, signal: AbortSignal): RequestContext {
     const { routeView, dialect, crashRegistry, promptGuard } = this.parts;
@@ -61,6 +64,9 @@
     const onTrial = promptGuard.admit(service, sharedParts);
     const elapsedMs = this.parts.routeDeadlines.elapsedMs(route, attributes.deadlineMs);
     const timeoutMs = Math.min(attributes.deadlineMs ?? Infinity, route.timeoutMs);
+    const deadlineMs = request.arrivedMs + timeoutMs;
+    if (route.repeatability === Repeatability.NonIdempotent)
+      this.parts.readiness.admitRunOnce(deadlineMs);
     return {
       request,
       attributes,
@@ -74,7 +80,7 @@
       onTrial,
       returning: elapsedMs > 0,
       targetMs: request.arrivedMs + route.targetMs - elapsedMs,
-      deadlineMs: request.arrivedMs + timeoutMs,
+      deadlineMs,
       signal,
       writer,
       progress: StreamProgress.create(attributes.lastEventId),
