--- a/features/support/versioned-fleet.ts
+++ b/features/support/versioned-fleet.ts
@@ -20,6 +20,11 @@
     return fleet;
   }
 
+  /** Requests that the engines ran. */
+  get runs(): number {
+    return this.engines.reduce((sum, { runs }) => sum + runs, 0);
+  }
+
   /** Starts engines of one version; undefined for engines that state none. */
   async addEngines(count: number, version: string | undefined, pace: StreamPace): Promise<void> {
     for (const port of await freePorts(count)) {
