Send brittle upstreams no more than they have places for

Upstreams that state how many requests they may turn away in a second ended one after the other in a flood; the header was not read, and each instance sent what it had, so that rejections of all instances added up.

While an upstream is brittle, each instance uses its part of the places only, and all of them send it nothing for a second after a rejection, which is broadcast.

--- a/features/steps/fleet-limits.ts
+++ b/features/steps/fleet-limits.ts
@@ -140,7 +140,13 @@
     instance.statements.recordResponse(
       UPSTREAM,
       instance.healthOf(UPSTREAM.id),
-      { misdirected: false, leaving: false, stayAwayMs: 0, requestsPerSecond: undefined },
+      {
+        misdirected: false,
+        leaving: false,
+        toleratedRejections: undefined,
+        stayAwayMs: 0,
+        requestsPerSecond: undefined,
+      },
       undefined,
     );
   }
--- a/features/support/limit-fleet.ts
+++ b/features/support/limit-fleet.ts
@@ -156,7 +156,13 @@
     this.arrivals.push({ atMs: this.timers.now(), from: instance.id, rank, team, told });
     const requestsPerSecond = this.perSecond;
     await instance.timers.sleep(serviceMs);
-    const statements = { misdirected: false, leaving: false, stayAwayMs: 0, requestsPerSecond };
+    const statements = {
+      misdirected: false,
+      leaving: false,
+      toleratedRejections: undefined,
+      stayAwayMs: 0,
+      requestsPerSecond,
+    };
     instance.statements.recordResponse(UPSTREAM, health, statements, permit);
     return true;
   }
--- a/features/support/limit-instance.ts
+++ b/features/support/limit-instance.ts
@@ -71,7 +71,8 @@
     this.upstreamPermits = UpstreamPermits.create(parts);
     const limitKnowledge = LimitKnowledge.create(parts);
     limitKnowledge.start();
-    this.statements = UpstreamStatements.create({ ...parts, limitKnowledge });
+    const brittleUpstreams = { recordResponse: () => undefined };
+    this.statements = UpstreamStatements.create({ ...parts, limitKnowledge, brittleUpstreams });
   }
 
   static create(
--- a/features/support/paused-retry.ts
+++ b/features/support/paused-retry.ts
@@ -36,6 +36,7 @@
     timers,
     dialect: RequestDialect.create(),
     directory: { forService: () => [entry] },
+    brittleUpstreams: { isClosed: () => false, recordRejection: ignore },
     upstreamHealth: { of: () => health },
     upstreamSelector: { retryAfter: () => ({}) },
     permittedSelection: {
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -192,6 +192,7 @@
       case "not-run":
         this.notRunAttempts += 1;
         this.selection.recordDeclined(entry);
+        this.parts.brittleUpstreams.recordRejection(entry);
         if (this.notRunAttempts < MAX_NOT_RUN_ATTEMPTS) return undefined;
         throw this.createError(ErrorKind.Overloaded, `upstreams refused: status ${outcome.status}`);
       case "inputs-gone":
--- a/src/forward/dispatch-parts.ts
+++ b/src/forward/dispatch-parts.ts
@@ -1,3 +1,4 @@
+import type { BrittleUpstreams } from "../brittle/brittle-upstreams.js";
 import type { CrashReports } from "../crash/crash-reports.js";
 import type { PromptGuard } from "../crash/prompt-guard.js";
 import type { UpstreamReach } from "../isolation/upstream-reach.js";
@@ -22,6 +23,7 @@
   readonly permittedSelection: PermittedSelection;
   readonly upstreamStatements: UpstreamStatements;
   readonly upstreamReach: UpstreamReach;
+  readonly brittleUpstreams: Pick<BrittleUpstreams, "isClosed" | "recordRejection">;
   readonly retryBudget: RetryBudget;
   readonly crashReports: CrashReports;
   readonly promptGuard: PromptGuard;
--- a/src/forward/response-attributes.ts
+++ b/src/forward/response-attributes.ts
@@ -17,6 +17,11 @@
    * states no limit.
    */
   readonly requestsPerSecond: number | undefined;
+  /**
+   * Requests turned away in a second that the upstream bears without ending; undefined if it is not
+   * brittle.
+   */
+  readonly toleratedRejections: number | undefined;
   /** Time for which a refusing upstream asks to get no further requests, in ms; 0 if none. */
   readonly stayAwayMs: number;
 }
--- a/src/forward/upstream-statements.ts
+++ b/src/forward/upstream-statements.ts
@@ -1,3 +1,4 @@
+import type { BrittleUpstreams } from "../brittle/brittle-upstreams.js";
 import type { LimitKnowledge } from "../limit/limit-knowledge.js";
 import type { Permit } from "../limit/permit.js";
 import type { Timers } from "../time/timers.js";
@@ -18,15 +19,16 @@
 interface Parts {
   readonly timers: Timers;
   readonly limitKnowledge: Pick<LimitKnowledge, "recordResponse">;
+  readonly brittleUpstreams: Pick<BrittleUpstreams, "recordResponse">;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
 }
 
 type Statements = Pick<
   ResponseAttributes,
-  "misdirected" | "leaving" | "stayAwayMs" | "requestsPerSecond"
+  "misdirected" | "leaving" | "stayAwayMs" | "requestsPerSecond" | "toleratedRejections"
 >;
-type Upstream = Pick<UpstreamEntry, "id" | "service">;
+type Upstream = Pick<UpstreamEntry, "id" | "service" | "startedMs">;
 
 /** Records what upstreams state in responses, and lets through what may be sent to them. */
 export class UpstreamStatements {
@@ -48,7 +50,8 @@
   ): void {
     // Another process answers at the address.
     if (attributes.misdirected) return;
-    const { decisionLines, limitKnowledge } = this.parts;
+    const { decisionLines, limitKnowledge, brittleUpstreams } = this.parts;
+    brittleUpstreams.recordResponse(upstream, attributes.toleratedRejections);
     recordAvailability(decisionLines, upstream, health, attributes);
     limitKnowledge.recordResponse(upstream.id, health, attributes.requestsPerSecond, permit);
   }
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -47,6 +47,14 @@
   partConvictionSchema.extend({ kind: z.literal("part-conviction") }),
   /** Limits that upstreams state for the requests of all instances together. */
   knownLimitsSchema.extend({ kind: z.literal("upstream-limits") }),
+  /** A brittle upstream that turned a request away; it gets nothing for a second. */
+  z.object({
+    kind: z.literal("upstream-full"),
+    upstream: z.string(),
+    /** Start of its process in ms since the epoch. */
+    startedMs: z.number(),
+    tolerated: z.number(),
+  }),
   /** The stored plan that says which software version of a service begins which stream. */
   z.object({
     kind: z.literal("version-plan"),
