Treat new processes of a brittle service as brittle before they respond

A process that had just come back had stated nothing, so that each instance sent it what it had until its first response, and it ended again. A statement holds for the service for ten seconds now.

--- a/src/brittle/brittle-upstreams.ts
+++ b/src/brittle/brittle-upstreams.ts
@@ -7,6 +7,11 @@
 
 /** Time over which an upstream counts the requests that it turns away. */
 const COUNTED_MS = 1_000;
+/**
+ * Time for which a statement holds for the service. A process that has just started states nothing
+ * before its first response, and would end again until then.
+ */
+const STATEMENT_LIFETIME_MS = 10_000;
 /** Far above the number of upstreams of a deployment. */
 const MAX_UPSTREAMS = 4_096;
 
@@ -20,27 +25,21 @@
 
 type Upstream = Pick<UpstreamEntry, "id" | "service" | "startedMs">;
 
-interface Brittleness {
-  readonly startedMs: number;
-  /** Requests turned away in a second that the upstream bears. */
-  readonly tolerated: number;
-  /** Time until which it gets nothing, on the monotonic clock in ms. */
-  closedUntilMs: number;
-}
-
 /**
- * Upstreams that end when they turn too many requests away. Each instance uses its part of their
- * places only, and all pause together after a rejection.
+ * Services whose upstreams end when they turn too many requests away. Each instance uses its part of
+ * their places only, and all pause together after a rejection.
  */
 export class BrittleUpstreams {
-  private readonly byId = new LRUCache<string, Brittleness>({ max: MAX_UPSTREAMS });
+  /** Times of the last statements by service, on the monotonic clock in ms. */
+  private readonly statedMs = new Map<string, number>();
+  /** Times until which processes get nothing, on the monotonic clock in ms. */
+  private readonly closedUntilMs = new LRUCache<string, number>({ max: MAX_UPSTREAMS });
 
   private constructor(private readonly parts: Parts) {
     parts.updates.subscribe((update) => {
       if (update.kind !== "upstream-full") return;
-      const { upstream, startedMs, tolerated } = update;
-      const brittleness = this.byId.get(upstream) ?? this.add(upstream, startedMs, tolerated);
-      if (brittleness.startedMs === startedMs) this.close(brittleness);
+      this.statedMs.set(update.service, parts.timers.now());
+      this.close({ id: update.upstream, ...update });
     });
   }
 
@@ -48,44 +47,45 @@
     return new BrittleUpstreams(parts);
   }
 
-  /** Records what a response states; `tolerated` is undefined if the upstream is not brittle. */
-  recordResponse({ id, startedMs }: Upstream, tolerated: number | undefined): void {
-    const known = this.byId.get(id);
-    if (tolerated === undefined) {
-      if (known !== undefined) this.byId.delete(id);
-    } else if (known?.startedMs !== startedMs || known.tolerated !== tolerated)
-      this.add(id, startedMs, tolerated);
+  /** `tolerated` is undefined if the upstream does not state that it is brittle. */
+  recordResponse({ service }: Upstream, tolerated: number | undefined): void {
+    if (tolerated !== undefined) this.statedMs.set(service, this.parts.timers.now());
   }
 
   /** Records that an upstream had no room for a request, and tells all instances. */
-  recordRejection({ id, service, startedMs }: Upstream): void {
-    const brittleness = this.byId.get(id);
-    if (brittleness?.startedMs !== startedMs) return;
-    const { updates, decisionLines, timers } = this.parts;
-    const { tolerated, closedUntilMs } = brittleness;
-    this.close(brittleness);
-    // The others have been told already.
-    if (closedUntilMs > timers.now()) return;
-    updates.publish({ kind: "upstream-full", upstream: id, startedMs, tolerated });
-    decisionLines.write("brittle upstream full", { upstream: id, service, tolerated });
+  recordRejection(upstream: Upstream): void {
+    const { id, service, startedMs } = upstream;
+    if (!this.isBrittle(service)) return;
+    const { updates, decisionLines } = this.parts;
+    const known = this.isPaused(upstream);
+    this.close(upstream);
+    if (known) return;
+    updates.publish({ kind: "upstream-full", service, upstream: id, startedMs });
+    decisionLines.write("brittle upstream full", { upstream: id, service });
   }
 
   /** Whether an upstream must not get a further request of this instance now. */
-  isClosed({ id, slots, startedMs }: UpstreamEntry, { inFlight }: UpstreamHealth): boolean {
-    const brittleness = this.byId.get(id);
-    if (brittleness?.startedMs !== startedMs) return false;
-    const { timers, liveInstances } = this.parts;
-    const part = Math.max(1, Math.floor(slots / Math.max(1, liveInstances())));
-    return timers.now() < brittleness.closedUntilMs || inFlight >= part;
+  isClosed(entry: UpstreamEntry, { inFlight }: UpstreamHealth): boolean {
+    if (!this.isBrittle(entry.service)) return false;
+    const instances = Math.max(1, this.parts.liveInstances());
+    const part = Math.max(1, Math.floor(entry.slots / instances));
+    return inFlight >= part || this.isPaused(entry);
   }
 
-  private add(id: string, startedMs: number, tolerated: number): Brittleness {
-    const brittleness = { startedMs, tolerated, closedUntilMs: -Infinity };
-    this.byId.set(id, brittleness);
-    return brittleness;
+  private isBrittle(service: string): boolean {
+    const statedMs = this.statedMs.get(service);
+    return statedMs !== undefined && this.parts.timers.now() - statedMs < STATEMENT_LIFETIME_MS;
   }
 
-  private close(brittleness: Brittleness): void {
-    brittleness.closedUntilMs = this.parts.timers.now() + COUNTED_MS;
+  private isPaused(upstream: Upstream): boolean {
+    return this.parts.timers.now() < (this.closedUntilMs.get(processOf(upstream)) ?? -Infinity);
   }
+
+  private close(upstream: Upstream): void {
+    this.closedUntilMs.set(processOf(upstream), this.parts.timers.now() + COUNTED_MS);
+  }
+}
+
+function processOf({ id, startedMs }: Upstream): string {
+  return `${id} ${startedMs}`;
 }
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -50,10 +50,10 @@
   /** A brittle upstream that turned a request away; it gets nothing for a second. */
   z.object({
     kind: z.literal("upstream-full"),
+    service: z.string(),
     upstream: z.string(),
     /** Start of its process in ms since the epoch. */
     startedMs: z.number(),
-    tolerated: z.number(),
   }),
   /** The stored plan that says which software version of a service begins which stream. */
   z.object({
