--- /dev/null
+++ b/features/version-plans.feature
@@ -0,0 +1,29 @@
+Feature: Plans of software versions
+  The version of a stream follows from its attempt ID and a stored plan that changes with releases.
+
+  # Guards against writes for each stream while versions do not change.
+  Scenario Outline: Two versions that serve side by side need no writes
+    Given <instances> instances before engines of versions "v1" and "v2", <seeds> times
+    When streams are sent for 30 s
+    Then no stream of them goes on at another version
+    And at least 0.9 of those go on whose version has two engines
+    And nothing is written to the store
+    And new streams are spread over the versions as their places within 0.05
+
+    Examples:
+      | instances | seeds |
+      | 8         | 2     |
+      | 62        | 1     |
+
+  # Guards against streams that are joined, or refused, around releases and losses of all instances.
+  Scenario Outline: Releases and losses of all instances join no streams
+    Given <instances> instances before engines of versions "v1" and "v2", <seeds> times
+    When streams are sent while versions "v3" and "v4" are released and all instances end at random moments
+    Then no stream of them goes on at another version
+    And at least 0.9 of those go on whose version has two engines
+
+    Examples:
+      | instances | seeds |
+      | 3         | 10    |
+      | 8         | 10    |
+      | 62        | 2     |
