Decline relayed requests by default, and judge reach by new connections only

- An instance with an older program, or one that refuses the size of a request, would have answered 404 or 413 to a request that was passed on, and the caller would have got it.
Only responses with a header of their own count now.
- Stage calls on old connections counted as contact, although new connections may fail meanwhile.
- A plan could have taken the era of a store that had not been read yet.

--- a/features/support/stage-call-trial.ts
+++ b/features/support/stage-call-trial.ts
@@ -54,7 +54,7 @@
       recordResponse: () => undefined,
     } as unknown as UpstreamStatements,
     upstreamPermits: { expectedWaitMs: () => 0 } as unknown as UpstreamPermits,
-    upstreamReach: { recordContact: () => undefined, recordFailure: () => undefined },
+    upstreamReach: { recordFailure: () => undefined },
     decisionLines: { write: () => undefined } as unknown as DecisionLines,
   });
   const entry = entryOf({ address: `127.0.0.1:${port}` });
--- a/src/isolation/relayed-requests.ts
+++ b/src/isolation/relayed-requests.ts
@@ -4,7 +4,7 @@
 import type { PeerServer } from "../peer/peer-server.js";
 import type { Timers } from "../time/timers.js";
 import { decodeRelayedRequest } from "./relayed-request.js";
-import { DECLINED_HEADER, RELAY_PATH } from "./request-relay.js";
+import { RELAYED_HEADER, RELAY_PATH } from "./request-relay.js";
 import type { UpstreamReach } from "./upstream-reach.js";
 
 const UNAVAILABLE = 503;
@@ -43,7 +43,7 @@
     reply.hijack();
     const { raw } = reply;
     if (!this.accepts()) {
-      raw.writeHead(UNAVAILABLE, { [DECLINED_HEADER]: "1", connection: "close" }).end();
+      raw.writeHead(UNAVAILABLE, { connection: "close" }).end();
       return;
     }
     const closed = new AbortController();
@@ -55,13 +55,15 @@
     const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
     try {
       const relayed = decodeRelayedRequest(body, timers.now(), closed.signal);
+      raw.setHeader(RELAYED_HEADER, "1");
       await requestForwarder.serve(
         relayed,
         ResponseWriter.create(raw, () => true),
       );
     } catch {
       // Instances of another version may encode requests otherwise.
-      raw.writeHead(UNAVAILABLE, { [DECLINED_HEADER]: "1", connection: "close" }).end();
+      raw.removeHeader(RELAYED_HEADER);
+      raw.writeHead(UNAVAILABLE, { connection: "close" }).end();
     }
   }
 
--- a/src/isolation/request-relay.ts
+++ b/src/isolation/request-relay.ts
@@ -19,8 +19,8 @@
 
 /** Path at which instances accept requests of others. */
 export const RELAY_PATH = "/requests";
-/** Header of an instance that does not take a request of another one. */
-export const DECLINED_HEADER = "x-declined";
+/** Header of responses to requests that were passed on; any other response declines the request. */
+export const RELAYED_HEADER = "x-relayed";
 
 /** Instances that are asked; several may be isolated themselves. */
 const MAX_ASKED = 6;
@@ -28,6 +28,7 @@
 /** Headers of the connection between the instances. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   ...["connection", "keep-alive", "transfer-encoding", "content-length", "date"],
+  RELAYED_HEADER,
 ]);
 
 interface Parts {
@@ -131,7 +132,8 @@
       signal,
     });
     body.on("error", () => undefined);
-    if (headers[DECLINED_HEADER] !== undefined) return undefined;
+    // It is isolated or about to stop, or its program does not know requests that are passed on.
+    if (headers[RELAYED_HEADER] === undefined) return undefined;
     const callerHeaders = Object.entries(headers).flatMap(([name, value]) =>
       CONNECTION_HEADERS.has(name) ? [] : [value ?? ""].flat().flatMap((each) => [name, each]),
     );
--- a/src/isolation/upstream-reach.ts
+++ b/src/isolation/upstream-reach.ts
@@ -59,7 +59,7 @@
     this.handlers.add(handler);
   }
 
-  /** Records that an upstream accepted a connection or responded. */
+  /** Records that an upstream accepted a new connection; old ones may live on while new ones fail. */
   recordContact(): void {
     if (this.failed.size > 0) this.failed.clear();
     this.setIsolated(false);
--- a/src/version/plan-change.ts
+++ b/src/version/plan-change.ts
@@ -26,15 +26,15 @@
   /** Undefined if the plan may stay. */
   static create(input: Input): PlanChange | undefined {
     const { plan, era, places } = input;
+    // Nothing is known of the upstreams, or none serves.
+    if (places.length === 0) return undefined;
     if (plan === undefined) {
-      if (places.length === 0) return undefined;
       return new PlanChange({ sequence: 1, era, distributions: [{ since: 1, places }] });
     }
     const sequence = plan.sequence + 1;
     const kept = withoutExpired(plan.distributions, input);
     const current = kept.at(-1);
-    const differs =
-      places.length > 0 && current !== undefined && sharesDiffer(current.places, places);
+    const differs = current !== undefined && sharesDiffer(current.places, places);
     const distributions =
       differs && kept.length < MAX_DISTRIBUTIONS ? [...kept, { since: sequence, places }] : kept;
     const next = { sequence, era: nextEra(plan, input), distributions };
--- a/standin/brittle-upstream.ts
+++ b/standin/brittle-upstream.ts
@@ -81,7 +81,8 @@
   }
 
   private reject(): void {
-    if (this.server?.listening !== true) return;
+    const { server } = this;
+    if (server?.listening !== true) return;
     const now = Date.now();
     this.rejected += 1;
     this.rejections = [...this.rejections.filter((atMs) => atMs > now - SECOND_MS), now];
@@ -90,8 +91,8 @@
     this.rejections = [];
     this.settings.register(this.id, undefined);
     this.boots += 1;
-    this.server?.closeAllConnections();
-    this.server?.close();
+    server.closeAllConnections();
+    server.close();
     this.restart = setTimeout(() => void this.listen(), DOWN_MS);
   }
 }
