Give links that refuse connections ports below those of outgoing connections

Such links take ports as fleets do now, below the range of outgoing connections. Only test support changes; isolated-instances.feature passes.

--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -6,6 +6,7 @@
 import { StoreClient } from "../../platform/store-client.js";
 import { SystemTimers } from "../../src/time/system-timers.js";
 import { FaultLink } from "../../standin/fault-link.js";
+import { freePorts } from "../../standin/free-ports.js";
 import {
   type PlatformAnswer,
   type PlatformRequest,
@@ -53,8 +54,10 @@
   async startDaemon(ownLinks = false): Promise<RunningDaemon> {
     const { site } = this;
     const upstreamLinks = new Map<string, FaultLink>();
-    for (const { address, port } of ownLinks ? site.upstreams : [])
-      upstreamLinks.set(address, await FaultLink.create(SystemTimers.create(), port));
+    for (const { address, port } of ownLinks ? site.upstreams : []) {
+      const [ownPort] = await freePorts(1);
+      upstreamLinks.set(address, await FaultLink.create(SystemTimers.create(), port, ownPort));
+    }
     const free = await PlatformSite.daemonPorts();
     const storeLink = await FaultLink.create(SystemTimers.create(), site.storePort);
     const ports = { ...free, store: storeLink.port };
--- a/standin/fault-link.ts
+++ b/standin/fault-link.ts
@@ -26,14 +26,17 @@
     private readonly target: number,
   ) {}
 
-  /** Relays connections to a port on 127.0.0.1. */
-  static async create(timers: Timers, target: number): Promise<FaultLink> {
+  /**
+   * Relays connections to a port on 127.0.0.1. A link that refuses connections for a time needs a
+   * port of its own, as others may get any other port meanwhile.
+   */
+  static async create(timers: Timers, target: number, ownPort = 0): Promise<FaultLink> {
     const server = createServer({ noDelay: true, allowHalfOpen: true });
     const link = new FaultLink(timers, server, target);
     server.on("connection", (near) => {
       link.join(near);
     });
-    server.listen(0, "127.0.0.1");
+    server.listen(ownPort, "127.0.0.1");
     await once(server, "listening");
     return link;
   }
