Send what was written before a broken-off response is closed

What callers saw: a stream of which the instance had passed on two events arrived as status 200 without any event, and broken off. The caller then has nothing to resume and begins anew.

Cause: ResponseWriter.abort destroyed the response at once. Node.js corks what is written to a response until the end of the turn, so events that are written in the turn of the break were dropped. That is so when a stream is held until its record is stored, breaks off meanwhile, and no retry is left.

Change: the response is destroyed after the turn, when its chunks have been handed to the socket.

Measured: the new scenario got body "" before, and passes.

--- a/features/response-framing.feature
+++ b/features/response-framing.feature
@@ -133,3 +133,8 @@
   Scenario: A connection that carried a refusal of a stage call carries no further call
     When two stage calls are sent to an upstream that repeats its refusal on the same connection
     Then the first one is "refused" and the second one is "results"
+
+  # Guards against callers who lose events that were written just before their stream broke off.
+  Scenario: What is written before a response is broken off reaches the caller
+    When an event is written to a caller and the response is broken off at once
+    Then the caller got the event and an incomplete response
--- a/src/forward/response-writer.ts
+++ b/src/forward/response-writer.ts
@@ -43,7 +43,8 @@
 
   /** Destroys the connection so that a partial response does not look complete. */
   abort(): void {
-    this.response.destroy();
+    // Chunks leave the response only after the present turn, and would be lost before.
+    process.nextTick(() => this.response.destroy());
   }
 
   private async waitForDrain(): Promise<void> {
