Stop probing upstreams when a daemon stops

What was seen: a process that had run isolated daemons did not end. A run of features/isolated-instances.feature, whose 11 scenarios had passed, was still alive when it was ended by hand.

Cause: a probe that was in progress when UpstreamReach stopped armed the next one afterwards, for ever.

Change: nothing is probed after the stop.

--- a/src/isolation/upstream-reach.ts
+++ b/src/isolation/upstream-reach.ts
@@ -33,6 +33,7 @@
   private readonly handlers = new Set<(isolated: boolean) => void>();
   private isolated = false;
   private probing = false;
+  private stopped = false;
   private timer: Subscription | undefined;
 
   private constructor(private readonly parts: Parts) {}
@@ -51,6 +52,7 @@
   }
 
   stop(): void {
+    this.stopped = true;
     this.timer?.cancel();
   }
 
@@ -73,7 +75,7 @@
   }
 
   private async probe(): Promise<void> {
-    if (this.probing) return;
+    if (this.probing || this.stopped) return;
     this.probing = true;
     const { timers, random, directory } = this.parts;
     const entries = random
