Notice links to upstreams that accept connections and pass nothing on

What callers saw: at daemons whose links to all upstreams accept connections and then stay silent, every request ended with its deadline, for as long as the cut lasted.

Cause: reach was judged by connections alone, and a probe that connects does not show that the upstream is heard.

Change: several upstreams that have had requests for a second in which nothing came from any upstream are suspicious, as are two that cannot be connected to. A probe asks for the state of the upstream, and any response counts.

--- a/features/isolated-instances.feature
+++ b/features/isolated-instances.feature
@@ -17,6 +17,31 @@
       | 3   | 1000 | /once/1            |
       | 4   | 1000 | /stream/resumable/ |
 
+  # Guards against links that accept connections and then reset them.
+  Scenario Outline: Callers of instances whose connections are reset are served like those of the others
+    Given the links of 3 daemons are "resetting" for 1000 ms
+    When callers ask each daemon 30 times for "<path>"
+    Then callers of the cut daemons are served at least 0.9 times as often as those of the others
+
+    Examples:
+      | path               |
+      | /plain/1           |
+      | /once/1            |
+      | /stream/resumable/ |
+
+  # Guards against links that accept connections and pass nothing on.
+  Scenario Outline: Callers of instances whose links are silent are served like those of the others
+    Given the links of <cut> daemons are "silent" for 0 ms
+    And callers have asked each daemon for "<path>" for 3000 ms
+    When callers ask each daemon 30 times for "<path>"
+    Then callers of the cut daemons are served at least 0.9 times as often as those of the others
+
+    Examples:
+      | cut | path               |
+      | 3   | /plain/1           |
+      | 3   | /once/1            |
+      | 4   | /stream/resumable/ |
+
   # Guards against work that runs again because it was passed on.
   Scenario: Work that may run once runs once when it is passed on
     Given the links of 3 daemons refuse connections for 0 ms
--- a/features/steps/isolated-instances.ts
+++ b/features/steps/isolated-instances.ts
@@ -60,6 +60,29 @@
   },
 );
 
+Given(
+  "the links of {int} daemons are {string} for {int} ms",
+  async function (this: IsolationWorld, count: number, state: LinkState, ms: number) {
+    this.cut = count;
+    for (const { upstreamLinks } of hostOf(this).daemons.slice(0, count))
+      for (const link of upstreamLinks.values()) link.state = state;
+    await pause(ms);
+  },
+);
+
+/** Sends requests without waiting for their answers. */
+Given(
+  "callers have asked each daemon for {string} for {int} ms",
+  async function (this: IsolationWorld, path: string, ms: number) {
+    const host = hostOf(this);
+    const endMs = Date.now() + ms;
+    while (Date.now() < endMs) {
+      for (const daemon of host.daemons) void host.request(path, { pieces: 0 }, daemon);
+      await pause(INTERVAL_MS);
+    }
+  },
+);
+
 When(
   "callers ask each daemon {int} times for {string}",
   { timeout: 60_000 },
--- a/features/support/stage-call-trial.ts
+++ b/features/support/stage-call-trial.ts
@@ -54,7 +54,7 @@
       recordResponse: () => undefined,
     } as unknown as UpstreamStatements,
     upstreamPermits: { expectedWaitMs: () => 0 } as unknown as UpstreamPermits,
-    upstreamReach: { recordFailure: () => undefined },
+    upstreamReach: { recordFailure: () => undefined, recordReceived: () => undefined },
     decisionLines: { write: () => undefined } as unknown as DecisionLines,
   });
   const entry = entryOf({ address: `127.0.0.1:${port}` });
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -39,6 +39,7 @@
     storeView.start();
     this.parts.storedConvictions.start();
     this.parts.planKeeper.start();
+    this.parts.upstreamReach.start();
     this.parts.ownerConnections.start();
     readiness.clear(UnreadyReason.Starting);
     this.parts.log.info({ message: "listening", callers: this.settings.callers });
--- a/src/forward/dialect.ts
+++ b/src/forward/dialect.ts
@@ -16,6 +16,8 @@
 export interface Dialect {
   /** Path at which the load balancer polls whether this instance takes new connections. */
   readonly readinessPath: string;
+  /** Path at which upstreams tell their state, also while all their slots are in use. */
+  readonly statusPath: string;
   /** Throws `MalformedRequest` if a mandatory header is missing or invalid. */
   parseRequest(headers: IncomingHttpHeaders): RequestAttributes;
   /** Header names and values of one attempt, derived from those of the caller. */
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -110,7 +110,7 @@
     this.selection.recordAttempt(entry);
     const startedMs = timers.now();
     const after = progress.lastEventId;
-    const sendState = { sent: false };
+    const sendState = { sent: false, recordAnswered: (): void => undefined };
     health.inFlight += 1;
     try {
       const outcome = await UpstreamAttempt.create(
@@ -128,21 +128,23 @@
             // The conviction may have come while the connection was opened.
             if (this.isConvicted) return false;
             sendState.sent = upstreamStatements.trySend(entry, health, SentKind.Request, permit);
-            if (sendState.sent) this.scheduleInputsRead(entry);
-            return sendState.sent;
+            if (!sendState.sent) return false;
+            this.scheduleInputsRead(entry);
+            sendState.recordAnswered = upstreamReach.recordRequest(entry);
+            return true;
           },
           onResponseHead: (responseAttributes) => {
+            sendState.recordAnswered();
             upstreamReach.recordContact();
             upstreamStatements.recordResponse(entry, health, responseAttributes, permit);
           },
-          onResponseStart: () => {
-            this.onInputsRead();
-          },
+          onResponseStart: this.onInputsRead,
           onAnswer: () => {
             promptGuard.recordAnswer(service, sharedParts);
           },
           beginStream: () => streamVersion.begin(entry),
           onEvents: () => {
+            upstreamReach.recordReceived();
             streamVersion.recordEvents(entry);
           },
           signal: context.signal,
@@ -161,6 +163,7 @@
       if (sendState.sent) this.runCount += 1;
       throw this.withOutcome(error);
     } finally {
+      sendState.recordAnswered();
       health.inFlight -= 1;
     }
   }
@@ -227,11 +230,8 @@
   }
 
   private scheduleInputsRead(entry: UpstreamEntry): void {
-    const { timers } = this.parts;
-    if (!readsInputsAtOnce(this.parts, this.context.route, this.inputs, entry)) return;
-    timers.after(INPUTS_READ_DELAY_MS, () => {
-      this.onInputsRead();
-    });
+    if (readsInputsAtOnce(this.parts, this.context.route, this.inputs, entry))
+      this.parts.timers.after(INPUTS_READ_DELAY_MS, this.onInputsRead);
   }
 
   /** The deadline may also pass between two attempts. */
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -59,7 +59,7 @@
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamStatements: UpstreamStatements;
   readonly upstreamPermits: UpstreamPermits;
-  readonly upstreamReach: Pick<UpstreamReach, "recordFailure">;
+  readonly upstreamReach: Pick<UpstreamReach, "recordFailure" | "recordReceived">;
   readonly decisionLines: DecisionLines;
 }
 
@@ -100,6 +100,7 @@
     try {
       const dropWindowMs = Math.max(MIN_DROP_WINDOW_MS, DROP_WINDOW_FRACTION * capacity.baseCallMs);
       answer = await this.exchange({ entry, pieces, health, permit }, dropWindowMs, timeout.signal);
+      upstreamReach.recordReceived();
       if (answer.kind === "results")
         health.recordSuccess((timers.now() - startedAtMs) / expectedMs);
     } catch (error) {
