Decline passed-on requests that reach no upstream, so that another instance is asked

What callers saw: 503 at isolated daemons, although daemons with upstreams were left, when the instance that got a passed-on request had just lost its upstreams too.

Cause: an instance that had accepted a passed-on request answered it with its own refusal, which the first instance returned to its caller.

Change: a passed-on request that has not run and reaches no upstream is declined. While only a few connections have failed, two other instances at most are asked, as a service may be gone for all.

--- a/features/isolated-instances.feature
+++ b/features/isolated-instances.feature
@@ -42,6 +42,14 @@
       | 3   | /once/1            |
       | 4   | /stream/resumable/ |
 
+  # Guards against refusals by instances that lose their upstreams too.
+  Scenario: A request that is passed on to an instance without upstreams is passed on to another one
+    Given the links of 2 daemons refuse connections for 0 ms
+    And callers ask each daemon 10 times for "/plain/1"
+    And the links of 4 daemons refuse connections for 0 ms
+    When 10 callers ask each of the first 2 daemons at once for "/plain/1"
+    Then every caller is served
+
   # Guards against work that runs again because it was passed on.
   Scenario: Work that may run once runs once when it is passed on
     Given the links of 3 daemons refuse connections for 0 ms
--- a/features/steps/isolated-instances.ts
+++ b/features/steps/isolated-instances.ts
@@ -102,6 +102,22 @@
   },
 );
 
+When(
+  "{int} callers ask each of the first {int} daemons at once for {string}",
+  { timeout: 60_000 },
+  async function (this: IsolationWorld, callers: number, count: number, path: string) {
+    const host = hostOf(this);
+    const asked = host.daemons.slice(0, count);
+    this.answers = await Promise.all(
+      asked.map((daemon) =>
+        Promise.all(
+          Array.from({ length: callers }, () => host.request(path, { pieces: 0 }, daemon)),
+        ),
+      ),
+    );
+  },
+);
+
 When(
   "all links accept connections again for {int} ms",
   async function (this: IsolationWorld, ms: number) {
@@ -121,6 +137,10 @@
   },
 );
 
+Then("every caller is served", function (this: IsolationWorld) {
+  assert.equal(servedShare(this.answers), 1);
+});
+
 Then("no request ran twice", function (this: IsolationWorld) {
   const ran = hostOf(this).site.upstreams.flatMap((upstream) => upstream.ran);
   const ids = ran.map(({ attemptId }) => attemptId);
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -19,6 +19,7 @@
 import type { RequestRelay } from "../isolation/request-relay.js";
 import type { StreamVersion } from "../version/stream-version.js";
 import type { StreamVersions } from "../version/stream-versions.js";
+import { isUnreached } from "../isolation/unreached.js";
 import { hasRoom } from "../version/upstream-room.js";
 import type { UpstreamSelector } from "./upstream-selector.js";
 
@@ -50,7 +51,7 @@
     return new RequestForwarder(parts);
   }
 
-  /** Always responds to the request or closes its connection. Never rejects. */
+  /** Responds or closes the connection; rejects if a relayed request reaches no upstream here. */
   async serve(request: ForwardRequest, writer: ResponseWriter): Promise<void> {
     const { timers } = this.parts;
     const cancellation = new AbortController();
@@ -209,8 +210,10 @@
       this.recordCompletion(request, context, 0, error.kind, error.message);
       return;
     }
-    const status = this.parts.refusalWriter.write(writer, error);
+    const declined = request.relayed === true && isUnreached(error);
+    const status = declined ? 0 : this.parts.refusalWriter.write(writer, error);
     this.recordCompletion(request, context, status, error.kind, error.message);
+    if (declined) throw error;
   }
 
   private recordCompletion(
--- a/src/isolation/relayed-requests.ts
+++ b/src/isolation/relayed-requests.ts
@@ -61,7 +61,7 @@
         ResponseWriter.create(raw, () => true),
       );
     } catch {
-      // Instances of another version may encode requests otherwise.
+      // No upstream is reached here either, or an instance of another version encoded the request.
       raw.removeHeader(RELAYED_HEADER);
       raw.writeHead(UNAVAILABLE, { connection: "close" }).end();
     }
--- a/src/isolation/request-relay.ts
+++ b/src/isolation/request-relay.ts
@@ -15,6 +15,7 @@
 import type { Timers } from "../time/timers.js";
 import { Connection } from "../upstream/connection.js";
 import { encodeRelayedRequest } from "./relayed-request.js";
+import { isUnreached } from "./unreached.js";
 import type { UpstreamReach } from "./upstream-reach.js";
 
 /** Path at which instances accept requests of others. */
@@ -24,6 +25,8 @@
 
 /** Instances that are asked; several may be isolated themselves. */
 const MAX_ASKED = 6;
+/** Instances that are asked while upstreams may be gone for all, which each of them tries. */
+const MAX_ASKED_IN_DOUBT = 2;
 const CONNECT_TIMEOUT_MS = 250;
 /** Headers of the connection between the instances. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -66,8 +69,7 @@
       return await serveHere();
     } catch (error) {
       const failure = ServeError.from(error, ErrorKind.Internal);
-      const notRun = failure.kind === ErrorKind.NoUpstream && failure.outcome === Outcome.NotRun;
-      if (!notRun || !upstreamReach.isSuspect || context.writer.started) throw error;
+      if (!isUnreached(failure) || !upstreamReach.isSuspect || context.writer.started) throw error;
       const status = await this.serveElsewhere(context);
       if (status === undefined) throw error;
       return status;
@@ -79,7 +81,8 @@
     const { random, members, decisionLines, forwardMetrics } = this.parts;
     const alive = aliveMembers(members);
     const usable = alive.filter(({ id }) => !this.avoided.has(id));
-    for (const member of random.sample(usable.length > 0 ? usable : alive, MAX_ASKED)) {
+    const most = this.parts.upstreamReach.isIsolated ? MAX_ASKED : MAX_ASKED_IN_DOUBT;
+    for (const member of random.sample(usable.length > 0 ? usable : alive, most)) {
       const status = await this.serveAt(member, context);
       const fields = { attempt: context.attributes.attemptId, instance: member.id, status };
       decisionLines.write(status === undefined ? "relay declined" : "relayed", fields);
