Do not continue a stream by plan alone while the store is away

Cause: a stream that begins at another version than planned has a record in the store. While the store could not be read, a resumption followed the plan if all its distributions agreed, as if there were no record.

Change: an instance remembers the version of the streams that it resumes. Without the store, other streams go on only if the plan names one version alone; otherwise the resumption is refused as not run, and may come back.

--- a/features/steps/version-plans.ts
+++ b/features/steps/version-plans.ts
@@ -59,6 +59,27 @@
   },
 );
 
+Given(
+  "{float} of the streams find engines of one version only usable",
+  function (this: PlanWorld, share: number) {
+    for (const fleet of this.planFleets) fleet.oneVersionShare = share;
+  },
+);
+
+When(
+  "streams are sent for {int} s and the store is away for {int} s meanwhile",
+  { timeout: 120_000 },
+  async function (this: PlanWorld, seconds: number, awaySeconds: number) {
+    const sent = this.planFleets.map((fleet) => fleet.send(PER_SECOND, seconds));
+    await advance(this, ((seconds - awaySeconds) / 2) * 1_000);
+    for (const { rows } of this.planFleets) rows.away = true;
+    await advance(this, awaySeconds * 1_000);
+    for (const { rows } of this.planFleets) rows.away = false;
+    await advance(this, (seconds + 10) * 1_000);
+    await Promise.all(sent);
+  },
+);
+
 When("{int} s pass for the fleets", async function (this: PlanWorld, seconds: number) {
   await advance(this, seconds * 1_000);
 });
--- a/features/support/version-fleet.ts
+++ b/features/support/version-fleet.ts
@@ -27,6 +27,8 @@
   /** Resumptions whose version had two engines at least. */
   resumable = 0;
   continued = 0;
+  /** Share of the streams for which an instance finds engines of one version only usable. */
+  oneVersionShare = 0;
   private readonly random: RandomSource;
   private readonly running = new Set<string>();
   private readonly site: VersionSite;
@@ -119,9 +121,7 @@
     const version = await instance.versions.choose({
       ...{ route: STREAM_ROUTE, service: SERVICE, attributes },
     });
-    const usable = new Set(
-      instance.entries.filter(() => this.random.fraction() < USABLE_SHARE).map(({ id }) => id),
-    );
+    const usable = this.usableAt(instance);
     const excluded = new Set(version.excluded(instance.entries, ({ id }) => usable.has(id)));
     const left = instance.entries.filter(({ id }) => usable.has(id) && !excluded.has(id));
     const entry = this.random.sample(left, 1)[0];
@@ -136,6 +136,18 @@
     await this.resume(attemptId, softwareVersion);
   }
 
+  /** IDs of the engines that an instance finds usable for one stream. */
+  private usableAt({ entries }: VersionInstance): Set<string> {
+    const { random } = this;
+    const one = random.fraction() < this.oneVersionShare ? random.sample(entries, 1)[0] : undefined;
+    const usable = entries.filter(
+      ({ softwareVersion }) =>
+        (one === undefined || softwareVersion === one.softwareVersion) &&
+        random.fraction() < USABLE_SHARE,
+    );
+    return new Set(usable.map(({ id }) => id));
+  }
+
   private async resume(resumes: string, begun: string): Promise<void> {
     const instance = this.random.sample(this.instances, 1)[0];
     if (instance === undefined) return;
--- a/features/version-plans.feature
+++ b/features/version-plans.feature
@@ -28,6 +28,20 @@
       | 8         | 10    |
       | 62        | 2     |
 
+  # Guards against streams that go on by plan although they began at another version.
+  Scenario Outline: The store is away while streams run that began at another version than planned
+    Given <instances> instances before engines of versions "v1" and "v2", <seeds> times
+    And 0.1 of the streams find engines of one version only usable
+    When streams are sent for 20 s and the store is away for 6 s meanwhile
+    Then no stream of them goes on at another version
+    And at least 0.5 of those go on whose version has two engines
+
+    Examples:
+      | instances | seeds |
+      | 3         | 5     |
+      | 8         | 5     |
+      | 62        | 1     |
+
   # Guards against a table that grows with each release, as nothing in the store expires by itself.
   Scenario: Records of streams that have ended are removed
     Given 8 instances before engines of versions "v1" and "v2", 1 times
--- a/src/version/stream-versions.ts
+++ b/src/version/stream-versions.ts
@@ -12,7 +12,7 @@
 import { streamKey } from "./stream-key.js";
 import type { StreamRecords } from "./stream-records.js";
 import { StreamVersion } from "./stream-version.js";
-import { allAgree, plannedVersion, unrecordedVersion } from "./version-plan.js";
+import { allAgree, onlyVersion, plannedVersion, unrecordedVersion } from "./version-plan.js";
 import type { VersionPlans } from "./version-plans.js";
 
 /** How an instance knows the version that began a stream. */
@@ -108,24 +108,16 @@
     try {
       [stored, era] = await Promise.all([recordReader.find(key), planKeeper.refresh()]);
     } catch {
-      return this.lookUpWithoutStore(service, attemptId);
+      // The stream may have begun at another version than planned, and its record cannot be read.
+      const version = onlyVersion(versionPlans.of(service));
+      return version === undefined ? undefined : { version, source: VersionSource.Planned };
     }
-    if (stored !== undefined) return { version: stored, source: VersionSource.Stored };
     const plan = versionPlans.of(service);
     // In another era, the record may have been lost.
-    if (plan?.era !== era) return undefined;
-    return { version: unrecordedVersion(plan, attemptId), source: VersionSource.Planned };
-  }
-
-  /** Without the store, a stream goes on if all plans of its time say the same. */
-  private lookUpWithoutStore(
-    service: string,
-    attemptId: string,
-  ): { version: string; source: VersionSource } | undefined {
-    const plan = this.parts.versionPlans.of(service);
-    if (plan === undefined) return undefined;
-    const version = unrecordedVersion(plan, attemptId);
-    if (!allAgree(plan, attemptId, version)) return undefined;
-    return { version, source: VersionSource.Planned };
+    if (stored === undefined && plan?.era !== era) return undefined;
+    const version = stored ?? unrecordedVersion(plan, attemptId);
+    const source = stored === undefined ? VersionSource.Planned : VersionSource.Stored;
+    begunStreams.add(key, version);
+    return { version, source };
   }
 }
--- a/src/version/version-plan.ts
+++ b/src/version/version-plan.ts
@@ -44,8 +44,8 @@
  * unless all distributions that it knows agree on its version. The oldest distribution of the
  * present plan is one of those, as it is kept for longer than a stream lasts.
  */
-export function unrecordedVersion({ distributions }: VersionPlan, attemptId: string): string {
-  const [oldest] = distributions;
+export function unrecordedVersion(plan: VersionPlan | undefined, attemptId: string): string {
+  const [oldest] = plan?.distributions ?? [];
   return oldest === undefined ? "" : versionUnder(oldest, attemptId);
 }
 
@@ -53,3 +53,10 @@
 export function allAgree(plan: VersionPlan, attemptId: string, version: string): boolean {
   return plan.distributions.every((each) => versionUnder(each, attemptId) === version);
 }
+
+/** The version of all streams if a plan names one version only. */
+export function onlyVersion(plan: VersionPlan | undefined): string | undefined {
+  const places = plan?.distributions.flatMap((each) => each.places) ?? [];
+  const [version, ...others] = new Set(places.map(([each]) => each));
+  return others.length === 0 ? version : undefined;
+}
