Play software versions, resumptions and lost upstream links in the soak

Upstreams have two software versions and change them when they begin anew, callers resume streams at other daemons, upstreams break answers off more often, and daemons lose their own links to all upstreams for 4 s and longer (refused, reset, silent). Checks: no stream holds events of two versions over all its requests; from 3 s after a cut on, first requests are served at isolated daemons at least two thirds as often as at the others. Each check has a case that fails it.

--- a/features/soak-checks.feature
+++ b/features/soak-checks.feature
@@ -17,6 +17,8 @@
       | plain            | its answer is not signed                      | unsigned                                  |
       | plain            | its answer is incomplete and ends as complete | got "answer"                              |
       | stream/resumable | an event is missing                           | ended as complete with the events 1,2,4,5 |
+      | stream/resumable | it was resumed and went on at another version | holds events of 2 software versions       |
+      | plain            | 20 of 40 requests were refused at a daemon without upstreams, and none at the other one | requests served at isolated daemons |
       | plain            | another request runs                          | ran and no caller sent it                 |
       | plain            | it runs with another body                     | ran with another method, path or body     |
       | plain            | it runs with its key                          | ran with the key or for another team      |
@@ -29,6 +31,11 @@
     When its upstream gets 11 such requests in 3 s from 4 s after it states a limit of 1
     Then the checks find nothing
 
+  Scenario: Few requests that fail at a daemon without upstreams are no finding
+    Given a request of kind "plain" that was answered well and ran once
+    When 10 of 40 requests were refused at a daemon without upstreams, and none at the other one
+    Then the checks find nothing
+
   Scenario: The bounds do not hold for a daemon that was disturbed
     Given a request of kind "plain" that was answered well and ran once
     When its key was removed 3 s before
--- a/features/steps/soak-checks.ts
+++ b/features/steps/soak-checks.ts
@@ -35,7 +35,8 @@
 
 function findings(world: ChecksWorld): string[] {
   const { runs, keys, leavings, troubles, asked, others } = world;
-  return checkPromises({ ran: runs, seen: runs, keys, leavings, troubles }, [asked, ...others]);
+  const witness = { ran: runs, seen: runs, keys, leavings, troubles, daemons: 2 };
+  return checkPromises(witness, [asked, ...others]);
 }
 
 Given(
@@ -44,6 +45,8 @@
     this.asked = {
       id: ID,
       kind,
+      first: ID,
+      after: 0,
       daemon: 0,
       key: KEY,
       sentMs: SENT_MS,
@@ -95,12 +98,34 @@
       const body = run.body.replace(ID, id);
       this.runs.push({ ...run, limit, attemptId: id, url, body, atMs });
       const times = { sentMs: atMs - 10, endedMs: atMs + 20 };
-      const answered = { id, answered: id, body: `answer to ${id}` };
+      const answered = { id, first: id, answered: id, body: `answer to ${id}` };
       this.others.push({ ...this.asked, ...answered, ...times });
     }
   },
 );
 
+When("it was resumed and went on at another version", function (this: ChecksWorld) {
+  const body = (event: number, version: string): string =>
+    `id: ${event}\ndata: token ${event} of ${version}\n\n`;
+  change(this, { whole: false, body: [1, 2].map((event) => body(event, "v1")).join("") });
+  const rest = [3, 4, 5].map((event) => body(event, "v2")).join("");
+  const id = `${ID}-1`;
+  this.others.push({ ...this.asked, id, after: 2, answered: id, body: rest, whole: true });
+});
+
+When(
+  "{int} of {int} requests were refused at a daemon without upstreams, and none at the other one",
+  function (this: ChecksWorld, refused: number, count: number) {
+    this.troubles.begin("upstream links 0", SENT_MS - 5_000)(ENDED_MS + 5_000);
+    for (let at = 0; at < 2 * count; at += 1) {
+      const id = `other-${at}`;
+      const status = at < refused ? 503 : 200;
+      const names = { id, first: id, answered: id, body: `answer to ${id}` };
+      this.others.push({ ...this.asked, ...names, status, daemon: at < count ? 0 : 1 });
+    }
+  },
+);
+
 When("it was answered {int}", function (this: ChecksWorld, status: number) {
   change(this, { status });
 });
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -16,11 +16,15 @@
 const MEAN_LIMIT_GAP_MS = 4_000;
 const MEAN_RESTORE_GAP_MS = 5_000;
 const LEAST_LIMIT_MS = 8_000;
+const MEAN_BREAK_GAP_MS = 2_000;
+const MEAN_ISOLATION_GAP_MS = 3_000;
+const LEAST_ISOLATION_MS = 4_000;
 /** Limits that upstreams state, in requests per second. */
 const LIMITS = [0.5, 1, 2, 10];
 
 const HARMED = Object.values(LinkState).filter((state) => state !== LinkState.Open);
 const UNWELL = Object.values(UpstreamMode).filter((mode) => mode !== UpstreamMode.Serving);
+const ISOLATING = [LinkState.Refused, LinkState.Resetting, LinkState.Silent];
 const AWAY = [StoreMode.Busy, StoreMode.Silent];
 
 /** Sizes of the fleet that a plan is drawn for. */
@@ -74,6 +78,33 @@
   return plan;
 }
 
+/** Draws upstreams that break their answers off, so that streams are resumed. */
+export function drawBreaks(random: RandomSource, size: PlanSize): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = random.exponential(MEAN_BREAK_GAP_MS);
+  while (atMs < size.lengthMs) {
+    const target = random.below(size.upstreams);
+    const forMs = LEAST_MS + random.exponential(MEAN_MS);
+    plan.push({ atMs, forMs, fault: { kind: "upstream", mode: UpstreamMode.BreaksOff, target } });
+    atMs += random.exponential(MEAN_BREAK_GAP_MS);
+  }
+  return plan;
+}
+
+/** Draws daemons that lose their links to all upstreams, long enough for the bound on them to hold. */
+export function drawIsolations(random: RandomSource, size: PlanSize): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = random.exponential(MEAN_ISOLATION_GAP_MS);
+  while (atMs < size.lengthMs) {
+    const state = ISOLATING[random.below(ISOLATING.length)] ?? LinkState.Refused;
+    const target = random.below(size.daemons);
+    const forMs = LEAST_ISOLATION_MS + random.exponential(MEAN_MS);
+    plan.push({ atMs, forMs, fault: { kind: "isolation", state, target } });
+    atMs += random.exponential(MEAN_ISOLATION_GAP_MS);
+  }
+  return plan;
+}
+
 function ofUpstream(fault: SoakFault): boolean {
   if (fault.kind === "link") return fault.side === LinkSide.Upstream;
   return fault.kind === "upstream" || fault.kind === "leaving";
--- a/soak/promise-check.ts
+++ b/soak/promise-check.ts
@@ -1,9 +1,11 @@
 import { siteBounds } from "../standin/platform-site.js";
 import type { SeenRequest } from "../standin/platform-upstream.js";
+import { checkIsolation } from "./isolation-check.js";
 import { checkLimits } from "./limit-check.js";
 import type { KeyChange, Leaving } from "./soak-fleet.js";
 import type { TroubleLog } from "./trouble-log.js";
 import { RequestKind, type SoakRequest, runsOnce } from "./soak-request.js";
+import { checkVersions } from "./version-check.js";
 
 /** Statuses that promise that the request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -27,6 +29,8 @@
   readonly keys: readonly KeyChange[];
   readonly leavings: readonly Leaving[];
   readonly troubles: TroubleLog;
+  /** Number of daemons. */
+  readonly daemons: number;
 }
 
 /** Compares what callers and upstreams saw with the promises; returns the broken ones. */
@@ -45,14 +49,18 @@
   for (const request of requests) {
     findings.push(...checkAnswer(witness, request, runs.get(request.id) ?? []));
   }
-  findings.push(...checkLimits(witness.seen, sent, (request) => inTouch(witness, request)));
+  const bound = (request: SoakRequest): boolean => inTouch(witness, request);
+  findings.push(...checkLimits(witness.seen, sent, bound));
+  findings.push(...checkVersions(requests));
+  findings.push(...checkIsolation(requests, witness.troubles, witness.daemons, bound));
   return findings;
 }
 
 function checkRun(witness: Witness, request: SoakRequest, run: SeenRequest): string[] {
-  const { id, kind, key } = request;
+  const { id, kind, key, first } = request;
   const findings: string[] = [];
-  if (run.url !== `/${kind}/${id}` || run.body !== `body of ${id}` || run.method !== "POST") {
+  const sent = { url: `/${kind}/${first}`, body: `body of ${first}`, method: "POST" };
+  if (run.url !== sent.url || run.body !== sent.body || run.method !== sent.method) {
     findings.push(`${id} ran with another method, path or body`);
   }
   if (run.key !== undefined || run.team !== TEAM) {
@@ -97,14 +105,14 @@
   return findings;
 }
 
-function checkContent({ id, kind, answered, signature, body }: SoakRequest): string[] {
+function checkContent({ id, kind, after, answered, signature, body }: SoakRequest): string[] {
   const findings: string[] = [];
   if (answered !== id) findings.push(`${id} got another answer`);
   if (signature === undefined) findings.push(`${id} unsigned`);
   const streamed = kind === RequestKind.Staged || kind === RequestKind.Resumable;
   if (!streamed && body !== `answer to ${id}`) findings.push(`${id} got "${body}"`);
   const events = [...body.matchAll(/^id: (\d+)$/gm)].map(([, event]) => event);
-  if (streamed && events.join() !== EVENTS.join()) {
+  if (streamed && events.join() !== EVENTS.slice(after).join()) {
     findings.push(`${id} ended as complete with the events ${events.join()}`);
   }
   return findings;
--- a/soak/soak-driver.ts
+++ b/soak/soak-driver.ts
@@ -4,6 +4,8 @@
 import { siteBounds } from "../standin/platform-site.js";
 import { UpstreamMode } from "../standin/upstream-mode.js";
 import type { SoakFleet } from "./soak-fleet.js";
+import { FreezeLog } from "./freeze-log.js";
+import { isolationOf } from "./isolation-check.js";
 import { DaemonSignal, LinkSide, type PlannedFault, type SoakFault } from "./soak-fault.js";
 
 /** Time from the end of a process to its next start. */
@@ -20,6 +22,7 @@
   readonly findings: string[] = [];
   /** Disturbances that last, by the part that they change. */
   private readonly held = new Map<string, number>();
+  private readonly freezes = FreezeLog.create();
 
   private constructor(
     private readonly timers: Timers,
@@ -58,6 +61,14 @@
         });
         return;
       }
+      case "isolation": {
+        const links = fleet.upstreamLinksOf(fault.target);
+        for (const link of links) link.state = fault.state;
+        await this.hold(isolationOf(fault.target), forMs, () => {
+          for (const link of links) link.state = LinkState.Open;
+        });
+        return;
+      }
       case "store":
         fleet.site.store.mode = fault.mode;
         await this.hold("store", forMs, () => {
@@ -114,8 +125,10 @@
         return;
       case DaemonSignal.Freeze:
         daemon.signal("SIGSTOP");
+        this.freezes.begin(target, timers.now());
         await this.hold(`freeze ${target}`, forMs, () => {
           daemon.signal("SIGCONT");
+          this.freezes.end(target, timers.now());
         });
         return;
       case DaemonSignal.Kill:
@@ -124,7 +137,9 @@
           const startMs = timers.now();
           const booting = !(await daemon.handlesSignals());
           const code = await daemon.end(signal === DaemonSignal.Kill ? "SIGKILL" : "SIGTERM");
-          const tookMs = Math.round(timers.now() - startMs);
+          // A frozen process cannot end.
+          const frozenMs = this.freezes.frozenMs(target, startMs, timers.now());
+          const tookMs = Math.round(timers.now() - startMs - frozenMs);
           if (signal === DaemonSignal.Stop && !booting && (code !== 0 || tookMs > GRACE_MS)) {
             this.findings.push(`i${target} ended with ${String(code)} ${tookMs} ms after SIGTERM`);
           }
@@ -164,6 +179,8 @@
     case "upstream":
     case "limit":
       return `upstream ${fault.target}`;
+    case "isolation":
+      return isolationOf(fault.target);
     case "leaving":
       return "leaving";
     case "store":
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -36,6 +36,8 @@
   | { readonly kind: "restore" }
   | { readonly kind: "upstream"; readonly mode: UpstreamMode; readonly target: number }
   | { readonly kind: "leaving"; readonly target: number }
+  /** A daemon loses its links to all upstreams; those of the other daemons stay. */
+  | { readonly kind: "isolation"; readonly state: LinkState; readonly target: number }
   | { readonly kind: "limit"; readonly perSecond: number; readonly target: number }
   | { readonly kind: "key" };
 
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -1,6 +1,7 @@
 import type { Timers } from "../src/time/timers.js";
 import { DaemonProcess, DaemonProgram } from "../standin/daemon-process.js";
 import { FaultLink } from "../standin/fault-link.js";
+import { freePorts } from "../standin/free-ports.js";
 import { LinkState } from "../standin/link-state.js";
 import { PlatformSite } from "../standin/platform-site.js";
 import { StoreMode } from "../standin/platform-store.js";
@@ -12,6 +13,7 @@
 const READY_MS = 10_000;
 const POLL_MS = 50;
 const FIRST_KEY = "key-0";
+const VERSIONS = ["v1", "v2"];
 
 /** A daemon and the links before and behind it. */
 interface SoakInstance {
@@ -19,6 +21,8 @@
   /** Port that tells whether it is ready. */
   readonly readiness: number;
   readonly links: Readonly<Record<LinkSide.Callers | LinkSide.Store, FaultLink>>;
+  /** Its own links to the upstreams. */
+  readonly upstreamLinks: readonly FaultLink[];
 }
 
 /** A key and the time at which the store had it as the only one, in ms since the epoch. */
@@ -63,6 +67,10 @@
       return link.port;
     });
     const upstreamLinks = site.upstreams.flatMap(({ port }) => links.get(port) ?? []);
+    for (const [at, upstream] of site.upstreams.entries()) {
+      upstream.version = VERSIONS[at % VERSIONS.length];
+      site.register(upstream);
+    }
     const instances: SoakInstance[] = [];
     const fleet = new SoakFleet(timers, site, upstreamLinks, instances);
     for (let at = 0; at < size.daemons; at += 1) {
@@ -84,6 +92,15 @@
     return link;
   }
 
+  /** The links of one daemon to all upstreams. */
+  upstreamLinksOf(target: number): readonly FaultLink[] {
+    return this.instances[target]?.upstreamLinks ?? [];
+  }
+
+  get daemons(): number {
+    return this.instances.length;
+  }
+
   /** Requests that reached upstreams. */
   get seen(): SeenRequest[] {
     return this.site.upstreams.flatMap(({ seen }) => seen);
@@ -115,9 +132,10 @@
     this.leavings.push({ upstream: upstream.id, fromMs: this.timers.wallClock() });
   }
 
-  /** Has an upstream that left begin anew, under another id at the same address. */
+  /** Has an upstream that left begin anew, at the same address with another id and version. */
   rejoin(target: number): void {
     this.replaced += 1;
+    this.upstream(target).version = VERSIONS[(target + this.replaced) % VERSIONS.length];
     this.site.replace(this.upstream(target), `u${target}-${this.replaced}`);
   }
 
@@ -153,7 +171,10 @@
   }
 
   private get links(): FaultLink[] {
-    const own = this.instances.flatMap(({ links }) => Object.values(links));
+    const own = this.instances.flatMap(({ links, upstreamLinks }) => [
+      ...Object.values(links),
+      ...upstreamLinks,
+    ]);
     return [...own, ...this.upstreamLinks];
   }
 
@@ -175,11 +196,20 @@
   site: PlatformSite,
 ): Promise<SoakInstance> {
   const ports = await PlatformSite.daemonPorts();
+  const [viewPort = 0, ...ownPorts] = await freePorts(1 + site.upstreams.length);
+  const upstreamLinks: FaultLink[] = [];
+  const addresses = new Map<string, string>();
+  for (const [at, { address }] of site.upstreams.entries()) {
+    const link = await FaultLink.create(timers, Number(address.split(":")[1]), ownPorts[at]);
+    upstreamLinks.push(link);
+    addresses.set(address, `127.0.0.1:${link.port}`);
+  }
+  await site.store.listenWith(viewPort, addresses);
   const links = {
     [LinkSide.Callers]: await FaultLink.create(timers, ports.callers),
-    [LinkSide.Store]: await FaultLink.create(timers, site.storePort),
+    [LinkSide.Store]: await FaultLink.create(timers, viewPort),
   };
   const settings = site.settingsOf(id, { ...ports, store: links[LinkSide.Store].port }, "info");
   const daemon = await DaemonProcess.create(DaemonProgram.Platform, directory, id, settings);
-  return { daemon, readiness: ports.readiness, links };
+  return { daemon, readiness: ports.readiness, links, upstreamLinks };
 }
--- a/soak/soak-request.ts
+++ b/soak/soak-request.ts
@@ -12,6 +12,10 @@
 export interface SoakRequest extends PlatformAnswer {
   readonly id: string;
   readonly kind: RequestKind;
+  /** The request that it repeats or resumes; itself if it is the first one. */
+  readonly first: string;
+  /** The last event that the caller had got before. */
+  readonly after: number;
   /** Number of the daemon that got it. */
   readonly daemon: number;
   readonly key: string;
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -2,7 +2,7 @@
 import { join } from "node:path";
 import { RandomSource } from "../src/random/random-source.js";
 import { SystemTimers } from "../src/time/system-timers.js";
-import { drawLimits, drawPlan, drawRestores } from "./fault-plan.js";
+import { drawBreaks, drawIsolations, drawLimits, drawPlan, drawRestores } from "./fault-plan.js";
 import { checkPromises } from "./promise-check.js";
 import { SoakCaller } from "./soak-caller.js";
 import { SoakDriver } from "./soak-driver.js";
@@ -21,6 +21,8 @@
 const SEED_FACTOR = 0x9e3779b1;
 const LIMIT_SEED_FACTOR = 0x85ebca6b;
 const RESTORE_SEED_FACTOR = 0x27d4eb2f;
+const ISOLATION_SEED_FACTOR = 0x165667b1;
+const BREAK_SEED_FACTOR = 0x1b873593;
 
 /** Sizes of one run. */
 export interface SoakSize {
@@ -51,10 +53,14 @@
   // These have draws of their own, so that known seeds keep their other disturbances.
   const restoreRandom = RandomSource.create(Math.imul(seed, RESTORE_SEED_FACTOR));
   const limitRandom = RandomSource.create(Math.imul(seed, LIMIT_SEED_FACTOR));
+  const isolationRandom = RandomSource.create(Math.imul(seed, ISOLATION_SEED_FACTOR));
+  const breakRandom = RandomSource.create(Math.imul(seed, BREAK_SEED_FACTOR));
   const plan = [
     ...drawPlan(random, planSize),
     ...drawLimits(limitRandom, planSize),
     ...drawRestores(restoreRandom, planSize),
+    ...drawIsolations(isolationRandom, planSize),
+    ...drawBreaks(breakRandom, planSize),
   ];
   const fleet = await SoakFleet.create(timers, directory, size);
   const requests: SoakRequest[] = [];
--- a/soak/trouble-log.ts
+++ b/soak/trouble-log.ts
@@ -32,4 +32,11 @@
       (each) => subjects.includes(each.subject) && each.fromMs <= toMs && each.toMs >= fromMs,
     );
   }
+
+  /** Whether one disturbance of the subject lasted through the whole span. */
+  covers(subject: string, fromMs: number, toMs: number): boolean {
+    return this.troubles.some(
+      (each) => each.subject === subject && each.fromMs <= fromMs && each.toMs >= toMs,
+    );
+  }
 }
