Let entries of upstreams that are gone expire after a restore in the soak

The daemons' logs show 16 requests for u1-1, all answered 421, and 18 for u1-4 in the whole time of the limit: u1-1 had the same address before, its entry came back with the copy of the store, and the stand-in kept it for ever. The store of the platform drops entries whose upstream is silent. The check is unchanged.

--- a/standin/platform-site.ts
+++ b/standin/platform-site.ts
@@ -110,7 +110,8 @@
 
   /**
    * Has the store come back from a copy. Upstreams write their entries again at once, the operator
-   * the configuration after a time, unless it has written a newer one by then.
+   * the configuration after a time, unless it has written a newer one by then; entries of upstreams
+   * that are gone have expired by then.
    */
   async restore(copy: StoreCopy, rewriteMs: number): Promise<void> {
     const { store, version } = this;
@@ -120,6 +121,9 @@
     for (const [id, entry] of entries) store.put("servers", id, entry);
     await new Promise((resolve) => setTimeout(resolve, rewriteMs));
     if (this.version === version) store.put("op", "config", configuration);
+    const present = new Set(this.upstreams.map(({ id }) => id));
+    for (const id of store.keys("servers"))
+      if (!present.has(id)) store.put("servers", id, undefined);
   }
 
   /** Settings of a daemon. */
--- a/standin/platform-store.ts
+++ b/standin/platform-store.ts
@@ -83,6 +83,11 @@
     this.rows.set(`${table}/${key}`, { table, key, value, ver: this.version, tombstone });
   }
 
+  /** Keys of the rows that a table has. */
+  keys(table: string): string[] {
+    return this.since(table, 0).flatMap(({ key, tombstone }) => (tombstone ? [] : [key]));
+  }
+
   copy(): StoreCopy {
     return { rows: new Map(this.rows), version: this.version };
   }
