Prove that records and plans keep a stream at one software version

A model of one stream with two versions and two instances: it begins as planned or not, its record reaches the store late, the store goes away, all instances end, the engines of a version leave.

--- a/model/check.ts
+++ b/model/check.ts
@@ -6,6 +6,7 @@
 import { type Logic, createLogic } from "./logic.js";
 import { shortestViolation, unprovedByInduction } from "./model-check.js";
 import type { BrokenVariant, ModelSuite, Specification } from "./specification.js";
+import { versionSuite } from "./version/suite.js";
 
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
 
@@ -66,6 +67,7 @@
   await checkSuite(logic, ledgerSuite),
   await checkSuite(logic, configurationSuite),
   await checkSuite(logic, leaseSuite),
+  await checkSuite(logic, versionSuite),
 ];
 const passed = results.every((result) => result);
 print(passed ? "model check passed" : "model check failed");
