Notice a reset that arrives together with the last bytes of a response

Cause: when the last bytes and the reset are both pending as the event loop gets to a socket, libuv reads the bytes and reports the end of the stream in place of the error. A busy instance takes the truncated response for a whole one. Resets that are read by themselves were noticed.

Change: at the end of a stream, a socket that has no peer any more was reset; an orderly end leaves the peer known. The links of the soak pass such a reset on as one, too.

A program that reads with a blocked event loop: 7 of 40 resets reported as an end, all without a peer; 40 of 40 orderly ends with one.

--- a/features/response-framing.feature
+++ b/features/response-framing.feature
@@ -138,3 +138,8 @@
   Scenario: What is written before a response is broken off reaches the caller
     When an event is written to a caller and the response is broken off at once
     Then the caller got the event and an incomplete response
+
+  # Guards against truncated responses that are taken as whole when an instance is busy.
+  Scenario: A reset that arrives together with the last bytes is noticed
+    When 50 responses without a length are reset in the turn of their last bytes
+    Then each of them is known to have been reset
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -48,6 +48,10 @@
       // The client destroys the socket with errors of its own, also after a whole response.
       if (error.syscall !== undefined) fault.code ??= error.code ?? error.name;
     });
+    socket.on("end", () => {
+      // The runtime reports a reset that arrives with the last bytes as an end; no peer is left then.
+      if (socket.remoteAddress === undefined) fault.code ??= "ECONNRESET";
+    });
     try {
       await once(socket, "connect", { signal: AbortSignal.any([signal, connectTimeout.signal]) });
     } catch (error) {
--- a/standin/fault-link.ts
+++ b/standin/fault-link.ts
@@ -117,7 +117,12 @@
       later(() => void to.write(bytes));
     });
     from.on("end", () => {
-      later(() => void to.end());
+      // A reset that arrives with the last bytes is reported as an end; no peer is left then.
+      const reset = from.remoteAddress === undefined;
+      later(() => {
+        if (reset) to.resetAndDestroy();
+        else to.end();
+      });
     });
     from.on("error", () => {
       later(() => void to.resetAndDestroy());
