--- a/soak/known-seed.ts
+++ b/soak/known-seed.ts
@@ -12,6 +12,7 @@
   { seed: 126, cause: "as 111 and 115" },
   { seed: 135, cause: "as 111" },
   { seed: 142, cause: "as 115" },
+  { seed: 701, cause: "a resumption followed the plan of versions while the store was away" },
 ];
 
 /** One seed for each cause, for a short run. */
