Add a case: a rolling restart forgets requests that crash replicas

The registry of such requests subscribes to the updates of other instances when it is created, which is at the first request. Updates that a new instance gets before are marked as received and lost.

Adds the script review/5: two rolling restarts of three daemons, and one request that crashes the replicas that run it.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -f target/nutmegstage-front.js ] && [ -f dist/review/5/case.js ] || exit 2
+exec node dist/review/5/case.js
