--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 plays
+# the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/nutmegstage-front.js ] && [ -f dist/review/5/case.js ] || exit 2
-exec node dist/review/5/case.js
+TROUBLE="${TROUBLE:-1}" exec node dist/review/5/case.js
