Count only requests passed on by a daemon in touch

The first case's script took for granted that the daemon is in touch when it passes on the requests that are lost. It now counts only those that the replica got later than contact-ms after the outage.

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -17,10 +17,14 @@
 /** Channels that requesters keep. */
 const CHANNELS = 16;
 const ALLOWED = 3;
+/** Time after the outage from which the daemon is in touch. */
+const CONTACT_MS = 3_000;
 
 // The disruption is an outage of the store while an engine sends bytes without end.
 await runCase(import.meta.url, async (site, record, trouble) => {
-  const ran = new Set<string>();
+  /** When the sound replica got each request. */
+  const ran = new Map<string, number>();
+  let inTouchMs = trouble ? Infinity : 0;
   const engine = await Replica.create("e1", "engine", "a", (request, response) => {
     const id = String(request.headers["nutmegstage-attempt-id"]);
     record.add(`e1 ran ${id}`);
@@ -36,7 +40,7 @@
   });
   const desk = await Replica.create("d1", "desk", "a", async (request, response) => {
     const id = String(request.headers["nutmegstage-attempt-id"]);
-    ran.add(id);
+    ran.set(id, Date.now());
     record.add(`d1 ran ${id}`);
     await new Promise((resolve) => setTimeout(resolve, WORK_MS));
     response.end("answer");
@@ -72,6 +76,7 @@
     setTimeout(() => {
       site.store.mode = StoreMode.Serving;
       record.add("the store answers again");
+      inTouchMs = Date.now() + CONTACT_MS;
     }, OUTAGE_MS);
   }
   await new Promise((resolve) => setTimeout(resolve, BEFORE_STREAM_MS));
@@ -86,7 +91,8 @@
       const { id, status, ms } = await send({ ip, path: "/charge/1", deadlineMs, signal, agent });
       record.add(`charge ${id}, ${sent}. on its channel: status ${status} after ${ms} ms`);
       if (status !== 0) continue;
-      return sent > 1 && ran.has(id) && ms < deadlineMs ? 1 : 0;
+      const inTouch = (ran.get(id) ?? -Infinity) >= inTouchMs;
+      return sent > 1 && inTouch && ms < deadlineMs ? 1 : 0;
     }
     return 0;
   });
@@ -99,7 +105,7 @@
   record.add(`${ip} ended by itself: ${ends === "" ? "never" : ends}`);
   return {
     held: closed <= ALLOWED,
-    seen: `${closed} of ${CHANNELS} kept channels were closed without the answer to a request that a sound replica had got; the daemon ended by itself: ${ends === "" ? "never" : ends}`,
+    seen: `${closed} of ${CHANNELS} kept channels were closed without the answer to a request that the daemon, in touch, had passed on to a sound replica; the daemon ended by itself: ${ends === "" ? "never" : ends}`,
   };
 });
 
