Bound the memory and time of responses by what they really take

Callers saw: an engine that answered with empty lines without end ended the daemon while the store was away (16 of 16 kept connections closed without the answer to a request in progress), and one that sent an event without end in chunks of four bytes stalled it (248 of 248 requests to another service without an answer half a second after their time-out).

Cause: a bound counted something other than what it protects. Held events, results and stage responses were kept as one slice per chunk, so that the heap was filled by entries long before the bound on bytes; each slice also kept the read alive that it came in. The event splitter copied and searched all bytes since the last event for each chunk. Empty lines counted as events, and so as progress.

Change: bytes that add up are copied into one allocation; all buffers together take a quarter of the heap limit, and the one that grows beyond is given up. The splitter looks at each byte once. Empty lines and comments alone are no event. The product's own path reads results the same way.

--- a/features/steps/forward-decisions.ts
+++ b/features/steps/forward-decisions.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
+import { BufferBudget } from "../../src/buffer/buffer-budget.js";
 import { ErrorKind } from "../../src/error/error-kind.js";
 import { ServeError } from "../../src/error/serve-error.js";
 import type { ResponseWriter } from "../../src/forward/response-writer.js";
@@ -170,7 +171,7 @@
   fc.assert(
     fc.property(fc.array(event), fc.array(fc.nat(200)), fc.string(), (events, cuts, rest) => {
       const whole = Buffer.from(`${events.join("")}${rest}`);
-      const splitter = EventSplitter.create();
+      const splitter = EventSplitter.create(BufferBudget.create());
       const relayedChunks: Buffer[] = [];
       let from = 0;
       for (const cut of [...cuts, whole.length]) {
--- a/features/steps/slow-streams.ts
+++ b/features/steps/slow-streams.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { BufferBudget } from "../../src/buffer/buffer-budget.js";
 import { RequestDialect } from "../../platform/request-dialect.js";
 import type { ResponseWriter } from "../../src/forward/response-writer.js";
 import type { AttemptOutcome } from "../../src/forward/attempt-outcome.js";
@@ -49,7 +50,7 @@
     const rawHeaders = ["nutmegstage-attempt-id", "a1"];
     const signal = new AbortController().signal;
     const attempt = UpstreamAttempt.create(
-      { timers, dialect: RequestDialect.create() },
+      { timers, dialect: RequestDialect.create(), bufferBudget: BufferBudget.create() },
       {
         request: {
           method: "POST",
--- a/features/support/response-trial.ts
+++ b/features/support/response-trial.ts
@@ -1,3 +1,4 @@
+import { BufferBudget } from "../../src/buffer/buffer-budget.js";
 import { RequestDialect } from "../../platform/request-dialect.js";
 import type { AttemptOutcome } from "../../src/forward/attempt-outcome.js";
 import type { ResponseWriter } from "../../src/forward/response-writer.js";
@@ -110,7 +111,7 @@
   const { signal } = new AbortController();
   const request = { method: "POST", target: "/1", headers: {}, body: Buffer.alloc(0) };
   const attempt = UpstreamAttempt.create(
-    { timers, dialect: RequestDialect.create() },
+    { timers, dialect: RequestDialect.create(), bufferBudget: BufferBudget.create() },
     {
       request: { ...request, rawHeaders: [], arrivedMs: timers.now(), signal },
       attemptId: "a1",
--- a/features/support/stage-call-trial.ts
+++ b/features/support/stage-call-trial.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import { BufferBudget } from "../../src/buffer/buffer-budget.js";
 import { RequestDialect } from "../../platform/request-dialect.js";
 import { ConnectionPools } from "../../src/forward/connection-pools.js";
 import type { DecisionLines } from "../../src/forward/decision-lines.js";
@@ -56,6 +57,7 @@
     upstreamPermits: { expectedWaitMs: () => 0 } as unknown as UpstreamPermits,
     upstreamReach: { recordFailure: () => undefined, recordReceived: () => undefined },
     decisionLines: { write: () => undefined } as unknown as DecisionLines,
+    bufferBudget: BufferBudget.create(),
   });
   const entry = entryOf({ address: `127.0.0.1:${port}` });
   const outcomes: string[] = [];
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -23,7 +23,11 @@
 const LIMITS = [0.5, 1, 2, 10];
 
 const HARMED = Object.values(LinkState).filter((state) => state !== LinkState.Open);
-const UNWELL = Object.values(UpstreamMode).filter((mode) => mode !== UpstreamMode.Serving);
+/** Modes with draws of their own. */
+const ENDLESS = [UpstreamMode.InterimHeads, UpstreamMode.EmptyLines, UpstreamMode.TinyChunks];
+const UNWELL = Object.values(UpstreamMode).filter(
+  (mode) => mode !== UpstreamMode.Serving && !ENDLESS.includes(mode),
+);
 const ISOLATING = [LinkState.Refused, LinkState.Resetting, LinkState.Silent];
 const AWAY = [StoreMode.Busy, StoreMode.Silent];
 
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -1,4 +1,5 @@
 import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
+import { BufferBudget } from "../buffer/buffer-budget.js";
 import type { ConsolaInstance } from "consola";
 import { CrashReports } from "../crash/crash-reports.js";
 import { PromptGuard } from "../crash/prompt-guard.js";
@@ -74,6 +75,7 @@
   readonly logOutput: LogOutput;
   readonly decisionLines: DecisionLines;
   readonly pauses: PauseDetection;
+  readonly bufferBudget: BufferBudget;
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
   readonly rowFeed: RowFeed;
@@ -145,6 +147,7 @@
     }).singleton(),
     decisionLines: asFunction(DecisionLines.create).singleton(),
     pauses: asFunction(PauseDetection.create).singleton(),
+    bufferBudget: asFunction(() => BufferBudget.create()).singleton(),
     dialect: asValue(adapter.dialect),
     rowDecoder: asValue(adapter.rowDecoder),
     rowStore: asFunction(adapter.rowStore).singleton(),
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -103,7 +103,7 @@
 
   private async attempt(entry: UpstreamEntry, permit: Permit | undefined): Promise<AttemptOutcome> {
     const { timers, upstreamHealth, upstreamStatements, dialect } = this.parts;
-    const { decisionLines, forwardMetrics, promptGuard, upstreamReach } = this.parts;
+    const { decisionLines, forwardMetrics, promptGuard, upstreamReach, bufferBudget } = this.parts;
     const { context, streamVersion } = this;
     const { request, attributes, route, progress, writer, service, sharedParts } = context;
     const health = upstreamHealth.of(entry.id);
@@ -114,7 +114,7 @@
     health.inFlight += 1;
     try {
       const outcome = await UpstreamAttempt.create(
-        { timers, dialect },
+        { timers, dialect, bufferBudget },
         {
           request,
           attemptId: attributes.attemptId,
--- a/src/forward/dispatch-parts.ts
+++ b/src/forward/dispatch-parts.ts
@@ -1,3 +1,4 @@
+import type { BufferBudget } from "../buffer/buffer-budget.js";
 import type { BrittleUpstreams } from "../brittle/brittle-upstreams.js";
 import type { CrashReports } from "../crash/crash-reports.js";
 import type { PromptGuard } from "../crash/prompt-guard.js";
@@ -16,6 +17,7 @@
 /** What the attempts of a request need. */
 export interface DispatchParts {
   readonly timers: Timers;
+  readonly bufferBudget: BufferBudget;
   readonly dialect: Dialect;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
--- a/src/forward/stage-caller.ts
+++ b/src/forward/stage-caller.ts
@@ -1,3 +1,4 @@
+import type { BufferBudget } from "../buffer/buffer-budget.js";
 import type { UpstreamReach } from "../isolation/upstream-reach.js";
 import { readBoundedText } from "../upstream/read-bounded-text.js";
 import type { Connection } from "../upstream/connection.js";
@@ -61,6 +62,7 @@
   readonly upstreamPermits: UpstreamPermits;
   readonly upstreamReach: Pick<UpstreamReach, "recordFailure" | "recordReceived">;
   readonly decisionLines: DecisionLines;
+  readonly bufferBudget: BufferBudget;
 }
 
 /** Sends stage calls and releases of results to upstreams. */
@@ -160,7 +162,7 @@
     { entry, pieces, health, permit }: StageCall,
     signal: AbortSignal,
   ): Promise<CallOutcome> {
-    const { timers, dialect, connectionPools, upstreamStatements } = this.parts;
+    const { timers, dialect, connectionPools, upstreamStatements, bufferBudget } = this.parts;
     let reusable = false;
     try {
       const now = timers.now();
@@ -187,8 +189,8 @@
         const { notRun } = attributes;
         return { kind: notRun ? "refused" : "lost" };
       }
-      const answer: unknown = JSON.parse(await readBoundedText(body, MAX_RESPONSE_BYTES));
-      const results = dialect.parseStageResponse(answer, pieces.length);
+      const text = await readBoundedText(body, MAX_RESPONSE_BYTES, bufferBudget);
+      const results = dialect.parseStageResponse(JSON.parse(text), pieces.length);
       reusable = this.checkHandles(acquired.connection, results);
       return { kind: "results", results };
     } finally {
--- a/src/forward/stage-releases.ts
+++ b/src/forward/stage-releases.ts
@@ -1,3 +1,4 @@
+import type { BufferBudget } from "../buffer/buffer-budget.js";
 import type { Permit } from "../limit/permit.js";
 import type { UpstreamPermits } from "../limit/upstream-permits.js";
 import type { Timers } from "../time/timers.js";
@@ -43,6 +44,7 @@
   readonly upstreamStatements: UpstreamStatements;
   readonly upstreamPermits: UpstreamPermits;
   readonly decisionLines: DecisionLines;
+  readonly bufferBudget: BufferBudget;
 }
 
 /** Batches releases of results to the upstreams that keep them. */
@@ -138,7 +140,7 @@
             dialect.parseResponse(statusCode, headers),
             permit,
           );
-        await readBoundedText(body, MAX_RESPONSE_BYTES);
+        await readBoundedText(body, MAX_RESPONSE_BYTES, this.parts.bufferBudget);
         reusable = statusCode === OK;
         return true;
       } catch (error) {
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -1,4 +1,7 @@
 import type { Readable } from "node:stream";
+import { AppendResult } from "../buffer/append-result.js";
+import type { BufferBudget } from "../buffer/buffer-budget.js";
+import { ByteBuffer } from "../buffer/byte-buffer.js";
 import { AttemptPhase } from "../crash/attempt-phase.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
@@ -8,7 +11,7 @@
 import type { AttemptOutcome } from "./attempt-outcome.js";
 import { consumeBody } from "./consume-body.js";
 import type { Dialect } from "./dialect.js";
-import { EventSplitter } from "./event-splitter.js";
+import { type CompleteEvents, EventSplitter } from "./event-splitter.js";
 import { EventRelay } from "../version/event-relay.js";
 
 /** Time within which an upstream accepts a connection; several round trips in a region. */
@@ -18,12 +21,11 @@
 const OK = 200;
 /** Maximum size of a response that is not streamed; these are buffered before relaying. */
 const MAX_BUFFERED_BYTES = 4_194_304;
-/** Maximum size of an incomplete stream event; regular events hold a few tokens. */
-const MAX_EVENT_BYTES = 1_048_576;
 
 interface Parts {
   readonly timers: Timers;
   readonly dialect: Dialect;
+  readonly bufferBudget: BufferBudget;
 }
 
 /** Sends a request to one upstream on a new connection and relays the response. */
@@ -111,29 +113,38 @@
     connection: Connection,
     status: number,
     headers: ResponseHeaders,
-    body: AsyncIterable<Buffer>,
+    body: Readable,
   ): Promise<AttemptOutcome> {
-    const { writer } = this.task;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of body) {
-      this.markActive();
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes > MAX_BUFFERED_BYTES) return this.broken("the response exceeds 4 MiB");
+    const buffer = ByteBuffer.create(this.parts.bufferBudget, MAX_BUFFERED_BYTES);
+    try {
+      await consumeBody(body, (chunk) => {
+        this.markActive();
+        const result = buffer.append(chunk);
+        if (result !== AppendResult.Added) throw new Error(`the response is ${result}`);
+        return undefined;
+      });
+      return this.sendWhole(connection, status, headers, buffer.take());
+    } finally {
+      buffer.clear();
     }
+  }
+
+  private sendWhole(
+    connection: Connection,
+    status: number,
+    headers: ResponseHeaders,
+    body: Buffer,
+  ): AttemptOutcome {
     if (endedByReset(connection, headers)) {
       return this.broken("the connection was reset; the response may be truncated");
     }
     const mayHaveBody = status === OK && this.task.request.method !== "HEAD";
-    if (mayHaveBody && bytes === 0 && !hasKnownLength(headers)) {
+    if (mayHaveBody && body.length === 0 && !hasKnownLength(headers)) {
       return this.broken("the connection was closed after the response head");
     }
     this.markAnswered();
-    const completeBody = Buffer.concat(chunks);
-    if (status >= MIN_SERVER_ERROR_STATUS)
-      return { kind: "reported", status, headers, body: completeBody };
-    writer.send(status, this.parts.dialect.callerHeaders(headers), completeBody);
+    if (status >= MIN_SERVER_ERROR_STATUS) return { kind: "reported", status, headers, body };
+    this.task.writer.send(status, this.parts.dialect.callerHeaders(headers), body);
     return { kind: "relayed", status };
   }
 
@@ -145,25 +156,24 @@
   ): Promise<AttemptOutcome> {
     const { task } = this;
     const { writer } = task;
-    const { timers, dialect } = this.parts;
-    const splitter = EventSplitter.create();
+    const { timers, dialect, bufferBudget } = this.parts;
+    const splitter = EventSplitter.create(bufferBudget);
     const startResponse = (): void => {
       if (!writer.started) writer.start(status, dialect.callerHeaders(headers));
     };
     const mayPass = task.beginStream();
     if (mayPass === undefined) startResponse();
-    const relay = EventRelay.create((events) => {
+    const send = (events: CompleteEvents): Promise<void> | undefined => {
       startResponse();
       task.onEvents();
       task.progress.record(events.count, events.lastId, timers.now());
       const drained = writer.write(events.bytes);
       return drained === undefined ? undefined : this.waitForCaller(drained);
-    }, mayPass);
+    };
+    const relay = EventRelay.create(send, mayPass, bufferBudget);
     try {
       await consumeBody(body, (chunk) => {
         const events = splitter.push(chunk);
-        if (splitter.remainder.length > MAX_EVENT_BYTES)
-          throw new Error("a stream event exceeds 1 MiB");
         // Bytes that do not complete an event do not count as progress.
         if (events === undefined) return undefined;
         this.markActive();
@@ -173,16 +183,21 @@
       const empty = this.phase !== AttemptPhase.Answered && !hasKnownLength(headers);
       if (endedByReset(connection, headers))
         throw new Error("the connection was reset; the response may be truncated");
-      if (empty || splitter.remainder.length > 0)
+      if (empty || splitter.isInsideEvent)
         throw new Error("the stream ended before or inside an event");
+      relay.complete();
+      startResponse();
+      // Empty lines and comments after the last event belong to the response too.
+      if (splitter.remainder.length > 0) void writer.write(splitter.remainder);
+      writer.end();
+      return { kind: "relayed", status };
     } catch (error) {
       if (!task.signal.aborted) await relay.breakOff();
       throw error;
+    } finally {
+      relay.clear();
+      splitter.clear();
     }
-    relay.complete();
-    startResponse();
-    writer.end();
-    return { kind: "relayed", status };
   }
 
   /** Suspends the silence timeout while the caller has not read what was relayed. */
--- a/src/isolation/request-relay.ts
+++ b/src/isolation/request-relay.ts
@@ -1,3 +1,7 @@
+import type { Readable } from "node:stream";
+import { AppendResult } from "../buffer/append-result.js";
+import type { BufferBudget } from "../buffer/buffer-budget.js";
+import { ByteBuffer } from "../buffer/byte-buffer.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
@@ -28,6 +32,8 @@
 /** Instances that are asked while upstreams may be gone for all, which each of them tries. */
 const MAX_ASKED_IN_DOUBT = 2;
 const CONNECT_TIMEOUT_MS = 250;
+/** Bounds memory; instances send larger responses of upstreams in chunks. */
+const MAX_RESPONSE_BYTES = 4_194_304;
 /** Headers of the connection between the instances. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   ...["connection", "keep-alive", "transfer-encoding", "content-length", "date"],
@@ -43,6 +49,7 @@
   readonly upstreamReach: Pick<UpstreamReach, "isIsolated" | "isSuspect">;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: Pick<ForwardMetrics, "recordRelay">;
+  readonly bufferBudget: BufferBudget;
 }
 
 /** Has requests served by another instance while this one does not reach its upstreams. */
@@ -141,9 +148,8 @@
       CONNECTION_HEADERS.has(name) ? [] : [value ?? ""].flat().flatMap((each) => [name, each]),
     );
     if (headers["content-length"] !== undefined) {
-      const chunks: Buffer[] = [];
-      for await (const chunk of body) chunks.push(chunk as Buffer);
-      writer.send(statusCode, callerHeaders, Buffer.concat(chunks));
+      const whole = await this.readWhole(body);
+      writer.send(statusCode, callerHeaders, whole);
       return statusCode;
     }
     writer.start(statusCode, callerHeaders);
@@ -151,4 +157,18 @@
     writer.end();
     return statusCode;
   }
+
+  private async readWhole(body: Readable): Promise<Buffer> {
+    const buffer = ByteBuffer.create(this.parts.bufferBudget, MAX_RESPONSE_BYTES);
+    try {
+      await consumeBody(body, (chunk) => {
+        const result = buffer.append(chunk);
+        if (result !== AppendResult.Added) throw new Error(`the response is ${result}`);
+        return undefined;
+      });
+      return buffer.take();
+    } finally {
+      buffer.clear();
+    }
+  }
 }
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -9,6 +9,8 @@
 const DEFAULT_PORT = 80;
 /** Idle connections close before the other end does so at its usual 5 s. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
+/** Bytes of a body that are read ahead; in chunks of one byte, each takes some hundred bytes. */
+const MAX_UNREAD_BYTES = 16_384;
 /** Errors of a socket whose other end is gone; those of the client have codes of their own. */
 const PEER_CLOSED_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
@@ -81,7 +83,7 @@
   }
 
   request(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
-    return this.client.request(options);
+    return this.client.request({ highWaterMark: MAX_UNREAD_BYTES, ...options });
   }
 
   /** Closes the connection; a call in progress fails. */
--- a/src/upstream/http-engine-models.ts
+++ b/src/upstream/http-engine-models.ts
@@ -6,8 +6,9 @@
 import type { EngineModels } from "./engine-models.js";
 import type { EngineOrder } from "./engine-order.js";
 import type { OrderPermit } from "./order-permit.js";
+import { readBoundedText } from "./read-bounded-text.js";
 
-const MAX_RESPONSE_CHARACTERS = 262_144;
+const MAX_RESPONSE_BYTES = 262_144;
 const modelListSchema = z.object({ data: z.array(z.object({ id: z.string() })) });
 const ORDER_PATHS = { load: "/v1/load_lora_adapter", unload: "/v1/unload_lora_adapter" } as const;
 
@@ -29,7 +30,7 @@
         method: "GET",
         signal,
       });
-      const text = await readBody(body);
+      const text = await readBoundedText(body, MAX_RESPONSE_BYTES);
       checkStatus(statusCode);
       return modelListSchema.parse(JSON.parse(text)).data.map(({ id }) => id);
     });
@@ -50,7 +51,7 @@
         body,
         signal,
       });
-      await readBody(response.body);
+      await readBoundedText(response.body, MAX_RESPONSE_BYTES);
       checkStatus(response.statusCode);
     });
   }
@@ -81,16 +82,6 @@
   };
 }
 
-async function readBody(body: AsyncIterable<unknown>): Promise<string> {
-  let text = "";
-  for await (const part of body) {
-    text += String(part);
-    if (text.length > MAX_RESPONSE_CHARACTERS)
-      throw new Error(`the engine response exceeds ${MAX_RESPONSE_CHARACTERS} characters`);
-  }
-  return text;
-}
-
 function checkStatus(status: number): void {
   if (status < 300) return;
   throw ServeError.create(errorKindOf(status), `the engine answered with status ${status}`);
--- a/src/upstream/http-upstream-client.ts
+++ b/src/upstream/http-upstream-client.ts
@@ -1,12 +1,15 @@
 import { createParser } from "eventsource-parser";
 import { z } from "zod";
 import { Rank } from "../configuration/rank.js";
+import { BufferBudget } from "../buffer/buffer-budget.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import { EventSplitter } from "../forward/event-splitter.js";
 import type { Timers } from "../time/timers.js";
 import type { CallIdentity } from "./call-identity.js";
 import { DropReason } from "./drop-reason.js";
 import type { DroppedAnswers } from "./dropped-answers.js";
+import { readBoundedText } from "./read-bounded-text.js";
 import { readLoad } from "./read-load.js";
 import type { GenerateRequest } from "./generate-request.js";
 import type { Token } from "./token.js";
@@ -54,10 +57,9 @@
     signal: AbortSignal,
     idempotent = false,
   ): Promise<unknown> {
-    const parts: Uint8Array[] = [];
     const call = { path, identity, body, idempotent, maxBytes: MAX_RESPONSE_BYTES };
-    for await (const part of this.exchange.answer(call, signal)) parts.push(part);
-    return this.parseJson(Buffer.concat(parts).toString());
+    const parts = this.exchange.answer(call, signal);
+    return this.parseJson(await readBoundedText(parts, MAX_RESPONSE_BYTES));
   }
 
   async *generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<Token> {
@@ -71,13 +73,14 @@
     };
     const parts = this.exchange.answer(call, signal);
     const events: string[] = [];
-    const decoder = new TextDecoder();
+    const splitter = EventSplitter.create(BufferBudget.create(Infinity));
     const parser = createParser({ onEvent: ({ data }) => events.push(data) });
     let completionTokens = 0;
     let complete = false;
     try {
       for (let part = await parts.next(); part.done !== true; part = await parts.next()) {
-        parser.feed(decoder.decode(part.value, { stream: true }));
+        // The parser looks at an incomplete line again with each chunk.
+        parser.feed(splitter.push(Buffer.from(part.value))?.bytes.toString() ?? "");
         for (const data of events.splice(0)) {
           if (data === END_OF_STREAM) {
             complete = true;
--- a/src/upstream/read-load.ts
+++ b/src/upstream/read-load.ts
@@ -3,8 +3,9 @@
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import { Connection } from "./connection.js";
+import { readBoundedText } from "./read-bounded-text.js";
 
-const MAX_REPORT_CHARACTERS = 65_536;
+const MAX_REPORT_BYTES = 65_536;
 const loadSchema = z.object({ server_load: z.number().nonnegative() });
 
 /**
@@ -19,12 +20,7 @@
   const connection = await Connection.open(address, timers, signal);
   try {
     const { body } = await connection.request({ path: "/load", method: "GET", signal });
-    let text = "";
-    for await (const part of body.setEncoding("utf8")) {
-      text += part as string;
-      if (text.length > MAX_REPORT_CHARACTERS)
-        throw new Error(`the load report exceeds ${MAX_REPORT_CHARACTERS} characters`);
-    }
+    const text = await readBoundedText(body, MAX_REPORT_BYTES);
     return loadSchema.parse(JSON.parse(text)).server_load;
   } catch (error) {
     throw ServeError.from(signal.aborted ? signal.reason : error, ErrorKind.UpstreamFailed);
--- a/src/version/event-relay.ts
+++ b/src/version/event-relay.ts
@@ -1,3 +1,6 @@
+import { AppendResult } from "../buffer/append-result.js";
+import type { BufferBudget } from "../buffer/buffer-budget.js";
+import { ByteBuffer } from "../buffer/byte-buffer.js";
 import type { CompleteEvents } from "../forward/event-splitter.js";
 
 /** Bounds the memory of a stream that is held until it is complete. */
@@ -7,22 +10,31 @@
 
 /** Passes the events of one response on as they arrive, or holds them until they may be. */
 export class EventRelay {
-  private held: CompleteEvents[] | undefined;
-  private heldBytes = 0;
+  private readonly held: ByteBuffer;
+  private heldCount = 0;
+  private heldLastId: string | undefined;
+  private holds = false;
 
   private constructor(
     private readonly send: Send,
     private readonly mayPass: Promise<boolean> | undefined,
-  ) {}
+    budget: BufferBudget,
+  ) {
+    this.held = ByteBuffer.create(budget, MAX_HELD_BYTES);
+  }
 
   /**
    * `mayPass` resolves with whether events may be passed on before the response is complete;
    * undefined if they may.
    */
-  static create(send: Send, mayPass: Promise<boolean> | undefined): EventRelay {
-    const relay = new EventRelay(send, mayPass);
+  static create(
+    send: Send,
+    mayPass: Promise<boolean> | undefined,
+    budget: BufferBudget,
+  ): EventRelay {
+    const relay = new EventRelay(send, mayPass, budget);
     if (mayPass === undefined) return relay;
-    relay.held = [];
+    relay.holds = true;
     void mayPass.then((may) => {
       if (may) relay.release();
     });
@@ -31,10 +43,11 @@
 
   /** Resolves when more can be passed on; throws if too much is held. */
   push(events: CompleteEvents): Promise<void> | undefined {
-    if (this.held === undefined) return this.send(events);
-    this.held.push(events);
-    this.heldBytes += events.bytes.length;
-    if (this.heldBytes > MAX_HELD_BYTES) throw new Error("a stream that is held exceeds 4 MiB");
+    if (!this.holds) return this.send(events);
+    const result = this.held.append(events.bytes);
+    if (result !== AppendResult.Added) throw new Error(`a stream that is held is ${result}`);
+    this.heldCount += events.count;
+    this.heldLastId = events.lastId ?? this.heldLastId;
     return undefined;
   }
 
@@ -46,12 +59,21 @@
   /** Passes on what is held if it may be, as the response has broken off; drops it otherwise. */
   async breakOff(): Promise<void> {
     await this.mayPass;
-    this.held = undefined;
+    this.clear();
+  }
+
+  /** Drops what is held. */
+  clear(): void {
+    this.holds = false;
+    this.held.clear();
+    this.heldCount = 0;
   }
 
   private release(): void {
-    const held = this.held ?? [];
-    this.held = undefined;
-    for (const events of held) void this.send(events);
+    const count = this.heldCount;
+    const lastId = this.heldLastId;
+    const bytes = this.held.take();
+    this.clear();
+    if (bytes.length > 0) void this.send({ bytes, count, lastId });
   }
 }
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -1,12 +1,11 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
 import type { Socket } from "node:net";
-import { endless } from "./endless-response.js";
+import { sendEndless } from "./endless-response.js";
 import { UpstreamMode } from "./upstream-mode.js";
 
 const EVENTS = 5;
 const EVENT_MS = 20;
 const TRICKLE_MS = 200;
-const ENDLESS_BYTES = 65_536;
 
 /** A request as an upstream got it. */
 export interface SeenRequest {
@@ -192,11 +191,11 @@
         response.socket?.resetAndDestroy();
         return;
       case UpstreamMode.EndlessHead:
-        endless(response, "HTTP/1.1 200 OK\r\n", `x-more: ${"x".repeat(ENDLESS_BYTES)}\r\n`);
-        return;
       case UpstreamMode.EndlessBody:
-        response.flushHeaders();
-        endless(response, "", `10000\r\n${"x".repeat(ENDLESS_BYTES)}\r\n`);
+      case UpstreamMode.InterimHeads:
+      case UpstreamMode.EmptyLines:
+      case UpstreamMode.TinyChunks:
+        sendEndless(response, this.mode);
         return;
       case UpstreamMode.Trickles:
         response.write("id: 1\ndata: ");
--- a/standin/upstream-mode.ts
+++ b/standin/upstream-mode.ts
@@ -17,6 +17,12 @@
   EndlessHead = "endless-head",
   /** Sends a body without end, which is one event where the answer is a stream. */
   EndlessBody = "endless-body",
+  /** Sends interim heads without end. */
+  InterimHeads = "interim-heads",
+  /** Sends empty lines without end, each in a chunk of its own. */
+  EmptyLines = "empty-lines",
+  /** Sends a body without end, which is one event where the answer is a stream, in small chunks. */
+  TinyChunks = "tiny-chunks",
   /** Begins an event and goes on with a byte now and then. */
   Trickles = "trickles",
   /** Sends a second copy of the answer to a stage call with the next answer on the connection. */
