Check route, key and size before the body of a request

A caller without a key ended a daemon with a chunked body of one-byte chunks without end: the body was read whole before the key was looked at, and each chunk was kept. Route, key and stated length are now checked when the head has arrived, and the refusal goes out at once; the rest is read and dropped for 1 s. A body takes one allocation within the memory for all buffers; beyond it, it is refused as not run. Bodies of GET requests and with any content type are passed on; the server library dropped or refused them.

caller-bodies.feature passes; its scenarios of bodies without end cannot run on the code before, whose process they would end.

--- /dev/null
+++ b/src/forward/caller-body.ts
@@ -0,0 +1,95 @@
+import type { IncomingMessage } from "node:http";
+import { AppendResult } from "../buffer/append-result.js";
+import type { BufferBudget } from "../buffer/buffer-budget.js";
+import { ByteBuffer } from "../buffer/byte-buffer.js";
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
+
+/** Other bodies are complete or refused by then. */
+const NO_MEMORY_RETRY_MS = 1_000;
+
+/** The body of a caller's request. */
+export class CallerBody {
+  private buffer: ByteBuffer | undefined;
+
+  private constructor(
+    private readonly message: IncomingMessage,
+    private readonly budget: BufferBudget,
+  ) {}
+
+  static create(message: IncomingMessage, budget: BufferBudget): CallerBody {
+    return new CallerBody(message, budget);
+  }
+
+  /** See `BodyRead`. What was read is dropped if it rejects. */
+  async read(maxBytes: number, signal: AbortSignal): Promise<Buffer> {
+    const { message } = this;
+    const { "content-length": length, "transfer-encoding": encoding } = message.headers;
+    if (length === undefined && encoding === undefined) return Buffer.alloc(0);
+    const buffer = ByteBuffer.create(this.budget, maxBytes);
+    this.buffer = buffer;
+    try {
+      await this.collect(buffer, maxBytes, signal);
+      return buffer.bytes;
+    } catch (error) {
+      this.clear();
+      throw error;
+    }
+  }
+
+  /** Frees the memory of the body. */
+  clear(): void {
+    this.buffer?.clear();
+  }
+
+  private async collect(buffer: ByteBuffer, maxBytes: number, signal: AbortSignal): Promise<void> {
+    const { message } = this;
+    const { promise, resolve, reject } = promiseParts();
+    const add = (chunk: Buffer): void => {
+      const result = buffer.append(chunk);
+      if (result !== AppendResult.Added) reject(refusalOf(result, maxBytes));
+    };
+    const leave = (): void => {
+      reject(ServeError.create(ErrorKind.Cancelled, "the caller disconnected"));
+    };
+    const abort = (): void => {
+      reject(signal.reason as Error);
+    };
+    message.on("data", add).once("end", resolve).once("close", leave).on("error", leave);
+    signal.addEventListener("abort", abort, { once: true });
+    try {
+      await promise;
+    } finally {
+      message.off("data", add).off("end", resolve).off("close", leave);
+      signal.removeEventListener("abort", abort);
+    }
+  }
+}
+
+function promiseParts(): {
+  promise: Promise<void>;
+  resolve: () => void;
+  reject: (error: Error) => void;
+} {
+  let resolve = (): void => undefined;
+  let reject: (error: Error) => void = () => undefined;
+  const promise = new Promise<void>((onResolve, onReject) => {
+    resolve = onResolve;
+    reject = onReject;
+  });
+  return { promise, resolve, reject };
+}
+
+function refusalOf(
+  result: Exclude<AppendResult, AppendResult.Added>,
+  maxBytes: number,
+): ServeError {
+  switch (result) {
+    case AppendResult.TooLarge:
+      return ServeError.create(ErrorKind.BodyTooLarge, `the body exceeds ${maxBytes} bytes`);
+    case AppendResult.NoMemory:
+      return ServeError.create(ErrorKind.Overloaded, "there is no memory for the body", {
+        retryAfterMs: NO_MEMORY_RETRY_MS,
+      });
+  }
+}
--- a/src/forward/front-server.ts
+++ b/src/forward/front-server.ts
@@ -1,14 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { type FastifyInstance, fastify } from "fastify";
+import type { BufferBudget } from "../buffer/buffer-budget.js";
 import { answerConnectionError } from "../http/connection-error.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Timers } from "../time/timers.js";
+import { CallerBody } from "./caller-body.js";
 import { ResponseWriter } from "./response-writer.js";
 import type { RequestForwarder } from "./request-forwarder.js";
 import type { RouteView } from "./route-view.js";
 
-/** Above any configured limit; the configured one is checked after the body has arrived. */
-const MAX_BODY_BYTES = 16_777_216;
 const MAX_HEADER_BYTES = 65_536;
 /** Callers keep the configured time limits; connections are closed this much later. */
 const TIMEOUT_MARGIN_MS = 1_000;
@@ -17,18 +17,23 @@
 const INITIAL_HEADER_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
+/**
+ * Time for which the rest of a refused body is read. A connection that is closed before that is
+ * reset, and the caller may lose the response.
+ */
+const DISCARD_MS = 1_000;
 
 interface Parts {
   readonly timers: Timers;
   readonly random: RandomSource;
   readonly routeView: RouteView;
   readonly requestForwarder: RequestForwarder;
+  readonly bufferBudget: BufferBudget;
   readonly callers: { readonly host: string; readonly port: number };
 }
 
-/** HTTP server for callers; buffers each request and passes it to the forwarder. */
+/** HTTP server for callers; passes each request to the forwarder. */
 export class FrontServer {
-  private readonly arrivalTimes = new WeakMap<IncomingMessage, number>();
   private openRequests = 0;
   private closing = false;
 
@@ -39,7 +44,6 @@
 
   static create(parts: Parts): FrontServer {
     const server = fastify({
-      bodyLimit: MAX_BODY_BYTES,
       requestTimeout: REQUEST_TIMEOUT_MS,
       keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
       forceCloseConnections: true,
@@ -63,7 +67,7 @@
     return frontServer;
   }
 
-  /** Number of requests whose response has not ended. */
+  /** Number of requests that have arrived whole and whose response has not ended. */
   get inProgress(): number {
     return this.openRequests;
   }
@@ -88,38 +92,56 @@
 
   private addRoutes(): void {
     const { server } = this;
-    server.removeAllContentTypeParsers();
-    server.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => {
-      done(null, body);
-    });
-    server.addHook("onRequest", (request, _reply, done) => {
-      this.arrivalTimes.set(request.raw, this.parts.timers.now());
-      done();
-    });
-    server.all("/*", async (request, reply) => {
+    // The forwarder reads the body, so the server must not.
+    server.addHook("onRequest", (request, reply) => {
       reply.hijack();
-      const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
-      await this.serve(request.raw, reply.raw, body);
+      void this.serve(request.raw, reply.raw);
     });
+    server.all("/*", () => undefined);
   }
 
-  private async serve(raw: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
+  private async serve(raw: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { timers, bufferBudget, requestForwarder } = this.parts;
     const callerClosed = new AbortController();
+    const body = CallerBody.create(raw, bufferBudget);
+    let arrived = false;
     response.once("close", () => {
-      this.openRequests -= 1;
+      if (arrived) this.openRequests -= 1;
       if (!response.writableFinished) callerClosed.abort();
+      body.clear();
     });
-    this.openRequests += 1;
-    const writer = ResponseWriter.create(response, () => this.closing);
-    const request = {
+    const head = {
       method: raw.method ?? "GET",
       target: raw.url ?? "/",
       headers: raw.headers,
       rawHeaders: raw.rawHeaders,
-      body,
-      arrivedMs: this.arrivalTimes.get(raw) ?? this.parts.timers.now(),
+      arrivedMs: timers.now(),
       signal: callerClosed.signal,
     };
-    await this.parts.requestForwarder.serve(request, writer);
+    const readBody = async (maxBytes: number, signal: AbortSignal): Promise<Buffer> => {
+      const bytes = await body.read(maxBytes, signal);
+      if (response.closed) return bytes;
+      arrived = true;
+      this.openRequests += 1;
+      return bytes;
+    };
+    await requestForwarder.serve(
+      head,
+      readBody,
+      ResponseWriter.create(response, () => this.closing),
+    );
+    if (!raw.complete) this.discardRest(raw, response);
+  }
+
+  private discardRest(raw: IncomingMessage, response: ServerResponse): void {
+    raw.resume();
+    const closeLater = (): void => {
+      this.parts.timers.after(DISCARD_MS, () => {
+        if (!raw.complete) raw.socket.destroy();
+      });
+    };
+    // The response waits for those to earlier requests on the connection.
+    if (response.writableFinished) closeLater();
+    else response.once("finish", closeLater);
   }
 }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -7,9 +7,10 @@
 import type { Dialect } from "./dialect.js";
 import { DispatchLoop } from "./dispatch-loop.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
-import type { ForwardRequest } from "./forward-request.js";
 import type { RefusalWriter } from "./refusal-writer.js";
+import { RequestCancellation } from "./request-cancellation.js";
 import type { RequestContext } from "./request-context.js";
+import type { BodyRead, RequestHead } from "./request-head.js";
 import type { Route } from "./route.js";
 import type { RequestMatcher } from "./request-matcher.js";
 import type { RouteView } from "./route-view.js";
@@ -51,33 +52,29 @@
     return new RequestForwarder(parts);
   }
 
-  /** Responds or closes the connection; rejects if a relayed request reaches no upstream here. */
-  async serve(request: ForwardRequest, writer: ResponseWriter): Promise<void> {
-    const { timers } = this.parts;
-    const cancellation = new AbortController();
-    const cancelRequest = (): void => {
-      cancellation.abort(ServeError.create(ErrorKind.Cancelled, "the caller disconnected"));
-    };
-    if (request.signal.aborted) cancelRequest();
-    request.signal.addEventListener("abort", cancelRequest, { once: true });
+  /**
+   * Responds or closes the connection; rejects if a relayed request reaches no upstream here. The
+   * body is read only if the head is accepted.
+   */
+  async serve(head: RequestHead, readBody: BodyRead, writer: ResponseWriter): Promise<void> {
+    const { timers, requestMatcher, requestRelay } = this.parts;
+    const cancellation = RequestCancellation.create(timers, head.signal);
+    const { signal } = cancellation;
     let context: RequestContext | undefined;
-    let deadlineTimer: { cancel(): void } | undefined;
     try {
       this.parts.admit();
-      context = this.parts.requestMatcher.match(request, writer, cancellation.signal);
-      deadlineTimer = timers.after(Math.max(0, context.deadlineMs - timers.now()), () => {
-        cancellation.abort(
-          ServeError.create(ErrorKind.DeadlineExceeded, "the request deadline has passed"),
-        );
-      });
-      const matched = context;
-      const status = await this.parts.requestRelay.serve(matched, () => this.forward(matched));
-      this.recordCompletion(request, context, status, "served");
+      const headMatch = requestMatcher.matchHead(head);
+      cancellation.setDeadline(headMatch.deadlineMs);
+      const body = await readBody(headMatch.configuration.limits.bodyBytes, signal);
+      const matched = requestMatcher.match({ ...head, body }, headMatch, writer, signal);
+      context = matched;
+      cancellation.setDeadline(matched.deadlineMs);
+      const status = await requestRelay.serve(matched, () => this.forward(matched));
+      this.recordCompletion(head, context, status, "served");
     } catch (error) {
-      this.handleError(request, writer, context, ServeError.from(error, ErrorKind.Internal));
+      this.handleError(head, writer, context, ServeError.from(error, ErrorKind.Internal));
     } finally {
-      deadlineTimer?.cancel();
-      request.signal.removeEventListener("abort", cancelRequest);
+      cancellation.end();
     }
   }
 
@@ -200,36 +197,36 @@
   }
 
   private handleError(
-    request: ForwardRequest,
+    head: RequestHead,
     writer: ResponseWriter,
     context: RequestContext | undefined,
     error: ServeError,
   ): void {
     if (error.kind === ErrorKind.Cancelled || writer.started) {
       writer.abort();
-      this.recordCompletion(request, context, 0, error.kind, error.message);
+      this.recordCompletion(head, context, 0, error.kind, error.message);
       return;
     }
-    const declined = request.relayed === true && isUnreached(error);
+    const declined = head.relayed === true && isUnreached(error);
     const status = declined ? 0 : this.parts.refusalWriter.write(writer, error);
-    this.recordCompletion(request, context, status, error.kind, error.message);
+    this.recordCompletion(head, context, status, error.kind, error.message);
     if (declined) throw error;
   }
 
   private recordCompletion(
-    request: ForwardRequest,
+    head: RequestHead,
     context: RequestContext | undefined,
     status: number,
     outcome: string,
     detail?: string,
   ): void {
     const { timers, decisionLines, forwardMetrics, routeView } = this.parts;
-    const ms = timers.now() - request.arrivedMs;
+    const ms = timers.now() - head.arrivedMs;
     const route = context?.route.name ?? "none";
     forwardMetrics.recordRequest(route, status, outcome, ms);
     const firstMs = context?.progress.firstEventMs;
     const pauseMs = Math.round(context?.progress.longestPauseMs ?? 0);
-    if (firstMs !== undefined) forwardMetrics.recordFirstEvent(route, firstMs - request.arrivedMs);
+    if (firstMs !== undefined) forwardMetrics.recordFirstEvent(route, firstMs - head.arrivedMs);
     decisionLines.write("request", {
       attempt: context?.attributes.attemptId,
       route,
@@ -240,9 +237,7 @@
       status,
       outcome,
       ms: Math.round(ms),
-      ...(firstMs === undefined
-        ? {}
-        : { firstMs: Math.round(firstMs - request.arrivedMs), pauseMs }),
+      ...(firstMs === undefined ? {} : { firstMs: Math.round(firstMs - head.arrivedMs), pauseMs }),
       ...(detail === undefined ? {} : { detail }),
     });
   }
--- a/src/forward/request-matcher.ts
+++ b/src/forward/request-matcher.ts
@@ -4,17 +4,21 @@
 import type { ResponseWriter } from "./response-writer.js";
 import { CrashRegistry } from "./crash-registry.js";
 import type { Dialect } from "./dialect.js";
+import type { ForwardConfiguration } from "./forward-configuration.js";
 import type { ForwardRequest } from "./forward-request.js";
 import { hashFraction } from "./hash-fraction.js";
 import { sharedPartIds } from "./prompt-part.js";
 import { Repeatability } from "./repeatability.js";
 import type { Readiness } from "../daemon/readiness.js";
 import { rankOf } from "./rank-of.js";
+import type { RequestAttributes } from "./request-attributes.js";
 import type { RequestContext } from "./request-context.js";
+import type { RequestHead } from "./request-head.js";
 import type { RouteDeadlines } from "./route-deadlines.js";
 import type { Route } from "./route.js";
 import type { RouteView } from "./route-view.js";
 import { StreamProgress } from "./stream-progress.js";
+import type { Team } from "./team.js";
 
 interface Parts {
   readonly dialect: Dialect;
@@ -25,6 +29,16 @@
   readonly readiness: Pick<Readiness, "admitRunOnce">;
 }
 
+/** What the head of a request determines under one configuration. */
+export interface HeadMatch {
+  readonly configuration: ForwardConfiguration;
+  readonly route: Route;
+  readonly attributes: RequestAttributes;
+  readonly team: Team | undefined;
+  /** On the monotonic clock, in ms. */
+  readonly deadlineMs: number;
+}
+
 /** Determines the route, team and time limits of a request. */
 export class RequestMatcher {
   private constructor(private readonly parts: Parts) {}
@@ -33,29 +47,40 @@
     return new RequestMatcher(parts);
   }
 
-  /**
-   * Throws `NotReady`, `UnknownRoute`, `MalformedRequest`, `BodyTooLarge`, `Unauthenticated`,
-   * `RequestSuspected`, `PartConvicted` or `Draining`.
-   */
-  match(request: ForwardRequest, writer: ResponseWriter, signal: AbortSignal): RequestContext {
-    const { routeView, dialect, crashRegistry, promptGuard } = this.parts;
+  /** Throws `NotReady`, `UnknownRoute`, `MalformedRequest`, `BodyTooLarge` or `Unauthenticated`. */
+  matchHead(head: RequestHead): HeadMatch {
+    const { routeView, dialect } = this.parts;
     const { configuration, routes } = routeView;
     if (configuration === undefined || routes === undefined) {
       throw ServeError.create(ErrorKind.NotReady, "no configuration has been received yet");
     }
-    const route = routes.find(request.headers.host ?? "", request.target);
-    if (route === undefined) throw ServeError.create(ErrorKind.UnknownRoute, request.target);
-    const attributes = dialect.parseRequest(request.headers);
-    if (request.body.length > configuration.limits.bodyBytes) {
-      throw ServeError.create(
-        ErrorKind.BodyTooLarge,
-        `the body of ${request.body.length} bytes exceeds the limit`,
-      );
-    }
+    const route = routes.find(head.headers.host ?? "", head.target);
+    if (route === undefined) throw ServeError.create(ErrorKind.UnknownRoute, head.target);
+    const attributes = dialect.parseRequest(head.headers);
+    requireSize(Number(head.headers["content-length"] ?? 0), configuration);
     const team = attributes.key === undefined ? undefined : configuration.teams.get(attributes.key);
     if (team === undefined && configuration.keysRequired && !route.anonymous) {
       throw ServeError.create(ErrorKind.Unauthenticated, "the API key is missing or unknown");
     }
+    const timeoutMs = Math.min(attributes.deadlineMs ?? Infinity, route.timeoutMs);
+    return { configuration, route, attributes, team, deadlineMs: head.arrivedMs + timeoutMs };
+  }
+
+  /**
+   * `headMatch` is used again unless the configuration has changed since. Throws the errors of
+   * `matchHead`, `RequestSuspected`, `PartConvicted` or `Draining`.
+   */
+  match(
+    request: ForwardRequest,
+    headMatch: HeadMatch,
+    writer: ResponseWriter,
+    signal: AbortSignal,
+  ): RequestContext {
+    const { routeView, crashRegistry, promptGuard } = this.parts;
+    const isCurrent = headMatch.configuration === routeView.configuration;
+    const current = isCurrent ? headMatch : this.matchHead(request);
+    const { configuration, route, attributes, team, deadlineMs } = current;
+    requireSize(request.body.length, configuration);
     const digest = CrashRegistry.digest(request, attributes.key);
     crashRegistry.check(digest);
     // A stream goes on at the service that began it.
@@ -63,8 +88,6 @@
     const sharedParts = sharedPartIds(attributes.promptParts);
     const onTrial = promptGuard.admit(service, sharedParts);
     const elapsedMs = this.parts.routeDeadlines.elapsedMs(route, attributes.deadlineMs);
-    const timeoutMs = Math.min(attributes.deadlineMs ?? Infinity, route.timeoutMs);
-    const deadlineMs = request.arrivedMs + timeoutMs;
     if (route.repeatability === Repeatability.NonIdempotent)
       this.parts.readiness.admitRunOnce(deadlineMs);
     return {
@@ -88,6 +111,11 @@
   }
 }
 
+function requireSize(bytes: number, { limits }: ForwardConfiguration): void {
+  if (bytes <= limits.bodyBytes) return;
+  throw ServeError.create(ErrorKind.BodyTooLarge, `the body of ${bytes} bytes exceeds the limit`);
+}
+
 /** Selects a service by weight; every instance selects the same one for a request. */
 function selectService(route: Route, attemptId: string): string {
   const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
--- a/src/isolation/relayed-requests.ts
+++ b/src/isolation/relayed-requests.ts
@@ -58,6 +58,7 @@
       raw.setHeader(RELAYED_HEADER, "1");
       await requestForwarder.serve(
         relayed,
+        () => Promise.resolve(relayed.body),
         ResponseWriter.create(raw, () => true),
       );
     } catch {
