Look at an upstream again before a request is sent to it

Cause: the upstream was selected before the wait, and nothing was looked at again when the bytes went out. trySend is now the one place that decides, without a wait behind it: the upstream must still be listed as the same process, not leaving and not in a pause that it asked for. A request that waits for a permit moves at once when its upstream closes. Content that was refused meanwhile, and a stream's version, are looked at again too.

--- a/features/steps/limited-selection.ts
+++ b/features/steps/limited-selection.ts
@@ -83,6 +83,7 @@
       ...parts,
       upstreamSelector: this.upstreamSelector,
       upstreamPermits,
+      upstreamStatements: { isOpen: () => true },
     });
   },
 );
--- a/features/support/paused-retry.ts
+++ b/features/support/paused-retry.ts
@@ -42,8 +42,9 @@
     permittedSelection: {
       select: () => Promise.resolve({ kind: "selected", entry, permit: undefined }),
     },
-    upstreamStatements: { trySend: () => true, recordResponse: ignore },
+    upstreamStatements: { isOpen: () => true, trySend: () => true, recordResponse: ignore },
     retryBudget: { recordRequest: ignore, tryTakeRetry: () => true },
+    crashRegistry: { isSuspected: () => false },
     crashReports: { record: () => Promise.resolve(false) } as unknown as CrashReports,
     promptGuard: {
       pauseMs: () => (selections++ === 0 ? 0 : PAUSE_MS),
--- a/src/forward/crash-registry.ts
+++ b/src/forward/crash-registry.ts
@@ -49,13 +49,16 @@
 
   /** Throws `RequestSuspected` if requests with this digest crashed too many upstreams. */
   check(digest: string): void {
-    const count = this.crashes.get(digest)?.upstreams.size ?? 0;
-    if (count < MAX_CRASHED_UPSTREAMS) return;
-    throw ServeError.create(ErrorKind.RequestSuspected, `this content crashed ${count} upstreams`, {
+    if (!this.isSuspected(digest)) return;
+    throw ServeError.create(ErrorKind.RequestSuspected, "this content crashed several upstreams", {
       retryAfterMs: RETRY_AFTER_MS,
     });
   }
 
+  isSuspected(digest: string): boolean {
+    return (this.crashes.get(digest)?.upstreams.size ?? 0) >= MAX_CRASHED_UPSTREAMS;
+  }
+
   /** Records that an upstream crashed while running the content; notifies other instances. */
   recordCrash(digest: string, service: string, upstream: string): void {
     this.add(digest, [upstream]);
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -1,4 +1,5 @@
 import { AttemptPhase } from "../crash/attempt-phase.js";
+import { contentRefusal } from "../crash/content-refusal.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
@@ -84,8 +85,8 @@
     const { context } = this;
     const pauseMs = promptGuard.pauseMs(context.service, context.sharedParts);
     if (pauseMs > 0) await timers.sleep(pauseMs, context.signal);
-    if (this.isConvicted)
-      throw this.createError(ErrorKind.PartConvicted, "a part of the prompt was convicted");
+    const refusal = contentRefusal(this.parts, context);
+    if (refusal !== undefined) throw this.createError(refusal, "the content crashed upstreams");
     const outcome = await this.selection.select(this.mayHaveRun);
     switch (outcome.kind) {
       case "selected":
@@ -125,8 +126,9 @@
           streamed: route.repeatability === Repeatability.Stream,
           silenceTimeoutMs: attemptSilenceMs(context, this.runCount),
           trySend: () => {
-            // The conviction may have come while the connection was opened.
-            if (this.isConvicted) return false;
+            // Both may have changed while the connection was opened.
+            if (contentRefusal(this.parts, context) !== undefined) return false;
+            if (!streamVersion.allows(entry)) return false;
             sendState.sent = upstreamStatements.trySend(entry, health, SentKind.Request, permit);
             if (!sendState.sent) return false;
             this.scheduleInputsRead(entry);
@@ -173,7 +175,7 @@
     entry: UpstreamEntry,
     outcome: AttemptOutcome,
   ): Promise<number | undefined> {
-    const { upstreamHealth, upstreamReach, dialect } = this.parts;
+    const { upstreamHealth, upstreamReach, upstreamStatements, dialect } = this.parts;
     const { context } = this;
     const health = upstreamHealth.of(entry.id);
     switch (outcome.kind) {
@@ -187,8 +189,9 @@
           return undefined;
         throw this.createError(ErrorKind.NoUpstream, outcome.detail);
       case "withheld":
-        // The limit was stated, or the permit expired, while the connection was opened.
+        // Since it was selected, the upstream has closed or stated a limit, or the permit expired.
         this.selection.recordUnused(entry);
+        if (!upstreamStatements.isOpen(entry, health)) return undefined;
         this.unsentAttempts += 1;
         if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) return undefined;
         throw this.createError(ErrorKind.Overloaded, "permits expired before they could be used");
@@ -223,12 +226,6 @@
     return phase !== AttemptPhase.Begun || !(await suspect);
   }
 
-  /** Whether a part of the prompt was convicted after the request was admitted. */
-  private get isConvicted(): boolean {
-    const { service, sharedParts, onTrial } = this.context;
-    return !onTrial && this.parts.promptGuard.isConvicted(service, sharedParts);
-  }
-
   private scheduleInputsRead(entry: UpstreamEntry): void {
     if (readsInputsAtOnce(this.parts, this.context.route, this.inputs, entry))
       this.parts.timers.after(INPUTS_READ_DELAY_MS, this.onInputsRead);
--- a/src/forward/dispatch-parts.ts
+++ b/src/forward/dispatch-parts.ts
@@ -5,6 +5,7 @@
 import type { UpstreamReach } from "../isolation/upstream-reach.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
+import type { CrashRegistry } from "./crash-registry.js";
 import type { Dialect } from "./dialect.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
 import type { PermittedSelection } from "./permitted-selection.js";
@@ -27,6 +28,7 @@
   readonly upstreamReach: UpstreamReach;
   readonly brittleUpstreams: Pick<BrittleUpstreams, "isClosed" | "recordRejection">;
   readonly retryBudget: RetryBudget;
+  readonly crashRegistry: Pick<CrashRegistry, "isSuspected">;
   readonly crashReports: CrashReports;
   readonly promptGuard: PromptGuard;
   readonly decisionLines: DecisionLines;
--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -9,6 +9,7 @@
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
 import type { UpstreamSelector } from "./upstream-selector.js";
+import type { UpstreamStatements } from "./upstream-statements.js";
 
 /**
  * Wait for a permit while other upstreams may take the request; about a round trip between data
@@ -20,6 +21,11 @@
 /** Upstreams at which a request waits for a permit, one after the other. */
 const MAX_WAITS = 2;
 
+/** Interval at which a waiting request checks whether its upstream may still get it. */
+const CLOSED_CHECK_MS = 50;
+
+const CLOSED = { kind: "closed" } as const;
+
 /** Lower bound of the retry delay of a refused request, as the expected wait may be unknown. */
 const MIN_RETRY_AFTER_MS = 300;
 
@@ -43,6 +49,8 @@
     }
   /** All upstreams that are left state a limit that has no permit in time. */
   | { readonly kind: "limited"; readonly availableInMs: number }
+  /** The upstream that was waited for closed meanwhile; others may have room by now. */
+  | typeof CLOSED
   | { readonly kind: "none" };
 
 interface Parts {
@@ -51,8 +59,11 @@
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamSelector: UpstreamSelector;
   readonly upstreamPermits: UpstreamPermits;
+  readonly upstreamStatements: Pick<UpstreamStatements, "isOpen">;
 }
 
+type Selected = Extract<SelectionOutcome, { kind: "selected" }>;
+
 /** Selects upstreams for requests, with permits for those that state a limit. */
 export class PermittedSelection {
   private constructor(private readonly parts: Parts) {}
@@ -138,35 +149,56 @@
       if (waitMs(entry) > leftMs) break;
       const outcome = await this.acquire(entry, context, leftMs);
       if (outcome !== undefined) return outcome;
+      if (!this.isOpen(entry)) return CLOSED;
     }
     const availableInMs = Math.max(MIN_RETRY_AFTER_MS, Math.min(...limited.map(waitMs)));
     return { kind: "limited", availableInMs };
   }
 
+  /** Undefined if the permit is refused, or the upstream may get no request any more. */
   private async acquire(
     entry: UpstreamEntry,
     { attributes, rank, team, signal }: RequestContext,
     maxWaitMs: number,
-  ): Promise<Extract<SelectionOutcome, { kind: "selected" }> | undefined> {
-    const outcome = await untilAborted(
-      this.parts.upstreamPermits.acquire(entry, {
-        rank,
-        team: team?.name ?? "",
-        maxWaitMs: Math.max(0, maxWaitMs),
-        attempt: attributes.attemptId,
-      }),
-      signal,
-    );
+  ): Promise<Selected | undefined> {
+    const { timers, upstreamPermits, upstreamHealth } = this.parts;
+    if (upstreamHealth.of(entry.id).statedLimit === undefined)
+      return { kind: "selected", entry, permit: undefined };
+    const permit = upstreamPermits.acquire(entry, {
+      rank,
+      team: team?.name ?? "",
+      maxWaitMs: Math.max(0, maxWaitMs),
+      attempt: attributes.attemptId,
+    });
+    let close = (): void => undefined;
+    const closed = new Promise<typeof CLOSED>((resolve) => {
+      close = () => {
+        resolve(CLOSED);
+      };
+    });
+    const check = timers.every(CLOSED_CHECK_MS, () => {
+      if (!this.isOpen(entry)) close();
+    });
+    const outcome = await untilAborted(Promise.race([permit, closed]), signal).finally(() => {
+      check.cancel();
+    });
+    if (!this.isOpen(entry)) return undefined;
     switch (outcome.kind) {
       case "unlimited":
         return { kind: "selected", entry, permit: undefined };
       case "granted":
         return { kind: "selected", entry, permit: outcome.permit };
       case "refused":
+      case "closed":
         return undefined;
     }
   }
 
+  private isOpen(entry: UpstreamEntry): boolean {
+    const { upstreamStatements, upstreamHealth } = this.parts;
+    return upstreamStatements.isOpen(entry, upstreamHealth.of(entry.id));
+  }
+
   private waitMs(entry: UpstreamEntry, { rank, team }: RequestContext): number {
     return this.parts.upstreamPermits.expectedWaitMs(entry, { rank, team: team?.name ?? "" });
   }
--- a/src/forward/upstream-directory.ts
+++ b/src/forward/upstream-directory.ts
@@ -8,6 +8,9 @@
   expiresMs: number | undefined;
 }
 
+/** What identifies a process of an upstream. */
+type ListedProcess = Pick<UpstreamEntry, "id" | "address" | "startedMs">;
+
 /** A change of the listed upstreams; `undefined` marks a removed entry. */
 export type EntryChange = readonly [id: string, entry: UpstreamEntry | undefined];
 
@@ -27,6 +30,14 @@
     return this.listings.get(id)?.entry;
   }
 
+  /** Whether the process of an upstream is still listed as serving. */
+  isServing({ id, address, startedMs }: ListedProcess): boolean {
+    this.expire();
+    const entry = this.find(id);
+    if (entry === undefined || entry.draining) return false;
+    return entry.address === address && entry.startedMs === startedMs;
+  }
+
   /** The upstream at an address; if the address was reused, the one that is still listed. */
   findByAddress(address: string): UpstreamEntry | undefined {
     this.expire();
--- a/src/forward/upstream-statements.ts
+++ b/src/forward/upstream-statements.ts
@@ -6,6 +6,7 @@
 import type { ForwardMetrics } from "./forward-metrics.js";
 import type { ResponseAttributes } from "./response-attributes.js";
 import { recordAvailability } from "./upstream-availability.js";
+import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealth } from "./upstream-health.js";
 
@@ -18,6 +19,7 @@
 
 interface Parts {
   readonly timers: Timers;
+  readonly directory: Pick<UpstreamDirectory, "isServing">;
   readonly limitKnowledge: Pick<LimitKnowledge, "recordResponse">;
   readonly brittleUpstreams: Pick<BrittleUpstreams, "recordResponse">;
   readonly decisionLines: DecisionLines;
@@ -28,7 +30,7 @@
   ResponseAttributes,
   "misdirected" | "leaving" | "stayAwayMs" | "requestsPerSecond" | "toleratedRejections"
 >;
-type Upstream = Pick<UpstreamEntry, "id" | "service" | "startedMs">;
+type Upstream = Pick<UpstreamEntry, "id" | "service" | "address" | "startedMs">;
 
 /** Records what upstreams state in responses, and lets through what may be sent to them. */
 export class UpstreamStatements {
@@ -56,17 +58,38 @@
     limitKnowledge.recordResponse(upstream.id, health, attributes.requestsPerSecond, permit);
   }
 
+  /**
+   * Whether an upstream may get something now. It may have left, restarted or asked for a pause
+   * since it was selected.
+   */
+  isOpen(upstream: Upstream, health: UpstreamHealth, kind = SentKind.Request): boolean {
+    switch (kind) {
+      case SentKind.Request:
+      case SentKind.StageCall:
+        return !health.unavailable && this.parts.directory.isServing(upstream);
+      case SentKind.Release:
+        // A leaving upstream needs its memory until it ends.
+        return !health.unavailable || health.availableInMs === Infinity;
+    }
+  }
+
   /**
    * Must be called just before anything is sent to an upstream; returns false if it must not be
-   * sent, because the upstream states a limit and there is no valid permit. Uses the permit.
+   * sent, because the upstream is closed, or states a limit and there is no valid permit. Uses the
+   * permit.
    */
   trySend(
-    { id, service }: Upstream,
+    upstream: Upstream,
     health: UpstreamHealth,
     kind: SentKind,
     permit: Permit | undefined,
   ): boolean {
+    const { id, service } = upstream;
     const { timers, decisionLines, forwardMetrics } = this.parts;
+    if (!this.isOpen(upstream, health, kind)) {
+      decisionLines.write("not sent to closed upstream", { upstream: id, service, kind });
+      return false;
+    }
     const limit = health.statedLimit;
     if (limit === undefined) return true;
     if (permit?.tryUse() !== true) return false;
--- a/src/version/attempt-selection.ts
+++ b/src/version/attempt-selection.ts
@@ -20,6 +20,8 @@
   "timers" | "directory" | "upstreamHealth" | "permittedSelection" | "brittleUpstreams"
 >;
 
+type OpenOutcome = Exclude<SelectionOutcome, { kind: "closed" }>;
+
 /** Selects the upstreams for the attempts of one request, one after the other. */
 export class AttemptSelection {
   private readonly tried = new Set<string>();
@@ -57,7 +59,7 @@
   }
 
   /** `mayHaveRun` tells whether an attempt of the request may have run. */
-  async select(mayHaveRun: boolean): Promise<SelectionOutcome> {
+  async select(mayHaveRun: boolean): Promise<OpenOutcome> {
     const outcome = await this.selectOpen(mayHaveRun);
     if (outcome.kind !== "none" || !this.streamVersion.isBegun || this.declined.size === 0)
       return outcome;
@@ -69,13 +71,14 @@
   }
 
   /** Waits until the target while all upstreams that are left are closed to this instance. */
-  private async selectOpen(mayHaveRun: boolean): Promise<SelectionOutcome> {
+  private async selectOpen(mayHaveRun: boolean): Promise<OpenOutcome> {
     const { timers } = this.parts;
     const { context } = this;
     const endMs = context.targetMs - expectedLatencyMs(context.route);
     for (;;) {
       const closed = this.closedUpstreams();
       const outcome = await this.selectUntried(mayHaveRun, closed);
+      if (outcome.kind === "closed") continue;
       if (outcome.kind !== "none" || closed.length === 0) return outcome;
       if (timers.now() >= endMs) return { kind: "limited", availableInMs: MIN_RETRY_AFTER_MS };
       await timers.sleep(CLOSED_PAUSE_MS, context.signal);
--- a/src/version/stream-version.ts
+++ b/src/version/stream-version.ts
@@ -44,6 +44,11 @@
     return this.begun !== undefined;
   }
 
+  /** Whether the stream may go on at an upstream. */
+  allows({ softwareVersion }: Pick<UpstreamEntry, "softwareVersion">): boolean {
+    return this.begun === undefined || this.begun === softwareVersion;
+  }
+
   /**
    * IDs of those upstreams that must not get the request. A stream without events begins at another
    * version if none of the planned one is usable.
