Remember contents that crash upstreams across restarts

Cause: the registry of crashes was created at the first request. Updates that arrived before were marked as received and reached no part. Now a part that subscribes late gets the stored updates, and the parts that learn from updates are created before the daemon listens.

--- a/features/steps/forward-decisions.ts
+++ b/features/steps/forward-decisions.ts
@@ -189,13 +189,19 @@
 Given("two instances that share crash reports", function (this: DecisionWorld) {
   this.timers = ManualTimers.create();
   const updates = MemoryUpdates.create(this.timers);
-  this.crashRegistries = ["a", "b"].map((id) => CrashRegistry.create({ updates: updates.of(id) }));
+  this.crashRegistries = ["a", "b"].map((id) =>
+    CrashRegistry.create({ timers: this.timers, updates: updates.of(id) }),
+  );
 });
 
 When(
   /^(?:a|the) content crashes upstream "(.+)" at the (first|second) instance$/,
   async function (this: DecisionWorld, upstream: string, which: string) {
-    this.crashRegistries[which === "first" ? 0 : 1]?.recordCrash("digest", "s", upstream);
+    this.crashRegistries[which === "first" ? 0 : 1]?.recordCrash("digest", {
+      id: upstream,
+      service: "s",
+      startedMs: 1,
+    });
     await this.timers.advance(100);
   },
 );
--- a/src/crash/crash-reports.ts
+++ b/src/crash/crash-reports.ts
@@ -41,7 +41,7 @@
     const crashed = await crashProbe.hasCrashed(entry);
     decisionLines.write("crash probe", { attempt: attemptId, upstream: id, crashed, phase });
     if (!crashed) return false;
-    crashRegistry.recordCrash(digest, service, id);
+    crashRegistry.recordCrash(digest, entry);
     if (phase !== AttemptPhase.Begun) return false;
     return promptGuard.recordCrash(service, `${id} ${startedMs}`, sharedParts);
   }
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -4,6 +4,7 @@
 import { CrashReports } from "../crash/crash-reports.js";
 import { PromptGuard } from "../crash/prompt-guard.js";
 import { StoredConvictions } from "../crash/stored-convictions.js";
+import { StoredSuspicions } from "../crash/stored-suspicions.js";
 import { createLogger } from "../decision/logger.js";
 import { LogOutput } from "../decision/log-output.js";
 import { CrashProbe } from "../forward/crash-probe.js";
@@ -100,6 +101,7 @@
   readonly promptGuard: PromptGuard;
   readonly crashReports: CrashReports;
   readonly storedConvictions: StoredConvictions;
+  readonly storedSuspicions: StoredSuspicions;
   readonly forwardMetrics: ForwardMetrics;
   readonly connectionPools: ConnectionPools;
   readonly stageCaller: StageCaller;
@@ -180,6 +182,7 @@
     promptGuard: asFunction(PromptGuard.create).singleton(),
     crashReports: asFunction(CrashReports.create).singleton(),
     storedConvictions: asFunction(StoredConvictions.create).singleton(),
+    storedSuspicions: asFunction(StoredSuspicions.create).singleton(),
     forwardMetrics: asFunction(() => ForwardMetrics.create()).singleton(),
     connectionPools: asFunction(ConnectionPools.create).singleton(),
     stageCaller: asFunction(StageCaller.create).singleton(),
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -10,6 +10,15 @@
 /** Time for telling the other instances; one that misses it notices the silence. */
 const LEAVE_MS = 500;
 
+/**
+ * Creates the parts that learn from the updates of other instances. These may arrive from the moment
+ * at which this instance listens.
+ */
+function createLearners(parts: FrontCradle): readonly unknown[] {
+  const { crashRegistry, promptGuard, brittleUpstreams, versionPlans } = parts;
+  return [crashRegistry, promptGuard, brittleUpstreams, versionPlans];
+}
+
 /** One entry instance on the platform. */
 export class FrontDaemon {
   private stopping: Promise<void> | undefined;
@@ -35,9 +44,11 @@
     this.parts.upstreamReach.subscribe((isolated) => {
       this.parts.stagePools.suspend(isolated);
     });
+    createLearners(this.parts);
     await Promise.all([peerServer.listen(), frontServer.listen(), statusServer.listen()]);
     storeView.start();
     this.parts.storedConvictions.start();
+    this.parts.storedSuspicions.start();
     this.parts.planKeeper.start();
     this.parts.upstreamReach.start();
     this.parts.ownerConnections.start();
@@ -71,6 +82,7 @@
     const { storeView, membership, frontServer, statusServer, peerServer, peerCalls } = this.parts;
     storeView.stop();
     this.parts.storedConvictions.stop();
+    this.parts.storedSuspicions.stop();
     this.parts.planKeeper.stop();
     this.parts.upstreamReach.stop();
     this.parts.ownerConnections.stop();
--- a/src/peer/broadcast.ts
+++ b/src/peer/broadcast.ts
@@ -1,3 +1,5 @@
+import { ErrorKind } from "../error/error-kind.js";
+import { ServeError } from "../error/serve-error.js";
 import type { Subscription } from "../time/subscription.js";
 import type { Timers } from "../time/timers.js";
 import type { Partitioner, Partition } from "./partitioner.js";
@@ -18,6 +20,14 @@
 const NEXT_CANDIDATE_DELAY_MS = 300;
 const RADIX = 36;
 
+/** What became of an item that was sent to one instance. */
+enum Delivery {
+  Accepted = "accepted",
+  /** The instance answered, but does not know items of this kind. */
+  Rejected = "rejected",
+  Failed = "failed",
+}
+
 interface Parts {
   readonly timers: Timers;
   readonly peerCalls: PeerCalls;
@@ -56,15 +66,17 @@
 
   /** Broadcasts an item of this instance; resolves once every direct receiver has been tried. */
   async send(item: BroadcastItem): Promise<void> {
-    const { self, own } = this.parts.memberTable;
+    const { self } = this.parts.memberTable;
     this.sequence += 1;
-    const id = [self, own.incarnation.toString(RADIX), this.sequence.toString(RADIX)].join(":");
+    const id = `${this.ownPrefix}${this.sequence.toString(RADIX)}`;
     this.store.add(id, item);
     await this.forward(id, item, self);
   }
 
   subscribe(handler: (update: Update) => void): Subscription {
     this.handlers.add(handler);
+    for (const [id, item] of this.store.items)
+      if (!id.startsWith(this.ownPrefix) && item.kind !== "members") handler(item);
     return {
       cancel: () => {
         this.handlers.delete(handler);
@@ -82,10 +94,16 @@
     for (const id of ids) {
       const item = this.store.find(id);
       if (item === undefined) continue;
-      if (!(await this.sent(instance, { id, item }))) return;
+      if ((await this.offer(instance, { id, item })) === Delivery.Failed) return;
     }
   }
 
+  /** Begins the IDs of the items of this run of the instance. */
+  private get ownPrefix(): string {
+    const { self, own } = this.parts.memberTable;
+    return `${self}:${own.incarnation.toString(RADIX)}:`;
+  }
+
   private receive({ id, item, until }: ReturnType<typeof broadcastCallSchema.parse>): void {
     // A resent copy may arrive before the broadcast, which must still be forwarded to the range.
     if (until !== undefined && this.store.addForwarded(id)) void this.forward(id, item, until);
@@ -111,20 +129,21 @@
     for (const candidate of share.candidates) {
       if (accepted.size > 0) return;
       if (memberTable.find(candidate)?.state === MemberState.Dead) continue;
-      const attempt = this.sent(candidate, call).then((trySend) => {
-        if (trySend) accepted.add(candidate);
+      const attempt = this.offer(candidate, call).then((delivery) => {
+        if (delivery === Delivery.Accepted) accepted.add(candidate);
       });
       // A slow member may still accept the item; then both forward it, and receivers drop duplicates.
       await Promise.race([attempt, timers.sleep(NEXT_CANDIDATE_DELAY_MS)]);
     }
   }
 
-  private async sent(instance: string, call: BroadcastCall): Promise<boolean> {
+  private async offer(instance: string, call: BroadcastCall): Promise<Delivery> {
     try {
       await this.parts.peerCalls.call(instance, PeerMethod.Broadcast, call, CALL_TIMEOUT_MS);
-      return true;
-    } catch {
-      return false;
+      return Delivery.Accepted;
+    } catch (error) {
+      const answered = error instanceof ServeError && error.kind !== ErrorKind.PeerUnavailable;
+      return answered ? Delivery.Rejected : Delivery.Failed;
     }
   }
 }
--- a/src/peer/update-store.ts
+++ b/src/peer/update-store.ts
@@ -48,6 +48,11 @@
     return true;
   }
 
+  /** The updates that are stored, oldest first. */
+  get items(): readonly (readonly [id: string, item: BroadcastItem])[] {
+    return [...this.stored].map(([id, { item }]) => [id, item]);
+  }
+
   find(id: string): BroadcastItem | undefined {
     return this.stored.get(id)?.item;
   }
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -15,6 +15,8 @@
     /** Service of the upstreams that crashed. */
     service: z.string(),
     upstreams: z.array(z.string()),
+    /** The processes of these upstreams; instances of earlier versions do not name them. */
+    processes: z.array(z.string()).optional(),
     /** Remaining time of the suspicion in ms. */
     expiresMs: z.number(),
     /** Remaining time in ms for which the content does not run at all. */
--- a/src/peer/updates.ts
+++ b/src/peer/updates.ts
@@ -5,6 +5,9 @@
 export interface Updates {
   /** Broadcasts an update of this instance; its own handlers do not receive it. */
   publish(update: Update): void;
-  /** Calls `handler` for each update that another instance published. */
+  /**
+   * Calls `handler` for each update that another instance published, also for those of the last two
+   * minutes that arrived before.
+   */
   subscribe(handler: (update: Update) => void): Subscription;
 }
