Notice a configuration that this instance has missed

The log named neither the age of rows, nor their source, nor delays of the event loop; lines and a metric for these are added.

Change: rows count as old as the process was late that handled them. Heartbeats tell the version of the configuration already; an instance that is behind takes the rows of one that is ahead, and refuses requests as not run when it is still behind after 0.7 s. It also refuses when it is late, has old rows and hears from nobody; a store that is away alone refuses nothing.

configuration-lag.feature passes; the code before has no way to learn of a version from a heartbeat.

--- /dev/null
+++ b/features/configuration-lag.feature
@@ -0,0 +1,42 @@
+Feature: A configuration that an instance has missed
+  An instance learns from the others that it lacks a configuration, whatever became of its reads.
+
+  # Guards against requests that are handled by an old configuration for as long as reads fail.
+  Scenario: An instance that lacks a configuration takes it from one that has it
+    Given an instance with configuration 4 whose reads of the store hang
+    When a heartbeat tells configuration 7, which the other instance sends
+    And 2500 ms pass for it
+    Then its configuration is 7, and it handles requests
+
+  Scenario: An instance that cannot get the newer configuration handles no requests by the old one
+    Given an instance with configuration 4 whose reads of the store hang
+    When a heartbeat tells configuration 7, which no instance sends
+    And 600 ms pass for it
+    Then its configuration is 4, and it handles requests
+    When 200 ms pass for it
+    Then its configuration is 4, and it handles no requests
+
+  # Guards against instances that refuse everything while the store is away.
+  Scenario Outline: An old configuration without news is <outcome>
+    Given an instance with configuration 4 whose reads of the store hang
+    When it handles what arrives <delay> ms late
+    And <heartbeats> s of heartbeats tell configuration 4, and then none for <silent> s
+    Then its configuration is 4, and it handles <outcome>
+
+    Examples:
+      | delay | heartbeats | silent | outcome     |
+      | 0     | 2          | 20     | requests    |
+      | 400   | 20         | 0      | requests    |
+      | 400   | 2          | 6      | no requests |
+      | 400   | 0          | 20     | requests    |
+
+  # Guards against rows that count as fresh although they waited in a busy process.
+  Scenario Outline: The age of rows counts the time that their answer waited in this process
+    When a process that is <delay> ms late handles an answer to a call of 4000 ms before
+    Then its rows are <age> ms old, and it tells others <told> ms
+
+    Examples:
+      | delay | age  | told |
+      | 0     | 250  | 250  |
+      | 1000  | 1250 | 2250 |
+      | 9000  | 4000 | 13000 |
--- a/features/steps/closed-upstreams.ts
+++ b/features/steps/closed-upstreams.ts
@@ -192,9 +192,12 @@
   assert.ok(this.statements.isOpen(entry, this.upstreamHealth.of(id)));
 });
 
-When(new RegExp(`^"(.+)" ${CHANGE}$`), function (this: ClosingWorld, id: string, kind: string) {
-  change(this, id, kind);
-});
+When(
+  /^"(.+)" (states that it leaves|is registered as leaving|asks for a pause)$/,
+  function (this: ClosingWorld, id: string, kind: string) {
+    change(this, id, kind);
+  },
+);
 
 Then(
   /^a "(request|stage-call|release)" to it is (let through|withheld)$/,
--- a/features/support/store-fleet.ts
+++ b/features/support/store-fleet.ts
@@ -125,6 +125,7 @@
         cores: this.coresOf(id),
         timers,
         random: RandomSource.create(1),
+        loopDelay: { recentMs: 0 },
         members,
         rowFeed: this.rowFeedOf(id),
         peerCalls: {
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -46,6 +46,7 @@
 import { RandomSource } from "../random/random-source.js";
 import type { FrontSettings } from "../settings/front-settings.js";
 import type { InstanceList } from "../table/instance-list.js";
+import { LoopDelay } from "../time/loop-delay.js";
 import { PauseDetection } from "../time/pause-detection.js";
 import { SystemTimers } from "../time/system-timers.js";
 import type { Timers } from "../time/timers.js";
@@ -76,6 +77,7 @@
   readonly logOutput: LogOutput;
   readonly decisionLines: DecisionLines;
   readonly pauses: PauseDetection;
+  readonly loopDelay: LoopDelay;
   readonly bufferBudget: BufferBudget;
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
@@ -149,6 +151,7 @@
     }).singleton(),
     decisionLines: asFunction(DecisionLines.create).singleton(),
     pauses: asFunction(PauseDetection.create).singleton(),
+    loopDelay: asFunction(LoopDelay.create).singleton(),
     bufferBudget: asFunction(() => BufferBudget.create()).singleton(),
     dialect: asValue(adapter.dialect),
     rowDecoder: asValue(adapter.rowDecoder),
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -7,6 +7,7 @@
 /** Part of the grace period after which nothing is waited for any more. */
 const GRACE_PART = 0.92;
 const PROGRESS_CHECK_MS = 100;
+const LOGGED_DELAY_MS = 250;
 /** Time for telling the other instances; one that misses it notices the silence. */
 const LEAVE_MS = 500;
 
@@ -36,6 +37,7 @@
   async start(): Promise<void> {
     const { peerServer, membership, storeView, frontServer, statusServer, readiness } = this.parts;
     this.parts.pauses.start();
+    this.watchLoop();
     // Peer calls must be registered before they arrive, also if this instance has no requests yet.
     this.parts.stageDispatch.start();
     this.parts.limitKnowledge.start();
@@ -88,11 +90,22 @@
     this.parts.ownerConnections.stop();
     membership.stop();
     this.parts.pauses.stop();
+    this.parts.loopDelay.stop();
     await Promise.all([frontServer.close(), statusServer.close(), peerServer.close()]);
     peerCalls.close();
     this.parts.connectionPools.close();
   }
 
+  private watchLoop(): void {
+    const { loopDelay, forwardMetrics, decisionLines } = this.parts;
+    loopDelay.onDelay((delayMs) => {
+      forwardMetrics.recordLoopDelay(delayMs);
+      if (delayMs < LOGGED_DELAY_MS) return;
+      decisionLines.write("event loop late", { delayMs: Math.round(delayMs) });
+    });
+    loopDelay.start();
+  }
+
   private async drainAndClose(): Promise<void> {
     const { timers, log, readiness, membership, frontServer, stagePools, limitGrants } = this.parts;
     const end = timers.now() + GRACE_PART * this.settings.bounds.graceSeconds;
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -96,6 +96,13 @@
     registers: [this.registry],
   });
 
+  private readonly loopDelay = new Histogram({
+    name: "nutmegstage_loop_delay_seconds",
+    help: "How late the process handles what is due, measured each 0.1 s",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
   private constructor() {
     // Use `create`.
   }
@@ -153,6 +160,10 @@
     this.resumptions.inc({ service, outcome });
   }
 
+  recordLoopDelay(delayMs: number): void {
+    this.loopDelay.observe(delayMs / MS_PER_SECOND);
+  }
+
   recordConnectionUse(use: ConnectionUse): void {
     this.connections.inc({ use });
   }
--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -1,5 +1,6 @@
 import type { Permit } from "../limit/permit.js";
 import type { UpstreamPermits } from "../limit/upstream-permits.js";
+import { untilAborted } from "../pipeline/until-aborted.js";
 import type { Timers } from "../time/timers.js";
 import { MAX_UTILIZATION } from "./engine-selection.js";
 import { expectedLatencyMs } from "./expected-latency.js";
@@ -209,23 +210,3 @@
     return available.filter(({ id }) => upstreamHealth.of(id).statedLimit !== undefined);
   }
 }
-
-/** Rejects with the reason of the signal if it aborts first. */
-async function untilAborted<Result>(
-  promise: Promise<Result>,
-  signal: AbortSignal,
-): Promise<Result> {
-  signal.throwIfAborted();
-  let abort = (): void => undefined;
-  const aborted = new Promise<never>((_, reject) => {
-    abort = () => {
-      reject(signal.reason as Error);
-    };
-    signal.addEventListener("abort", abort, { once: true });
-  });
-  try {
-    return await Promise.race([promise, aborted]);
-  } finally {
-    signal.removeEventListener("abort", abort);
-  }
-}
--- a/src/forward/request-matcher.ts
+++ b/src/forward/request-matcher.ts
@@ -17,18 +17,23 @@
 import type { RouteDeadlines } from "./route-deadlines.js";
 import type { Route } from "./route.js";
 import type { RouteView } from "./route-view.js";
+import type { StoreView } from "./store-view.js";
 import { StreamProgress } from "./stream-progress.js";
 import type { Team } from "./team.js";
 
 interface Parts {
   readonly dialect: Dialect;
   readonly routeView: RouteView;
+  readonly storeView: Pick<StoreView, "isCurrent">;
   readonly crashRegistry: CrashRegistry;
   readonly promptGuard: PromptGuard;
   readonly routeDeadlines: RouteDeadlines;
   readonly readiness: Pick<Readiness, "admitRunOnce">;
 }
 
+/** Other instances have a newer configuration. */
+const STALE_RETRY_MS = 300;
+
 /** What the head of a request determines under one configuration. */
 export interface HeadMatch {
   readonly configuration: ForwardConfiguration;
@@ -49,11 +54,16 @@
 
   /** Throws `NotReady`, `UnknownRoute`, `MalformedRequest`, `BodyTooLarge` or `Unauthenticated`. */
   matchHead(head: RequestHead): HeadMatch {
-    const { routeView, dialect } = this.parts;
+    const { routeView, storeView, dialect } = this.parts;
     const { configuration, routes } = routeView;
     if (configuration === undefined || routes === undefined) {
       throw ServeError.create(ErrorKind.NotReady, "no configuration has been received yet");
     }
+    if (!storeView.isCurrent) {
+      const retryAfterMs = STALE_RETRY_MS;
+      const detail = "the configuration may be out of date";
+      throw ServeError.create(ErrorKind.NotReady, detail, { retryAfterMs });
+    }
     const route = routes.find(head.headers.host ?? "", head.target);
     if (route === undefined) throw ServeError.create(ErrorKind.UnknownRoute, head.target);
     const attributes = dialect.parseRequest(head.headers);
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -4,6 +4,8 @@
 import type { PeerCalls } from "../peer/peer-calls.js";
 import { PeerMethod } from "../peer/peer-method.js";
 import type { RandomSource } from "../random/random-source.js";
+import type { LoopDelay } from "../time/loop-delay.js";
+import { untilAborted } from "../pipeline/until-aborted.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import { PeerAnswer } from "./peer-answer.js";
@@ -19,8 +21,10 @@
   rowChangesOf,
   rowUpdateSchema,
 } from "./row-update.js";
+import { RowComparison } from "./row-comparison.js";
+import { RowFreshness } from "./row-freshness.js";
 import { RowQueryResponder } from "./row-query-responder.js";
-import { readerOrder, storeReaders } from "./store-readers.js";
+import { chooseReader } from "./store-readers.js";
 import type { StoreTable } from "./store-table.js";
 
 const PEER_TIMEOUT_MS = 400;
@@ -30,10 +34,8 @@
 const READER_WAIT_MS = 500;
 /** Time for a reader's answer in addition to the wait; many round trips within a region. */
 const READER_TIMEOUT_MS = 300;
-/** Assumed upper bound of the transit time of an answer; many round trips within a region. */
-const MAX_TRANSIT_MS = 250;
-/** Stands for "never" in an answer, since JSON has no infinity: 400 days. */
-const MAX_AGE_MS = 34_560_000_000;
+/** Time limit for all rows of another instance, which may have a link of only 7 Mbit/s. */
+const COMPARE_TIMEOUT_MS = 1_500;
 
 interface Parts {
   readonly self: string;
@@ -45,6 +47,7 @@
   readonly members: Members;
   readonly peerCalls: PeerCalls;
   readonly decisionLines: DecisionLines;
+  readonly loopDelay: Pick<LoopDelay, "recentMs">;
 }
 
 /**
@@ -57,13 +60,11 @@
   private readonly responder: RowQueryResponder;
   /** Readers that recently failed to answer or had rows that were not fresh. */
   private readonly avoidedReaders: AvoidedInstances;
-  /** Latest time at which the rows are known to have been current. */
-  currentAsOfMs = -Infinity;
   private readonly stopController = new AbortController();
   private failures = 0;
-  /** Whether the rows were compared with those of another instance since the start. */
-  private compared = false;
   private lastFailureMs = -Infinity;
+  readonly freshness: RowFreshness;
+  readonly comparison: RowComparison;
 
   private constructor(
     private readonly parts: Parts,
@@ -73,11 +74,15 @@
     private readonly onChanges: (changes: readonly RowChange[]) => readonly string[],
   ) {
     this.cache = RowCache.create(order);
+    this.comparison = RowComparison.create(parts.timers);
     this.avoidedReaders = AvoidedInstances.create(parts.timers);
+    this.freshness = RowFreshness.create(parts, (rows) => {
+      this.log("rows were late", { ...rows });
+    });
     this.responder = RowQueryResponder.create(parts.timers, {
       cache: this.cache,
-      ageMs: () => Math.min(MAX_AGE_MS, parts.timers.now() - this.currentAsOfMs),
-      sinceFailureMs: () => Math.min(MAX_AGE_MS, this.sinceFailureMs),
+      ageMs: () => this.freshness.statedAgeMs,
+      sinceFailureMs: () => this.sinceFailureMs,
     });
   }
 
@@ -114,7 +119,7 @@
   async run(): Promise<void> {
     const { signal } = this.stopController;
     while (!signal.aborted) {
-      if (!this.compared) await this.compareWithPeer();
+      if (this.comparison.isDue) await this.compareWithPeer();
       const retryDelayMs = (await this.refreshFromReader()) ? 0 : await this.refreshFromStore();
       try {
         await this.parts.timers.sleep(retryDelayMs, signal);
@@ -129,9 +134,8 @@
   private async refreshFromReader(): Promise<boolean> {
     const { self, cores, members } = this.parts;
     if (this.cache.version < 0) return false;
-    const readers = storeReaders(this.table, [...aliveMembers(members), { id: self, cores }]);
-    if (readers.includes(self)) return false;
-    const reader = readerOrder(self, readers).find((id) => !this.avoidedReaders.has(id));
+    const instances = [...aliveMembers(members), { id: self, cores }];
+    const reader = chooseReader(this.table, self, instances, this.avoidedReaders);
     if (reader === undefined) return false;
     const answer = await this.refreshFromPeer(reader, READER_WAIT_MS, false);
     if (answer === PeerAnswer.Unusable) this.avoidedReaders.add(reader);
@@ -146,28 +150,26 @@
       this.failures = 0;
       return this.schedule.pauseMs;
     } catch (error) {
+      if (this.comparison.interrupted.aborted) return 0;
       this.lastFailureMs = this.parts.timers.now();
       this.failures += 1;
       if (this.failures === 1) this.log("store does not answer", { detail: String(error) });
-      const peers = this.parts.random.sample(this.alivePeerIds(), FALLBACK_PEERS);
-      await Promise.all(peers.map((peer) => this.refreshFromPeer(peer, 0, true)));
+      const peers = this.parts.random.sample(aliveMembers(this.parts.members), FALLBACK_PEERS);
+      await Promise.all(peers.map(({ id }) => this.refreshFromPeer(id, 0, true)));
       return retryPauseMs(this.failures, this.parts.random);
     }
   }
 
-  private alivePeerIds(): string[] {
-    return aliveMembers(this.parts.members).map(({ id }) => id);
-  }
-
   private async readStore(): Promise<void> {
     const { rowFeed, timers } = this.parts;
     const { cache, table } = this;
     const startedMs = timers.now();
     if (cache.version >= 0) {
-      const result = await rowFeed.readChanges(table, cache.version, this.schedule.waitMs);
+      const read = rowFeed.readChanges(table, cache.version, this.schedule.waitMs);
+      const result = await untilAborted(read, this.comparison.interrupted);
       if (result.kind === "changes" && result.era === cache.era) {
         this.handleChanges(cache.applyChanges(result.changes, result.version));
-        this.currentAsOfMs = Math.max(startedMs, timers.now() - MAX_TRANSIT_MS);
+        this.freshness.recordAnswer(startedMs, 0, "store");
         return;
       }
       this.log("store has other changes; reading the whole table", { version: cache.version });
@@ -175,24 +177,23 @@
     const changes = cache.applySnapshot(await rowFeed.readAll(table));
     if (changes === undefined) throw new Error("the answer is older than the cached rows");
     this.handleChanges(changes);
-    this.currentAsOfMs = startedMs;
+    this.freshness.recordCurrent(startedMs, "store");
   }
 
-  /**
-   * Takes newer rows from another instance once: an instance that starts while the store has come
-   * back from a copy would know the copy only.
-   */
+  /** Takes newer rows from another instance. */
   private async compareWithPeer(): Promise<void> {
-    const { random, peerCalls } = this.parts;
-    const [peer] = random.sample(this.alivePeerIds(), 1);
-    if (peer === undefined || this.cache.version < 0) return;
-    this.compared = true;
+    const { random, peerCalls, members } = this.parts;
+    if (this.cache.version < 0) return;
+    const peer = this.comparison.begin(random.sample(aliveMembers(members), 1)[0]?.id);
+    if (peer === undefined) return;
     const params: RowQuery = { ...this.query(0, true), after: -1 };
     try {
-      const result = await peerCalls.call(peer, PeerMethod.StoreRows, params, PEER_TIMEOUT_MS);
+      const result = await peerCalls.call(peer, PeerMethod.StoreRows, params, COMPARE_TIMEOUT_MS);
       const { era, changes } = rowUpdateSchema.parse(result);
       if (era < this.cache.era) return;
-      this.handleChanges(this.cache.applyNewer(rowChangesOf(changes ?? [])));
+      const newer = this.cache.applyNewer(rowChangesOf(changes ?? []));
+      this.handleChanges(newer);
+      if (newer.length > 0) this.log("rows from another instance", { peer });
     } catch (error) {
       this.log("no rows to compare from another instance", { peer, detail: String(error) });
     }
@@ -210,7 +211,8 @@
     const sentMs = timers.now();
     try {
       const timeoutMs = waitMs + (whole ? PEER_TIMEOUT_MS : READER_TIMEOUT_MS);
-      const result = await peerCalls.call(peer, PeerMethod.StoreRows, params, timeoutMs);
+      const call = peerCalls.call(peer, PeerMethod.StoreRows, params, timeoutMs);
+      const result = await untilAborted(call, this.comparison.interrupted);
       const { era, version, changes, ageMs, sinceFailureMs } = rowUpdateSchema.parse(result);
       if (era < this.cache.era) return PeerAnswer.Unusable;
       const fresh = ageMs < MAX_FRESH_AGE_MS;
@@ -221,10 +223,7 @@
       // reach the store has no fresh rows.
       if (fresh) this.lastFailureMs = now - sinceFailureMs;
       this.handleChanges(effective);
-      this.currentAsOfMs = Math.max(
-        this.currentAsOfMs,
-        Math.max(sentMs, now - MAX_TRANSIT_MS) - ageMs,
-      );
+      this.freshness.recordAnswer(sentMs, ageMs, peer);
       if (whole && effective.length > 0) this.log("rows from another instance", { peer, version });
       return fresh ? PeerAnswer.Current : PeerAnswer.Unusable;
     } catch (error) {
--- a/src/forward/row-query-responder.ts
+++ b/src/forward/row-query-responder.ts
@@ -10,6 +10,9 @@
  */
 const MAX_UPDATE_BYTES = 16_384;
 
+/** Stands for "never" in an answer, since JSON has no infinity: 400 days. */
+const MAX_AGE_MS = 34_560_000_000;
+
 interface Source {
   readonly cache: RowCache;
   /** Time since the rows were last known to be current, in ms. */
@@ -50,8 +53,8 @@
       era: cache.era,
       version: cache.version,
       changes: changes?.map(([key, text]) => [key, text ?? null]) ?? null,
-      ageMs: Math.ceil(ageMs()),
-      sinceFailureMs: Math.round(sinceFailureMs()),
+      ageMs: Math.ceil(Math.min(MAX_AGE_MS, ageMs())),
+      sinceFailureMs: Math.round(Math.min(MAX_AGE_MS, sinceFailureMs())),
     };
   }
 
--- a/src/forward/store-readers.ts
+++ b/src/forward/store-readers.ts
@@ -20,6 +20,18 @@
   return rendezvousMembers(table, ids, count);
 }
 
+/** The reader that an instance queries; undefined if it is one itself, or all are avoided. */
+export function chooseReader(
+  table: string,
+  self: string,
+  instances: readonly SizedInstance[],
+  avoided: { has(id: string): boolean },
+): string | undefined {
+  const readers = storeReaders(table, instances);
+  if (readers.includes(self)) return undefined;
+  return readerOrder(self, readers).find((id) => !avoided.has(id));
+}
+
 /**
  * The order in which an instance tries the readers. It differs between instances, which spreads the
  * queries over the readers.
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -1,4 +1,5 @@
 import { isDeepStrictEqual } from "node:util";
+import type { HeartbeatReports } from "../peer/heartbeat-reports.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
 import { PeerMethod } from "../peer/peer-method.js";
 import { ConfigurationOrder } from "./configuration-order.js";
@@ -22,6 +23,13 @@
 const UPSTREAM_SCHEDULE: ReadSchedule = { waitMs: 0, pauseMs: 600 };
 /** Entries that expired during an outage of the store reappear within this time, or are gone. */
 const LAPSED_RETENTION_MS = 2_000;
+/** Time in which a newer configuration that another instance has arrives by the usual reads. */
+const CATCH_UP_DELAY_MS = 300;
+/** Time after which requests are no longer handled by a configuration that is known to be old. */
+const MAX_BEHIND_MS = 700;
+/** Age from which a process that is late cannot know whether its configuration is old. */
+const MAX_AGE_MS = 3_000;
+const LATE_LOOP_MS = 250;
 
 type FollowerParts = Parameters<typeof RowFollower.create>[0];
 
@@ -31,12 +39,17 @@
   readonly routeView: RouteView;
   readonly directory: UpstreamDirectory;
   readonly decisionLines: DecisionLines;
+  readonly heartbeatReports: Pick<HeartbeatReports, "onVersion">;
 }
 
 /** Keeps the configuration and the upstreams in sync with the platform's store. */
 export class StoreView {
   private readonly configuration: RowFollower;
   private readonly upstreams: RowFollower;
+  /** The newest version that another instance has, and when this one first heard of it. */
+  private ahead = { version: 0, heardMs: -Infinity };
+  /** When another instance last told its version, at the earliest; infinite before the first one. */
+  private toldMs = Infinity;
 
   private constructor(private readonly parts: Parts) {
     this.configuration = RowFollower.create(
@@ -80,10 +93,26 @@
 
   /** Age of the rows of the upstreams in ms; infinite before they were read. */
   get upstreamsAgeMs(): number {
-    return this.parts.timers.now() - this.upstreams.currentAsOfMs;
+    return this.upstreams.freshness.ageMs;
+  }
+
+  /** Whether requests may be handled by the configuration that this instance has. */
+  get isCurrent(): boolean {
+    const { timers, routeView, loopDelay } = this.parts;
+    const { version, heardMs } = this.ahead;
+    const now = timers.now();
+    if (version > routeView.version && now - heardMs > MAX_BEHIND_MS) return false;
+    // While the store is away, the configuration stays in force; other instances tell of a newer one.
+    const late = loopDelay.recentMs > LATE_LOOP_MS;
+    return (
+      !late || this.configuration.freshness.ageMs <= MAX_AGE_MS || now - this.toldMs <= MAX_AGE_MS
+    );
   }
 
   start(): void {
+    this.parts.heartbeatReports.onVersion((instance, version) => {
+      this.recordVersion(instance, version);
+    });
     void this.configuration.run();
     void this.upstreams.run();
   }
@@ -93,6 +122,21 @@
     this.upstreams.stop();
   }
 
+  /** Takes the configuration from another instance if this one does not get it otherwise. */
+  private recordVersion(instance: string, version: number): void {
+    const { timers, routeView, loopDelay, decisionLines } = this.parts;
+    this.toldMs = timers.now() - loopDelay.recentMs;
+    if (version <= routeView.version) return;
+    if (version > this.ahead.version) this.ahead = { version, heardMs: timers.now() };
+    timers.after(CATCH_UP_DELAY_MS, () => {
+      const own = routeView.version;
+      if (version <= own) return;
+      const ageMs = Math.round(this.configuration.freshness.ageMs);
+      decisionLines.write("configuration is behind", { instance, version, own, ageMs });
+      this.configuration.comparison.request(instance);
+    });
+  }
+
   private applyConfiguration(changes: readonly RowChange[]): void {
     const { rowDecoder, routeView, decisionLines } = this.parts;
     for (const [key, text] of changes) {
--- a/src/peer/heartbeat-reports.ts
+++ b/src/peer/heartbeat-reports.ts
@@ -19,6 +19,7 @@
 /** The last configuration version and demand that each live instance reported by heartbeat. */
 export class HeartbeatReports implements DemandReports, PeerVersions {
   private readonly received = new Map<string, ReceivedReport>();
+  private readonly versionHandlers: ((instance: string, version: number) => void)[] = [];
 
   private constructor(private readonly parts: Parts) {
     parts.memberTable.subscribe(({ id, state }) => {
@@ -36,6 +37,12 @@
     const known = this.received.get(instance);
     const atMs = this.parts.timers.now();
     this.received.set(instance, { atMs, version, demand: demand ?? known?.demand });
+    for (const handler of this.versionHandlers) handler(instance, version);
+  }
+
+  /** Calls `handler` with the configuration version in each heartbeat. */
+  onVersion(handler: (instance: string, version: number) => void): void {
+    this.versionHandlers.push(handler);
   }
 
   reports(): readonly DemandReport[] {
