Follow a plan of one version without the store only while it cannot have changed

Here, an instance that could not read the record of a stream followed the last plan that it knew if that named one version, however old it was. It now does so only with fresh rows that show this version alone, and refuses the resumption as not run otherwise.

--- a/features/support/version-instance.ts
+++ b/features/support/version-instance.ts
@@ -67,6 +67,7 @@
       ...{ directory: this.directory, rowStore: rows, updates: updates.of(id) },
       ...{ peerCalls: peers, peerMethods: peers.methodsOf(id) },
       storeView: { era: 1, upstreamsAgeMs: 0 },
+      loopDelay: { recentMs: 0 },
       forwardMetrics: ForwardMetrics.create(),
     };
     const versionPlans = VersionPlans.create(shared);
--- a/features/version-plans.feature
+++ b/features/version-plans.feature
@@ -49,3 +49,18 @@
     And 400 s pass for the fleets
     And streams are sent while versions "v5" and "v6" are released and all instances end at random moments
     Then the store holds only records that were written in the last 300 s
+
+  # Guards against a resumption by a plan that other instances have changed meanwhile.
+  Scenario Outline: Without the store, a resumption follows a plan only if no version can have joined
+    Given an instance that knows a plan of version "v1" and has rows of <age> ms
+    And it was <delay> ms late, and engines of "<versions>" serve
+    When it resumes a stream and cannot read the store
+    Then the stream <outcome>
+
+    Examples:
+      | age      | delay | versions | outcome       |
+      | 500      | 0     | v1       | goes on at v1 |
+      | 500      | 0     | v1 v2    | is refused    |
+      | 2000     | 0     | v1       | is refused    |
+      | Infinity | 0     | v1       | is refused    |
+      | 500      | 4000  | v1       | is refused    |
--- a/src/version/stream-versions.ts
+++ b/src/version/stream-versions.ts
@@ -12,7 +12,7 @@
 import { streamKey } from "./stream-key.js";
 import type { StreamRecords } from "./stream-records.js";
 import { StreamVersion } from "./stream-version.js";
-import { allAgree, onlyVersion, plannedVersion, unrecordedVersion } from "./version-plan.js";
+import { allAgree, plannedVersion, unrecordedVersion } from "./version-plan.js";
 import type { VersionPlans } from "./version-plans.js";
 
 /** How an instance knows the version that began a stream. */
@@ -109,7 +109,7 @@
       [stored, era] = await Promise.all([recordReader.find(key), planKeeper.refresh()]);
     } catch {
       // The stream may have begun at another version than planned, and its record cannot be read.
-      const version = onlyVersion(versionPlans.of(service));
+      const version = versionPlans.onlyVersion(service);
       return version === undefined ? undefined : { version, source: VersionSource.Planned };
     }
     const plan = versionPlans.of(service);
--- a/src/version/version-plans.ts
+++ b/src/version/version-plans.ts
@@ -2,15 +2,21 @@
 import type { StoreView } from "../forward/store-view.js";
 import type { UpstreamDirectory } from "../forward/upstream-directory.js";
 import type { Updates } from "../peer/updates.js";
-import { type VersionPlan, versionPlanSchema } from "./version-plan.js";
+import type { LoopDelay } from "../time/loop-delay.js";
+import { type VersionPlan, onlyVersion, versionPlanSchema } from "./version-plan.js";
 
 /** Age of the rows of upstreams from which a plan may have changed without this instance. */
 const MAX_ROWS_AGE_MS = 5_000;
+/** As `MAX_ROWS_AGE_MS`, where no record says more; an instance reads rows twice in this time. */
+const MAX_CERTAIN_AGE_MS = 1_400;
+/** Delay of this process after which the age of its rows is in doubt. */
+const MAX_LOOP_DELAY_MS = 1_000;
 
 interface Parts {
   readonly directory: Pick<UpstreamDirectory, "forService">;
   readonly storeView: Pick<StoreView, "era" | "upstreamsAgeMs">;
   readonly updates: Updates;
+  readonly loopDelay: Pick<LoopDelay, "recentMs">;
   readonly decisionLines: DecisionLines;
 }
 
@@ -48,6 +54,16 @@
     if (plan.success) this.adopt(service, plan.data);
   }
 
+  /**
+   * The version of all streams of a service if it has one only; undefined if this instance may have
+   * missed that another version joined.
+   */
+  onlyVersion(service: string): string | undefined {
+    const { storeView, loopDelay } = this.parts;
+    if (storeView.upstreamsAgeMs > MAX_CERTAIN_AGE_MS) return undefined;
+    return loopDelay.recentMs > MAX_LOOP_DELAY_MS ? undefined : onlyVersion(this.trusted(service));
+  }
+
   /**
    * The plan by which streams may begin without a record; undefined if the plan of other instances
    * may be another one, or records were lost.
