--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -17,6 +17,7 @@
 const MEAN_RESTORE_GAP_MS = 5_000;
 const LEAST_LIMIT_MS = 8_000;
 const MEAN_BREAK_GAP_MS = 2_000;
+const MEAN_ENDLESS_GAP_MS = 4_000;
 const MEAN_ISOLATION_GAP_MS = 3_000;
 const LEAST_ISOLATION_MS = 4_000;
 /** Limits that upstreams state, in requests per second. */
@@ -95,6 +96,20 @@
   return plan;
 }
 
+/** Draws upstreams that send bytes without end in small pieces. */
+export function drawEndless(random: RandomSource, size: PlanSize): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = random.exponential(MEAN_ENDLESS_GAP_MS);
+  while (atMs < size.lengthMs) {
+    const target = random.below(size.upstreams);
+    const mode = ENDLESS[random.below(ENDLESS.length)] ?? UpstreamMode.TinyChunks;
+    const forMs = LEAST_MS + random.exponential(MEAN_MS);
+    plan.push({ atMs, forMs, fault: { kind: "upstream", mode, target } });
+    atMs += random.exponential(MEAN_ENDLESS_GAP_MS);
+  }
+  return plan;
+}
+
 /** Draws daemons that lose their links to all upstreams, long enough for the bound on them to hold. */
 export function drawIsolations(random: RandomSource, size: PlanSize): PlannedFault[] {
   const plan: PlannedFault[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -2,7 +2,14 @@
 import { join } from "node:path";
 import { RandomSource } from "../src/random/random-source.js";
 import { SystemTimers } from "../src/time/system-timers.js";
-import { drawBreaks, drawIsolations, drawLimits, drawPlan, drawRestores } from "./fault-plan.js";
+import {
+  drawBreaks,
+  drawEndless,
+  drawIsolations,
+  drawLimits,
+  drawPlan,
+  drawRestores,
+} from "./fault-plan.js";
 import { checkPromises } from "./promise-check.js";
 import { SoakCaller } from "./soak-caller.js";
 import { SoakDriver } from "./soak-driver.js";
@@ -23,6 +30,7 @@
 const RESTORE_SEED_FACTOR = 0x27d4eb2f;
 const ISOLATION_SEED_FACTOR = 0x165667b1;
 const BREAK_SEED_FACTOR = 0x1b873593;
+const ENDLESS_SEED_FACTOR = 0x2545f491;
 
 /** Sizes of one run. */
 export interface SoakSize {
@@ -54,6 +62,7 @@
   const restoreRandom = RandomSource.create(Math.imul(seed, RESTORE_SEED_FACTOR));
   const limitRandom = RandomSource.create(Math.imul(seed, LIMIT_SEED_FACTOR));
   const isolationRandom = RandomSource.create(Math.imul(seed, ISOLATION_SEED_FACTOR));
+  const endlessRandom = RandomSource.create(Math.imul(seed, ENDLESS_SEED_FACTOR));
   const breakRandom = RandomSource.create(Math.imul(seed, BREAK_SEED_FACTOR));
   const plan = [
     ...drawPlan(random, planSize),
@@ -61,6 +70,7 @@
     ...drawRestores(restoreRandom, planSize),
     ...drawIsolations(isolationRandom, planSize),
     ...drawBreaks(breakRandom, planSize),
+    ...drawEndless(endlessRandom, planSize),
   ];
   const fleet = await SoakFleet.create(timers, directory, size);
   const requests: SoakRequest[] = [];
