Refuse a request whose body arrives after a stop has begun

Requests are admitted when their head arrives; a stop waits for those only that have arrived whole, so that one whose body comes later is admitted once more.

--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -126,7 +126,7 @@
           streamed: route.repeatability === Repeatability.Stream,
           silenceTimeoutMs: attemptSilenceMs(context, this.runCount),
           trySend: () => {
-            // Both may have changed while the connection was opened.
+            // Another instance may have found out more while the connection was opened.
             if (contentRefusal(this.parts, context) !== undefined) return false;
             if (!streamVersion.allows(entry)) return false;
             sendState.sent = upstreamStatements.trySend(entry, health, SentKind.Request, permit);
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -66,6 +66,8 @@
       const headMatch = requestMatcher.matchHead(head);
       cancellation.setDeadline(headMatch.deadlineMs);
       const body = await readBody(headMatch.configuration.limits.bodyBytes, signal);
+      // A stop may have begun meanwhile, which waits for requests that have arrived whole only.
+      this.parts.admit();
       const matched = requestMatcher.match({ ...head, body }, headMatch, writer, signal);
       context = matched;
       cancellation.setDeadline(matched.deadlineMs);
