Pause between reads at an instance that starts without the store

An instance that starts while the store turns it away hears by heartbeat that others have a configuration. Since this interrupted its reads before it had any rows: each failed read was followed by the next one without a pause, and the other instances were never asked for their rows. An instance now compares rows only once it has some.

--- a/features/configuration-lag.feature
+++ b/features/configuration-lag.feature
@@ -30,6 +30,14 @@
       | 400   | 2          | 6      | no requests |
       | 400   | 0          | 20     | requests    |
 
+  # Guards against reads without a pause, and no rows, at an instance that starts without the store.
+  Scenario: An instance that starts while the store turns it away takes its rows from another one
+    Given an instance that starts while the store refuses its reads
+    When a heartbeat tells configuration 7, which the other instance sends
+    And 4000 ms pass for it
+    Then its configuration is 7, and it handles requests
+    And it made at most 20 reads of a table
+
   # Guards against rows that count as fresh although they waited in a busy process.
   Scenario Outline: The age of rows counts the time that their answer waited in this process
     When a process that is <delay> ms late handles an answer to a call of 4000 ms before
--- a/features/steps/configuration-lag.ts
+++ b/features/steps/configuration-lag.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { RowSnapshot } from "../../src/forward/row-feed.js";
-import type { RowUpdate } from "../../src/forward/row-update.js";
+import { type RowUpdate, rowQuerySchema } from "../../src/forward/row-update.js";
 import { RowFreshness } from "../../src/forward/row-freshness.js";
 import { RouteView } from "../../src/forward/route-view.js";
 import { StoreTable } from "../../src/forward/store-table.js";
@@ -23,6 +23,8 @@
   routeView: RouteView;
   storeView: StoreView;
   loopDelayMs: number;
+  /** Reads of whole tables. */
+  reads: number;
   /** Version that the other instance sends; undefined if it does not answer. */
   sent: number | undefined;
   tell: (version: number) => void;
@@ -35,62 +37,82 @@
   return ["config", JSON.stringify(platformConfiguration(version, ["key"]))];
 }
 
-Given(
-  "an instance with configuration {int} whose reads of the store hang",
-  async function (this: LagWorld, version: number) {
-    const timers = (this.timers = ManualTimers.create());
-    this.loopDelayMs = 0;
-    this.sent = undefined;
-    this.routeView = RouteView.create();
-    let reads = 0;
-    const hang = async (): Promise<never> => {
-      await timers.sleep(READ_TIMEOUT_MS);
-      throw new Error("no answer in time");
-    };
-    const currentLoopDelay = (): number => this.loopDelayMs;
-    this.storeView = StoreView.create({
-      ...{ self: "i0", cores: 1, timers, random: RandomSource.create(1) },
-      loopDelay: {
-        get recentMs() {
-          return currentLoopDelay();
-        },
+/** Starts a view of the store; `read` is a read of a whole table, and changes cannot be read. */
+function startView(world: LagWorld, read: (table: StoreTable) => Promise<RowSnapshot>): void {
+  const timers = (world.timers = ManualTimers.create());
+  world.loopDelayMs = 0;
+  world.sent = undefined;
+  world.reads = 0;
+  world.routeView = RouteView.create();
+  world.storeView = StoreView.create({
+    ...{ self: "i0", cores: 1, timers, random: RandomSource.create(1) },
+    loopDelay: {
+      get recentMs() {
+        return world.loopDelayMs;
       },
-      members: { self: "i0", all: () => [aliveMemberOf(PEER)] } as never,
-      peerMethods: { register: () => undefined },
-      peerCalls: {
-        call: async (): Promise<RowUpdate> => {
-          if (this.sent === undefined) return hang();
-          await timers.sleep(1);
-          const changes: [string, string][] = [rowOf(this.sent)];
-          return { era: 1, version: 9, changes, ageMs: 100, sinceFailureMs: 10_000 };
-        },
+    },
+    members: { self: "i0", all: () => [aliveMemberOf(PEER)] } as never,
+    peerMethods: { register: () => undefined },
+    peerCalls: {
+      call: async (_peer, _method, params): Promise<RowUpdate> => {
+        if (world.sent === undefined) return noAnswer(timers);
+        await timers.sleep(1);
+        const { table } = rowQuerySchema.parse(params);
+        const changes = table === StoreTable.Configuration ? [rowOf(world.sent)] : [];
+        return { era: 1, version: 9, changes, ageMs: 100, sinceFailureMs: 10_000 };
       },
-      rowFeed: {
-        readAll: async (table): Promise<RowSnapshot> => {
-          reads += 1;
-          await timers.sleep(1);
-          const rows = table === StoreTable.Configuration ? [rowOf(version)] : [];
-          return reads > 2 ? hang() : { rows, era: 1, version: 1 };
-        },
-        ...{ readChanges: hang, put: hang },
+    },
+    rowFeed: {
+      readAll: async (table) => {
+        world.reads += 1;
+        await timers.sleep(1);
+        return read(table);
       },
-      heartbeatReports: {
-        onVersion: (handler) => {
-          this.tell = (told) => {
-            handler(PEER, told);
-          };
-        },
+      readChanges: () => noAnswer(timers),
+      put: () => noAnswer(timers),
+    },
+    heartbeatReports: {
+      onVersion: (handler) => {
+        world.tell = (version) => {
+          handler(PEER, version);
+        };
       },
-      ...{ rowDecoder: PlatformRowDecoder.create(), routeView: this.routeView },
-      directory: UpstreamDirectory.create({ timers }),
-      decisionLines: { write: () => undefined } as never,
+    },
+    ...{ rowDecoder: PlatformRowDecoder.create(), routeView: world.routeView },
+    directory: UpstreamDirectory.create({ timers }),
+    decisionLines: { write: () => undefined } as never,
+  });
+  world.storeView.start();
+}
+
+async function noAnswer(timers: ManualTimers): Promise<never> {
+  await timers.sleep(READ_TIMEOUT_MS);
+  throw new Error("no answer in time");
+}
+
+Given(
+  "an instance with configuration {int} whose reads of the store hang",
+  async function (this: LagWorld, version: number) {
+    startView(this, (table) => {
+      if (this.reads > 2) return noAnswer(this.timers);
+      const rows = table === StoreTable.Configuration ? [rowOf(version)] : [];
+      return Promise.resolve({ rows, era: 1, version: 1 });
     });
-    this.storeView.start();
-    await timers.advance(100);
+    await this.timers.advance(100);
     assert.equal(this.routeView.version, version);
   },
 );
 
+Given("an instance that starts while the store refuses its reads", async function (this: LagWorld) {
+  startView(this, () => Promise.reject(new Error("refused")));
+  await this.timers.advance(100);
+});
+
+Then("it made at most {int} reads of a table", function (this: LagWorld, most: number) {
+  // It follows two tables.
+  assert.ok(this.reads <= 2 * most, `${this.reads} reads`);
+});
+
 When(
   /^a heartbeat tells configuration (\d+), which (the other|no) instance sends$/,
   function (this: LagWorld, version: string, which: string) {
--- a/src/forward/row-comparison.ts
+++ b/src/forward/row-comparison.ts
@@ -28,7 +28,7 @@
     return this.interruption.signal;
   }
 
-  /** Requests a comparison with an instance that is ahead. */
+  /** Requests a comparison with an instance that is ahead; there must be rows to compare. */
   request(peer: string): void {
     const now = this.timers.now();
     if (now - this.lastRequestMs < MIN_INTERVAL_MS) return;
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -14,13 +14,8 @@
 import { RowCache } from "./row-cache.js";
 import type { RowChange, RowFeed } from "./row-feed.js";
 import type { RowOrder } from "./row-order.js";
-import {
-  MAX_FRESH_AGE_MS,
-  type RowUpdate,
-  type RowQuery,
-  rowChangesOf,
-  rowUpdateSchema,
-} from "./row-update.js";
+import { MAX_FRESH_AGE_MS, type RowQuery, type RowUpdate } from "./row-update.js";
+import { rowChangesOf, rowUpdateSchema } from "./row-update.js";
 import { RowComparison } from "./row-comparison.js";
 import { RowFreshness } from "./row-freshness.js";
 import { RowQueryResponder } from "./row-query-responder.js";
@@ -57,14 +52,14 @@
  */
 export class RowFollower {
   readonly cache: RowCache;
+  readonly freshness: RowFreshness;
+  private readonly comparison: RowComparison;
   private readonly responder: RowQueryResponder;
   /** Readers that recently failed to answer or had rows that were not fresh. */
   private readonly avoidedReaders: AvoidedInstances;
   private readonly stopController = new AbortController();
   private failures = 0;
   private lastFailureMs = -Infinity;
-  readonly freshness: RowFreshness;
-  readonly comparison: RowComparison;
 
   private constructor(
     private readonly parts: Parts,
@@ -110,6 +105,11 @@
     this.stopController.abort();
   }
 
+  /** Takes newer rows from an instance that is ahead, once this one has rows itself. */
+  compareWith(peer: string): void {
+    if (this.cache.version >= 0) this.comparison.request(peer);
+  }
+
   /** Answers another instance's query for the changes that it lacks. */
   answerQuery(query: Omit<RowQuery, "table">): Promise<RowUpdate> {
     return this.responder.answer(query);
@@ -183,8 +183,8 @@
   /** Takes newer rows from another instance. */
   private async compareWithPeer(): Promise<void> {
     const { random, peerCalls, members } = this.parts;
-    if (this.cache.version < 0) return;
-    const peer = this.comparison.begin(random.sample(aliveMembers(members), 1)[0]?.id);
+    const other = random.sample(aliveMembers(members), 1)[0]?.id;
+    const peer = this.cache.version < 0 ? undefined : this.comparison.begin(other);
     if (peer === undefined) return;
     const params: RowQuery = { ...this.query(0, true), after: -1 };
     try {
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -133,7 +133,7 @@
       if (version <= own) return;
       const ageMs = Math.round(this.configuration.freshness.ageMs);
       decisionLines.write("configuration is behind", { instance, version, own, ageMs });
-      this.configuration.comparison.request(instance);
+      this.configuration.compareWith(instance);
     });
   }
 
