Count an instance as behind since the first version that it lacks

An instance that hears of a newer configuration refuses requests when it still lacks it after 0.7 s. Each further version started that time anew, so that an instance that adopts nothing while versions follow each other served by the old one. The versions that are missing are now kept with the time of the first heartbeat that named them, in a part of its own.

Measured: with the newest version counted alone, the scenario "Newer versions do not make an instance count as current" fails; it passes.

--- a/features/configuration-lag.feature
+++ b/features/configuration-lag.feature
@@ -16,6 +16,15 @@
     When 200 ms pass for it
     Then its configuration is 4, and it handles no requests
 
+  # Guards against an instance that counts as behind only since the newest version.
+  Scenario: Newer versions do not make an instance count as current
+    Given an instance with configuration 4 whose reads of the store hang
+    When a heartbeat tells configuration 7, which no instance sends
+    And 400 ms pass for it
+    And a heartbeat tells configuration 9, which no instance sends
+    And 400 ms pass for it
+    Then its configuration is 4, and it handles no requests
+
   # Guards against instances that refuse everything while the store is away.
   Scenario Outline: An old configuration without news is <outcome>
     Given an instance with configuration 4 whose reads of the store hang
--- a/features/steps/configuration-lag.ts
+++ b/features/steps/configuration-lag.ts
@@ -2,7 +2,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { RowSnapshot } from "../../src/forward/row-feed.js";
 import { type RowUpdate, rowQuerySchema } from "../../src/forward/row-update.js";
-import { RowFreshness } from "../../src/forward/row-freshness.js";
+import { RowFreshness } from "../../src/rows/row-freshness.js";
 import { RouteView } from "../../src/forward/route-view.js";
 import { StoreTable } from "../../src/forward/store-table.js";
 import { StoreView } from "../../src/forward/store-view.js";
@@ -161,7 +161,7 @@
   "its rows are {int} ms old, and it tells others {int} ms",
   function (this: LagWorld, ageMs: number, toldMs: number) {
     assert.equal(this.freshness.ageMs, ageMs);
-    assert.equal(this.freshness.statedAgeMs, toldMs);
+    assert.equal(this.freshness.reportedAgeMs, toldMs);
   },
 );
 
--- a/src/forward/row-follower.ts
+++ b/src/forward/row-follower.ts
@@ -16,8 +16,8 @@
 import type { RowOrder } from "./row-order.js";
 import { MAX_FRESH_AGE_MS, type RowQuery, type RowUpdate } from "./row-update.js";
 import { rowChangesOf, rowUpdateSchema } from "./row-update.js";
-import { RowComparison } from "./row-comparison.js";
-import { RowFreshness } from "./row-freshness.js";
+import { RowComparison } from "../rows/row-comparison.js";
+import { RowFreshness } from "../rows/row-freshness.js";
 import { RowQueryResponder } from "./row-query-responder.js";
 import { chooseReader } from "./store-readers.js";
 import type { StoreTable } from "./store-table.js";
@@ -76,7 +76,7 @@
     });
     this.responder = RowQueryResponder.create(parts.timers, {
       cache: this.cache,
-      ageMs: () => this.freshness.statedAgeMs,
+      ageMs: () => this.freshness.reportedAgeMs,
       sinceFailureMs: () => this.sinceFailureMs,
     });
   }
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -11,6 +11,7 @@
 import type { ReadSchedule } from "./read-schedule.js";
 import { RowFollower } from "./row-follower.js";
 import { rowQuerySchema } from "./row-update.js";
+import { VersionLag } from "../rows/version-lag.js";
 import { StoreTable } from "./store-table.js";
 import type { EntryChange, UpstreamDirectory } from "./upstream-directory.js";
 
@@ -46,12 +47,12 @@
 export class StoreView {
   private readonly configuration: RowFollower;
   private readonly upstreams: RowFollower;
-  /** The newest version that another instance has, and when this one first heard of it. */
-  private ahead = { version: 0, heardMs: -Infinity };
-  /** When another instance last told its version, at the earliest; infinite before the first one. */
-  private toldMs = Infinity;
+  private readonly versionLag: VersionLag;
+  /** Earliest time at which the last heartbeat can have arrived; infinite before the first one. */
+  private heartbeatMs = Infinity;
 
   private constructor(private readonly parts: Parts) {
+    this.versionLag = VersionLag.create(parts.timers);
     this.configuration = RowFollower.create(
       parts,
       StoreTable.Configuration,
@@ -99,14 +100,10 @@
   /** Whether requests may be handled by the configuration that this instance has. */
   get isCurrent(): boolean {
     const { timers, routeView, loopDelay } = this.parts;
-    const { version, heardMs } = this.ahead;
-    const now = timers.now();
-    if (version > routeView.version && now - heardMs > MAX_BEHIND_MS) return false;
-    // While the store is away, the configuration stays in force; other instances tell of a newer one.
-    const late = loopDelay.recentMs > LATE_LOOP_MS;
-    return (
-      !late || this.configuration.freshness.ageMs <= MAX_AGE_MS || now - this.toldMs <= MAX_AGE_MS
-    );
+    if (this.versionLag.behindMs(routeView.version) > MAX_BEHIND_MS) return false;
+    // While the store is away, the configuration stays in force; heartbeats name a newer one.
+    const newsAgeMs = Math.min(this.configuration.freshness.ageMs, timers.now() - this.heartbeatMs);
+    return newsAgeMs <= MAX_AGE_MS || loopDelay.recentMs <= LATE_LOOP_MS;
   }
 
   start(): void {
@@ -125,9 +122,9 @@
   /** Takes the configuration from another instance if this one does not get it otherwise. */
   private recordVersion(instance: string, version: number): void {
     const { timers, routeView, loopDelay, decisionLines } = this.parts;
-    this.toldMs = timers.now() - loopDelay.recentMs;
+    this.heartbeatMs = timers.now() - loopDelay.recentMs;
+    this.versionLag.record(version, routeView.version);
     if (version <= routeView.version) return;
-    if (version > this.ahead.version) this.ahead = { version, heardMs: timers.now() };
     timers.after(CATCH_UP_DELAY_MS, () => {
       const own = routeView.version;
       if (version <= own) return;
--- a/src/forward/row-freshness.ts
+++ b/src/rows/row-freshness.ts
@@ -37,8 +37,8 @@
     return this.parts.timers.now() - this.currentAsOfMs;
   }
 
-  /** The age that another instance is told, to which its answer may still wait in this process. */
-  get statedAgeMs(): number {
+  /** The age for an answer to another instance, which may still wait in this process. */
+  get reportedAgeMs(): number {
     return this.ageMs + this.parts.loopDelay.recentMs;
   }
 
