Measure the loop delay with the timer that detects pauses

Both had a periodic timer of 200 ms of their own. The pause detection passes its ticks on; the loop delay adds the time of day, which goes on while a machine is suspended.

--- a/features/steps/configuration-lag.ts
+++ b/features/steps/configuration-lag.ts
@@ -9,13 +9,14 @@
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
 import { RandomSource } from "../../src/random/random-source.js";
 import { LoopDelay } from "../../src/time/loop-delay.js";
+import { PauseDetection, TICK_MS } from "../../src/time/pause-detection.js";
+import type { Timers } from "../../src/time/timers.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import { platformConfiguration } from "../../standin/platform-configuration.js";
 import { PlatformRowDecoder } from "../../platform/platform-row-decoder.js";
 import { aliveMemberOf } from "../support/alive-member.js";
 
 const PEER = "i1";
-const TICK_MS = 200;
 const READ_TIMEOUT_MS = 1_700;
 
 interface LagWorld {
@@ -169,16 +170,16 @@
   this.timers = ManualTimers.create();
   this.jumpMs = 0;
   const { timers } = this;
-  this.loopDelay = LoopDelay.create({
-    timers: {
-      now: () => timers.now(),
-      wallClock: () => timers.wallClock() + this.jumpMs,
-      sleep: (ms, signal) => timers.sleep(ms, signal),
-      after: (ms, handler) => timers.after(ms, handler),
-      every: (ms, handler) => timers.every(ms, handler),
-    },
-  });
-  this.loopDelay.start();
+  const clocks: Timers = {
+    now: () => timers.now(),
+    wallClock: () => timers.wallClock() + this.jumpMs,
+    sleep: (ms, signal) => timers.sleep(ms, signal),
+    after: (ms, handler) => timers.after(ms, handler),
+    every: (ms, handler) => timers.every(ms, handler),
+  };
+  const pauses = PauseDetection.create({ timers: clocks });
+  this.loopDelay = LoopDelay.create({ timers: clocks, pauses });
+  pauses.start();
 });
 
 When("{int} ms pass on both clocks", async function (this: LagWorld, ms: number) {
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -36,8 +36,8 @@
   /** Resolves when the daemon accepts requests. */
   async start(): Promise<void> {
     const { peerServer, membership, storeView, frontServer, statusServer, readiness } = this.parts;
-    this.parts.pauses.start();
     this.watchLoop();
+    this.parts.pauses.start();
     // Peer calls must be registered before they arrive, also if this instance has no requests yet.
     this.parts.stageDispatch.start();
     this.parts.limitKnowledge.start();
@@ -90,7 +90,6 @@
     this.parts.ownerConnections.stop();
     membership.stop();
     this.parts.pauses.stop();
-    this.parts.loopDelay.stop();
     await Promise.all([frontServer.close(), statusServer.close(), peerServer.close()]);
     peerCalls.close();
     this.parts.connectionPools.close();
@@ -103,7 +102,6 @@
       if (delayMs < LOGGED_DELAY_MS) return;
       decisionLines.write("event loop late", { delayMs: Math.round(delayMs) });
     });
-    loopDelay.start();
   }
 
   private async drainAndClose(): Promise<void> {
--- a/src/time/loop-delay.ts
+++ b/src/time/loop-delay.ts
@@ -1,41 +1,43 @@
-import type { Subscription } from "./subscription.js";
+import { type PauseDetection, TICK_MS } from "./pause-detection.js";
 import type { Timers } from "./timers.js";
 
-const TICK_MS = 200;
 /** Time for which a delay counts as recent. */
 const WINDOW_MS = 3_000;
 
+interface Delay {
+  readonly atMs: number;
+  readonly delayMs: number;
+}
+
+interface Parts {
+  readonly timers: Timers;
+  readonly pauses: Pick<PauseDetection, "onTick">;
+}
+
 /**
- * Measures how late this process handles what is due, by a periodic timer. The time of day counts too,
- * as the monotonic clock stands still while the machine is suspended.
+ * Measures how late this process handles what is due. The time of day counts too, as the monotonic
+ * clock stands still while the machine is suspended.
  */
 export class LoopDelay {
-  private ticks: Subscription | undefined;
-  private last = { monotonicMs: 0, wallClockMs: 0 };
-  private delays: { readonly atMs: number; readonly delayMs: number }[] = [];
+  private delays: readonly Delay[] = [];
+  private lastWallClockMs: number;
   private readonly handlers: ((delayMs: number) => void)[] = [];
 
-  private constructor(private readonly timers: Timers) {}
-
-  static create(parts: { timers: Timers }): LoopDelay {
-    return new LoopDelay(parts.timers);
+  private constructor(private readonly timers: Timers) {
+    this.lastWallClockMs = timers.wallClock();
   }
 
-  start(): void {
-    this.last = this.readClocks();
-    this.ticks = this.timers.every(TICK_MS, () => {
-      this.tick();
+  static create({ timers, pauses }: Parts): LoopDelay {
+    const loopDelay = new LoopDelay(timers);
+    pauses.onTick((passedMs) => {
+      loopDelay.record(passedMs);
     });
-  }
-
-  stop(): void {
-    this.ticks?.cancel();
+    return loopDelay;
   }
 
   /** Longest delay of the last 3 s, in ms. */
   get recentMs(): number {
-    const oldestMs = this.timers.now() - WINDOW_MS;
-    return Math.max(0, ...this.delays.flatMap((e) => (e.atMs >= oldestMs ? [e.delayMs] : [])));
+    return Math.max(0, ...this.recent.map(({ delayMs }) => delayMs));
   }
 
   /** Calls `handler` with each delay in ms. */
@@ -43,19 +45,17 @@
     this.handlers.push(handler);
   }
 
-  private tick(): void {
-    const { monotonicMs, wallClockMs } = this.last;
-    this.last = this.readClocks();
-    const now = this.last.monotonicMs;
-    const passedMs = Math.max(now - monotonicMs, this.last.wallClockMs - wallClockMs);
-    const delayMs = Math.max(0, passedMs - TICK_MS);
-    this.delays.push({ atMs: now, delayMs });
-    const first = this.delays.findIndex(({ atMs }) => atMs >= now - WINDOW_MS);
-    this.delays.splice(0, first);
-    for (const handler of this.handlers) handler(delayMs);
+  private get recent(): readonly Delay[] {
+    const oldestMs = this.timers.now() - WINDOW_MS;
+    return this.delays.filter(({ atMs }) => atMs >= oldestMs);
   }
 
-  private readClocks(): { monotonicMs: number; wallClockMs: number } {
-    return { monotonicMs: this.timers.now(), wallClockMs: this.timers.wallClock() };
+  private record(passedMs: number): void {
+    const wallClockMs = this.timers.wallClock();
+    const longestMs = Math.max(passedMs, wallClockMs - this.lastWallClockMs);
+    this.lastWallClockMs = wallClockMs;
+    const delayMs = Math.max(0, longestMs - TICK_MS);
+    this.delays = [...this.recent, { atMs: this.timers.now(), delayMs }];
+    for (const handler of this.handlers) handler(delayMs);
   }
 }
--- a/src/time/pause-detection.ts
+++ b/src/time/pause-detection.ts
@@ -2,13 +2,14 @@
 import type { Subscription } from "./subscription.js";
 import type { Timers } from "./timers.js";
 
-const TICK_MS = 200;
+export const TICK_MS = 200;
 /** Above the longest garbage collections and below every lease and suspicion time. */
 const PAUSE_MS = 1_000;
 
 /** Detects pauses of the process by a periodic timer that fires late. */
 export class PauseDetection implements Pauses {
   private readonly handlers = new Set<(lengthMs: number) => void>();
+  private readonly tickHandlers: ((passedMs: number) => void)[] = [];
   private ticks: Subscription | undefined;
   private last = 0;
 
@@ -38,10 +39,16 @@
     };
   }
 
+  /** Calls `handler` with the time since the last tick, which is `TICK_MS` or longer. */
+  onTick(handler: (passedMs: number) => void): void {
+    this.tickHandlers.push(handler);
+  }
+
   private tick(): void {
     const now = this.timers.now();
     const length = now - this.last;
     this.last = now;
+    for (const handler of this.tickHandlers) handler(length);
     if (length < PAUSE_MS) return;
     for (const handler of this.handlers) handler(length);
   }
