Read whole bodies in one place

Results of upstreams and of other instances, the bodies of callers and the kept bytes of streams each collected chunks and named their own error. They share one reader now; what a response has no room for is an `UpstreamFailed` everywhere. On the product's own path, an event that was too large left the client as an error without a kind. A body that is given up is paused, as the connection of a caller must live to carry the refusal. New files on arriving requests have a folder of their own.

--- a/features/steps/caller-bodies.ts
+++ b/features/steps/caller-bodies.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { BufferBudget } from "../../src/buffer/buffer-budget.js";
 import { ErrorKind } from "../../src/error/error-kind.js";
-import { CallerBody } from "../../src/forward/caller-body.js";
+import { CallerBody } from "../../src/intake/caller-body.js";
 import { bytesInUse } from "../support/bytes-in-use.js";
 import type { FrontHost } from "../support/front-host.js";
 
--- a/src/buffer/buffer-budget.ts
+++ b/src/buffer/buffer-budget.ts
@@ -13,6 +13,11 @@
     return new BufferBudget(maxBytes);
   }
 
+  /** For buffers that are bounded by their own size alone. */
+  static unlimited(): BufferBudget {
+    return new BufferBudget(Infinity);
+  }
+
   /** Bytes that are reserved now. */
   get usedBytes(): number {
     return this.reservedBytes;
--- a/src/forward/consume-body.ts
+++ b/src/buffer/consume-body.ts
@@ -1,20 +1,23 @@
 import type { Readable } from "node:stream";
 
 /**
- * Passes each chunk of a body to `onChunk` and resolves at the end of the body; rejects when the
- * body fails or `onChunk` throws. The body is paused until a promise returned by `onChunk` resolves.
+ * Passes each chunk of a body to `onChunk` and resolves at the end of the body; rejects when the body
+ * fails, `onChunk` throws or the signal aborts, and leaves the rest of the body unread then. The body
+ * is paused until a promise returned by `onChunk` resolves.
  * Streams have tens of chunks per request, and an async iterator costs several promises for each.
  */
 export function consumeBody(
   body: Readable,
   onChunk: (part: Buffer) => Promise<void> | undefined,
+  signal?: AbortSignal,
 ): Promise<void> {
   return new Promise((resolve, reject) => {
     const fail = (error: unknown): void => {
-      body.destroy();
+      body.off("data", pass);
+      body.pause();
       reject(error instanceof Error ? error : new Error(String(error)));
     };
-    body.on("data", (chunk: Buffer) => {
+    const pass = (chunk: Buffer): void => {
       try {
         const ready = onChunk(chunk);
         if (ready === undefined) return;
@@ -23,11 +26,23 @@
       } catch (error) {
         fail(error);
       }
+    };
+    const abort = (): void => {
+      fail(signal?.reason);
+    };
+    if (signal?.aborted === true) {
+      abort();
+      return;
+    }
+    signal?.addEventListener("abort", abort, { once: true });
+    body.on("data", pass);
+    body.once("end", () => {
+      signal?.removeEventListener("abort", abort);
+      resolve();
     });
-    body.once("end", resolve);
-    body.once("error", reject);
+    body.on("error", reject);
     body.once("close", () => {
-      reject(new Error("the response body was closed before its end"));
+      reject(new Error("the body was closed before its end"));
     });
   });
 }
--- a/src/forward/event-splitter.ts
+++ b/src/forward/event-splitter.ts
@@ -1,4 +1,4 @@
-import { AppendResult } from "../buffer/append-result.js";
+import { appendResponse } from "../buffer/append-response.js";
 import type { BufferBudget } from "../buffer/buffer-budget.js";
 import { ByteBuffer } from "../buffer/byte-buffer.js";
 
@@ -50,8 +50,8 @@
   }
 
   /**
-   * Adds bytes and returns the events completed by them; undefined if there are none. Throws if the
-   * bytes after the last event exceed 1 MiB, or there is no memory for them.
+   * Adds bytes and returns the events completed by them; undefined if there are none. Throws
+   * `UpstreamFailed` if the bytes after the last event exceed 1 MiB, or there is no memory for them.
    */
   push(chunk: Buffer): CompleteEvents | undefined {
     let end = 0;
@@ -102,9 +102,7 @@
   }
 
   private keep(chunk: Buffer): void {
-    if (chunk.length === 0) return;
-    const result = this.pending.append(chunk);
-    if (result !== AppendResult.Added) throw new Error(`a stream event is ${result}`);
+    if (chunk.length > 0) appendResponse(this.pending, chunk);
   }
 }
 
--- a/src/forward/forward-request.ts
+++ b/src/forward/forward-request.ts
@@ -1,4 +1,4 @@
-import type { RequestHead } from "./request-head.js";
+import type { RequestHead } from "../intake/request-head.js";
 
 /** A caller's request with its complete body. */
 export interface ForwardRequest extends RequestHead {
--- a/src/forward/front-server.ts
+++ b/src/forward/front-server.ts
@@ -4,7 +4,7 @@
 import { answerConnectionError } from "../http/connection-error.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Timers } from "../time/timers.js";
-import { CallerBody } from "./caller-body.js";
+import { CallerBody } from "../intake/caller-body.js";
 import { ResponseWriter } from "./response-writer.js";
 import type { RequestForwarder } from "./request-forwarder.js";
 import type { RouteView } from "./route-view.js";
--- a/src/forward/request-matcher.ts
+++ b/src/forward/request-matcher.ts
@@ -11,15 +11,14 @@
 import { Repeatability } from "./repeatability.js";
 import type { Readiness } from "../daemon/readiness.js";
 import { rankOf } from "./rank-of.js";
-import type { RequestAttributes } from "./request-attributes.js";
 import type { RequestContext } from "./request-context.js";
-import type { RequestHead } from "./request-head.js";
+import type { RequestHead } from "../intake/request-head.js";
 import type { RouteDeadlines } from "./route-deadlines.js";
 import type { Route } from "./route.js";
 import type { RouteView } from "./route-view.js";
 import type { StoreView } from "./store-view.js";
 import { StreamProgress } from "./stream-progress.js";
-import type { Team } from "./team.js";
+import type { HeadMatch } from "../intake/head-match.js";
 
 interface Parts {
   readonly dialect: Dialect;
@@ -34,16 +33,6 @@
 /** Other instances have a newer configuration. */
 const STALE_RETRY_MS = 300;
 
-/** What the head of a request determines under one configuration. */
-export interface HeadMatch {
-  readonly configuration: ForwardConfiguration;
-  readonly route: Route;
-  readonly attributes: RequestAttributes;
-  readonly team: Team | undefined;
-  /** On the monotonic clock, in ms. */
-  readonly deadlineMs: number;
-}
-
 /** Determines the route, team and time limits of a request. */
 export class RequestMatcher {
   private constructor(private readonly parts: Parts) {}
@@ -87,8 +76,8 @@
     signal: AbortSignal,
   ): RequestContext {
     const { routeView, crashRegistry, promptGuard } = this.parts;
-    const isCurrent = headMatch.configuration === routeView.configuration;
-    const current = isCurrent ? headMatch : this.matchHead(request);
+    const changed = headMatch.configuration !== routeView.configuration;
+    const current = changed ? this.matchHead(request) : headMatch;
     const { configuration, route, attributes, team, deadlineMs } = current;
     requireSize(request.body.length, configuration);
     const digest = CrashRegistry.digest(request, attributes.key);
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -1,7 +1,7 @@
 import type { Readable } from "node:stream";
-import { AppendResult } from "../buffer/append-result.js";
 import type { BufferBudget } from "../buffer/buffer-budget.js";
-import { ByteBuffer } from "../buffer/byte-buffer.js";
+import { consumeBody } from "../buffer/consume-body.js";
+import { readWhole } from "../buffer/read-whole.js";
 import { AttemptPhase } from "../crash/attempt-phase.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
@@ -9,7 +9,6 @@
 import { type ResponseHeaders, endedByReset, hasKnownLength } from "../upstream/response-end.js";
 import type { AttemptTask } from "./attempt-task.js";
 import type { AttemptOutcome } from "./attempt-outcome.js";
-import { consumeBody } from "./consume-body.js";
 import type { Dialect } from "./dialect.js";
 import { type CompleteEvents, EventSplitter } from "./event-splitter.js";
 import { EventRelay } from "../version/event-relay.js";
@@ -115,36 +114,20 @@
     headers: ResponseHeaders,
     body: Readable,
   ): Promise<AttemptOutcome> {
-    const buffer = ByteBuffer.create(this.parts.bufferBudget, MAX_BUFFERED_BYTES);
-    try {
-      await consumeBody(body, (chunk) => {
-        this.markActive();
-        const result = buffer.append(chunk);
-        if (result !== AppendResult.Added) throw new Error(`the response is ${result}`);
-        return undefined;
-      });
-      return this.sendWhole(connection, status, headers, buffer.take());
-    } finally {
-      buffer.clear();
-    }
-  }
-
-  private sendWhole(
-    connection: Connection,
-    status: number,
-    headers: ResponseHeaders,
-    body: Buffer,
-  ): AttemptOutcome {
+    const whole = await readWhole(body, MAX_BUFFERED_BYTES, this.parts.bufferBudget, () => {
+      this.markActive();
+    });
     if (endedByReset(connection, headers)) {
       return this.broken("the connection was reset; the response may be truncated");
     }
     const mayHaveBody = status === OK && this.task.request.method !== "HEAD";
-    if (mayHaveBody && body.length === 0 && !hasKnownLength(headers)) {
+    if (mayHaveBody && whole.length === 0 && !hasKnownLength(headers)) {
       return this.broken("the connection was closed after the response head");
     }
     this.markAnswered();
-    if (status >= MIN_SERVER_ERROR_STATUS) return { kind: "reported", status, headers, body };
-    this.task.writer.send(status, this.parts.dialect.callerHeaders(headers), body);
+    if (status >= MIN_SERVER_ERROR_STATUS)
+      return { kind: "reported", status, headers, body: whole };
+    this.task.writer.send(status, this.parts.dialect.callerHeaders(headers), whole);
     return { kind: "relayed", status };
   }
 
--- a/src/forward/caller-body.ts
+++ b/src/intake/caller-body.ts
@@ -2,6 +2,7 @@
 import { AppendResult } from "../buffer/append-result.js";
 import type { BufferBudget } from "../buffer/buffer-budget.js";
 import { ByteBuffer } from "../buffer/byte-buffer.js";
+import { consumeBody } from "../buffer/consume-body.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 
@@ -29,11 +30,20 @@
     const buffer = ByteBuffer.create(this.budget, maxBytes);
     this.buffer = buffer;
     try {
-      await this.collect(buffer, maxBytes, signal);
+      await consumeBody(
+        message,
+        (chunk) => {
+          const result = buffer.append(chunk);
+          if (result !== AppendResult.Added) throw refusalOf(result, maxBytes);
+          return undefined;
+        },
+        signal,
+      );
       return buffer.bytes;
     } catch (error) {
       this.clear();
-      throw error;
+      // Any other error is that of a connection which ended before the body.
+      throw ServeError.from(error, ErrorKind.Cancelled);
     }
   }
 
@@ -41,43 +51,6 @@
   clear(): void {
     this.buffer?.clear();
   }
-
-  private async collect(buffer: ByteBuffer, maxBytes: number, signal: AbortSignal): Promise<void> {
-    const { message } = this;
-    const { promise, resolve, reject } = promiseParts();
-    const add = (chunk: Buffer): void => {
-      const result = buffer.append(chunk);
-      if (result !== AppendResult.Added) reject(refusalOf(result, maxBytes));
-    };
-    const leave = (): void => {
-      reject(ServeError.create(ErrorKind.Cancelled, "the caller disconnected"));
-    };
-    const abort = (): void => {
-      reject(signal.reason as Error);
-    };
-    message.on("data", add).once("end", resolve).once("close", leave).on("error", leave);
-    signal.addEventListener("abort", abort, { once: true });
-    try {
-      await promise;
-    } finally {
-      message.off("data", add).off("end", resolve).off("close", leave);
-      signal.removeEventListener("abort", abort);
-    }
-  }
-}
-
-function promiseParts(): {
-  promise: Promise<void>;
-  resolve: () => void;
-  reject: (error: Error) => void;
-} {
-  let resolve = (): void => undefined;
-  let reject: (error: Error) => void = () => undefined;
-  const promise = new Promise<void>((onResolve, onReject) => {
-    resolve = onResolve;
-    reject = onReject;
-  });
-  return { promise, resolve, reject };
 }
 
 function refusalOf(
--- a/src/isolation/request-relay.ts
+++ b/src/isolation/request-relay.ts
@@ -1,11 +1,9 @@
-import type { Readable } from "node:stream";
-import { AppendResult } from "../buffer/append-result.js";
 import type { BufferBudget } from "../buffer/buffer-budget.js";
-import { ByteBuffer } from "../buffer/byte-buffer.js";
+import { consumeBody } from "../buffer/consume-body.js";
+import { readWhole } from "../buffer/read-whole.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { Outcome } from "../error/outcome.js";
 import { ServeError } from "../error/serve-error.js";
-import { consumeBody } from "../forward/consume-body.js";
 import type { DecisionLines } from "../forward/decision-lines.js";
 import type { ForwardMetrics } from "../forward/forward-metrics.js";
 import type { RequestContext } from "../forward/request-context.js";
@@ -148,7 +146,7 @@
       CONNECTION_HEADERS.has(name) ? [] : [value ?? ""].flat().flatMap((each) => [name, each]),
     );
     if (headers["content-length"] !== undefined) {
-      const whole = await this.readWhole(body);
+      const whole = await readWhole(body, MAX_RESPONSE_BYTES, this.parts.bufferBudget);
       writer.send(statusCode, callerHeaders, whole);
       return statusCode;
     }
@@ -157,18 +155,4 @@
     writer.end();
     return statusCode;
   }
-
-  private async readWhole(body: Readable): Promise<Buffer> {
-    const buffer = ByteBuffer.create(this.parts.bufferBudget, MAX_RESPONSE_BYTES);
-    try {
-      await consumeBody(body, (chunk) => {
-        const result = buffer.append(chunk);
-        if (result !== AppendResult.Added) throw new Error(`the response is ${result}`);
-        return undefined;
-      });
-      return buffer.take();
-    } finally {
-      buffer.clear();
-    }
-  }
 }
--- a/src/upstream/http-upstream-client.ts
+++ b/src/upstream/http-upstream-client.ts
@@ -73,7 +73,7 @@
     };
     const parts = this.exchange.answer(call, signal);
     const events: string[] = [];
-    const splitter = EventSplitter.create(BufferBudget.create(Infinity));
+    const splitter = EventSplitter.create(BufferBudget.unlimited());
     const parser = createParser({ onEvent: ({ data }) => events.push(data) });
     let completionTokens = 0;
     let complete = false;
--- a/src/upstream/read-bounded-text.ts
+++ b/src/upstream/read-bounded-text.ts
@@ -1,8 +1,6 @@
-import { AppendResult } from "../buffer/append-result.js";
+import { appendResponse } from "../buffer/append-response.js";
 import { BufferBudget } from "../buffer/buffer-budget.js";
 import { ByteBuffer } from "../buffer/byte-buffer.js";
-import { ErrorKind } from "../error/error-kind.js";
-import { ServeError } from "../error/serve-error.js";
 
 /**
  * Reads a body to its end; throws `UpstreamFailed` once it is longer than `maxBytes`, or there is no
@@ -11,15 +9,11 @@
 export async function readBoundedText(
   body: AsyncIterable<Uint8Array>,
   maxBytes: number,
-  budget = BufferBudget.create(Infinity),
+  budget = BufferBudget.unlimited(),
 ): Promise<string> {
   const buffer = ByteBuffer.create(budget, maxBytes);
   try {
-    for await (const part of body) {
-      const result = buffer.append(part);
-      if (result !== AppendResult.Added)
-        throw ServeError.create(ErrorKind.UpstreamFailed, `the response is ${result}`);
-    }
+    for await (const part of body) appendResponse(buffer, part);
     return buffer.bytes.toString();
   } finally {
     buffer.clear();
--- a/src/version/event-relay.ts
+++ b/src/version/event-relay.ts
@@ -1,4 +1,4 @@
-import { AppendResult } from "../buffer/append-result.js";
+import { appendResponse } from "../buffer/append-response.js";
 import type { BufferBudget } from "../buffer/buffer-budget.js";
 import { ByteBuffer } from "../buffer/byte-buffer.js";
 import type { CompleteEvents } from "../forward/event-splitter.js";
@@ -41,11 +41,10 @@
     return relay;
   }
 
-  /** Resolves when more can be passed on; throws if too much is held. */
+  /** Resolves when more can be passed on; throws `UpstreamFailed` if too much is held. */
   push(events: CompleteEvents): Promise<void> | undefined {
     if (!this.holds) return this.send(events);
-    const result = this.held.append(events.bytes);
-    if (result !== AppendResult.Added) throw new Error(`a stream that is held is ${result}`);
+    appendResponse(this.held, events.bytes);
     this.heldCount += events.count;
     this.heldLastId = events.lastId ?? this.heldLastId;
     return undefined;
