Encode items that expire in one place

Stored convictions and stored suspicions each translated remaining times into times of the store and back, and read a row that cannot be parsed as empty. They share this now; the rows keep their format.

--- a/src/crash/stored-convictions.ts
+++ b/src/crash/stored-convictions.ts
@@ -1,9 +1,9 @@
-import { z } from "zod";
 import type { DecisionLines } from "../forward/decision-lines.js";
 import type { RowFeed } from "../forward/row-feed.js";
 import { StoreTable } from "../forward/store-table.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Timers } from "../time/timers.js";
+import { decodeExpiring, encodeExpiring } from "./expiring-items.js";
 import { type PartConviction, partConvictionSchema } from "./part-conviction.js";
 import type { PromptGuard } from "./prompt-guard.js";
 
@@ -12,10 +12,6 @@
 const READ_INTERVAL_MS = 60_000;
 const RETRY_INTERVAL_MS = 2_000;
 
-const rowSchema = z.array(
-  partConvictionSchema.omit({ expiresMs: true }).extend({ expiresAtEpochMs: z.number() }),
-);
-
 interface Parts {
   readonly timers: Timers;
   readonly random: RandomSource;
@@ -65,46 +61,22 @@
 
   /** Returns whether the store answered. */
   private async synchronize(): Promise<boolean> {
-    const { rowFeed, promptGuard, decisionLines } = this.parts;
+    const { timers, rowFeed, promptGuard, decisionLines } = this.parts;
     try {
       const { rows } = await rowFeed.readAll(StoreTable.Convictions);
-      const stored = this.decode(rows.find(([key]) => key === ROW_KEY)?.[1]);
+      const text = rows.find(([key]) => key === ROW_KEY)?.[1];
+      const stored = decodeExpiring(partConvictionSchema, text, timers.wallClock());
       const valid = new Set(promptGuard.adopt(stored).map(keyOf));
       const held = promptGuard.list();
       const complete = held.every((conviction) => valid.has(keyOf(conviction)));
       if (complete && valid.size === stored.length) return true;
-      await rowFeed.put(StoreTable.Convictions, ROW_KEY, this.encode(held));
+      await rowFeed.put(StoreTable.Convictions, ROW_KEY, encodeExpiring(held, timers.wallClock()));
       return true;
     } catch (error) {
       decisionLines.write("convictions not synchronized with the store", { detail: String(error) });
       return false;
     }
   }
-
-  private decode(text: string | undefined): PartConviction[] {
-    const now = this.parts.timers.wallClock();
-    return parseRow(text).map(({ expiresAtEpochMs, ...conviction }) => {
-      return { ...conviction, expiresMs: expiresAtEpochMs - now };
-    });
-  }
-
-  private encode(convictions: readonly PartConviction[]): string {
-    const now = this.parts.timers.wallClock();
-    return JSON.stringify(
-      convictions.map(({ expiresMs, ...conviction }) => {
-        return { ...conviction, expiresAtEpochMs: now + expiresMs };
-      }),
-    );
-  }
-}
-
-/** A row that cannot be parsed is written anew with the next conviction. */
-function parseRow(text: string | undefined): z.output<typeof rowSchema> {
-  try {
-    return rowSchema.parse(JSON.parse(text ?? "[]"));
-  } catch {
-    return [];
-  }
 }
 
 function keyOf({ service, parts }: PartConviction): string {
--- a/src/crash/stored-suspicions.ts
+++ b/src/crash/stored-suspicions.ts
@@ -1,4 +1,3 @@
-import { z } from "zod";
 import type { CrashRegistry } from "../forward/crash-registry.js";
 import type { DecisionLines } from "../forward/decision-lines.js";
 import type { RowFeed } from "../forward/row-feed.js";
@@ -10,6 +9,7 @@
 import type { Subscription } from "../time/subscription.js";
 import type { Timers } from "../time/timers.js";
 import { type ContentSuspicion, contentSuspicionSchema } from "./content-suspicion.js";
+import { decodeExpiring, encodeExpiring } from "./expiring-items.js";
 
 /** In the table of convictions, where instances of earlier versions pass over it. */
 const ROW_KEY = "request-contents";
@@ -21,10 +21,6 @@
 const TAKEOVER_MS = 3_000;
 const RETRY_MS = 2_000;
 
-const rowSchema = z.array(
-  contentSuspicionSchema.omit({ expiresMs: true }).extend({ expiresAtEpochMs: z.number() }),
-);
-
 interface Parts {
   readonly timers: Timers;
   readonly random: RandomSource;
@@ -83,38 +79,23 @@
 
   /** Takes over what is stored, and completes the row; checks later that nobody has overwritten it. */
   private async synchronize(): Promise<void> {
-    const { rowFeed, crashRegistry, decisionLines } = this.parts;
+    const { timers, rowFeed, crashRegistry, decisionLines } = this.parts;
     try {
       const { rows } = await rowFeed.readAll(StoreTable.Convictions);
-      const stored = this.decode(rows.find(([key]) => key === ROW_KEY)?.[1]);
+      const text = rows.find(([key]) => key === ROW_KEY)?.[1];
+      const stored = decodeExpiring(contentSuspicionSchema, text, timers.wallClock());
       crashRegistry.adopt(stored);
       const held = mostSuspect(crashRegistry.list());
       const known = new Map(stored.map(({ digest, processes }) => [digest, new Set(processes)]));
       const isStored = ({ digest, processes }: ContentSuspicion): boolean =>
         processes.every((process) => known.get(digest)?.has(process));
       if (held.every(isStored)) return;
-      await rowFeed.put(StoreTable.Convictions, ROW_KEY, this.encode(held));
+      await rowFeed.put(StoreTable.Convictions, ROW_KEY, encodeExpiring(held, timers.wallClock()));
     } catch (error) {
       decisionLines.write("suspicions not synchronized with the store", { detail: String(error) });
     }
     this.schedule(RETRY_MS);
   }
-
-  private decode(text: string | undefined): ContentSuspicion[] {
-    const now = this.parts.timers.wallClock();
-    return parseRow(text).map(({ expiresAtEpochMs, ...suspicion }) => {
-      return { ...suspicion, expiresMs: expiresAtEpochMs - now };
-    });
-  }
-
-  private encode(suspicions: readonly ContentSuspicion[]): string {
-    const now = this.parts.timers.wallClock();
-    return JSON.stringify(
-      suspicions.map(({ expiresMs, ...suspicion }) => {
-        return { ...suspicion, expiresAtEpochMs: Math.round(now + expiresMs) };
-      }),
-    );
-  }
 }
 
 /** Those with most crashes, and of these the latest. */
@@ -123,12 +104,3 @@
     .sort((a, b) => b.processes.length - a.processes.length || b.expiresMs - a.expiresMs)
     .slice(0, MAX_STORED);
 }
-
-/** A row that cannot be parsed is written anew with the next crash. */
-function parseRow(text: string | undefined): z.output<typeof rowSchema> {
-  try {
-    return rowSchema.parse(JSON.parse(text ?? "[]"));
-  } catch {
-    return [];
-  }
-}
