--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -59,16 +59,12 @@
 
 /** Draws limits that upstreams state, each long enough for the bound on it to hold. */
 export function drawLimits(random: RandomSource, size: PlanSize): PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  let atMs = random.exponential(MEAN_LIMIT_GAP_MS);
-  while (atMs < size.lengthMs) {
+  return drawTimes(random, size, MEAN_LIMIT_GAP_MS, (atMs) => {
     const perSecond = LIMITS[random.below(LIMITS.length)] ?? 1;
     const target = random.below(size.upstreams);
     const forMs = LEAST_LIMIT_MS + random.exponential(MEAN_MS);
-    plan.push({ atMs, forMs, fault: { kind: "limit", perSecond, target } });
-    atMs += random.exponential(MEAN_LIMIT_GAP_MS);
-  }
-  return plan;
+    return { atMs, forMs, fault: { kind: "limit", perSecond, target } };
+  });
 }
 
 /** Draws restores of the store from copies, one after the other. */
@@ -85,41 +81,45 @@
 
 /** Draws upstreams that break their answers off, so that streams are resumed. */
 export function drawBreaks(random: RandomSource, size: PlanSize): PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  let atMs = random.exponential(MEAN_BREAK_GAP_MS);
-  while (atMs < size.lengthMs) {
+  return drawTimes(random, size, MEAN_BREAK_GAP_MS, (atMs) => {
     const target = random.below(size.upstreams);
     const forMs = LEAST_MS + random.exponential(MEAN_MS);
-    plan.push({ atMs, forMs, fault: { kind: "upstream", mode: UpstreamMode.BreaksOff, target } });
-    atMs += random.exponential(MEAN_BREAK_GAP_MS);
-  }
-  return plan;
+    return { atMs, forMs, fault: { kind: "upstream", mode: UpstreamMode.BreaksOff, target } };
+  });
 }
 
 /** Draws upstreams that send bytes without end in small pieces. */
 export function drawEndless(random: RandomSource, size: PlanSize): PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  let atMs = random.exponential(MEAN_ENDLESS_GAP_MS);
-  while (atMs < size.lengthMs) {
+  return drawTimes(random, size, MEAN_ENDLESS_GAP_MS, (atMs) => {
     const target = random.below(size.upstreams);
     const mode = ENDLESS[random.below(ENDLESS.length)] ?? UpstreamMode.TinyChunks;
     const forMs = LEAST_MS + random.exponential(MEAN_MS);
-    plan.push({ atMs, forMs, fault: { kind: "upstream", mode, target } });
-    atMs += random.exponential(MEAN_ENDLESS_GAP_MS);
-  }
-  return plan;
+    return { atMs, forMs, fault: { kind: "upstream", mode, target } };
+  });
 }
 
 /** Draws daemons that lose their links to all upstreams, long enough for the bound on them to hold. */
 export function drawIsolations(random: RandomSource, size: PlanSize): PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  let atMs = random.exponential(MEAN_ISOLATION_GAP_MS);
-  while (atMs < size.lengthMs) {
+  return drawTimes(random, size, MEAN_ISOLATION_GAP_MS, (atMs) => {
     const state = ISOLATING[random.below(ISOLATING.length)] ?? LinkState.Refused;
     const target = random.below(size.daemons);
     const forMs = LEAST_ISOLATION_MS + random.exponential(MEAN_MS);
-    plan.push({ atMs, forMs, fault: { kind: "isolation", state, target } });
-    atMs += random.exponential(MEAN_ISOLATION_GAP_MS);
+    return { atMs, forMs, fault: { kind: "isolation", state, target } };
+  });
+}
+
+/** Draws disturbances at times that are `meanGapMs` apart on average. */
+function drawTimes(
+  random: RandomSource,
+  { lengthMs }: PlanSize,
+  meanGapMs: number,
+  draw: (atMs: number) => PlannedFault,
+): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = random.exponential(meanGapMs);
+  while (atMs < lengthMs) {
+    plan.push(draw(atMs));
+    atMs += random.exponential(meanGapMs);
   }
   return plan;
 }
