Wait for a permit and for the end of its upstream without a promise of its own

The wait kept a resolver in a variable that was assigned later, and a timer beside it. It is a loop that ends with the wait now; an outcome "closed" that no caller saw is gone.

--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -162,7 +162,7 @@
     { attributes, rank, team, signal }: RequestContext,
     maxWaitMs: number,
   ): Promise<Selected | undefined> {
-    const { timers, upstreamPermits, upstreamHealth } = this.parts;
+    const { upstreamPermits, upstreamHealth } = this.parts;
     if (upstreamHealth.of(entry.id).statedLimit === undefined)
       return { kind: "selected", entry, permit: undefined };
     const permit = upstreamPermits.acquire(entry, {
@@ -171,30 +171,28 @@
       maxWaitMs: Math.max(0, maxWaitMs),
       attempt: attributes.attemptId,
     });
-    let close = (): void => undefined;
-    const closed = new Promise<typeof CLOSED>((resolve) => {
-      close = () => {
-        resolve(CLOSED);
-      };
-    });
-    const check = timers.every(CLOSED_CHECK_MS, () => {
-      if (!this.isOpen(entry)) close();
-    });
+    const ended = new AbortController();
+    const closed = this.untilClosed(entry, ended.signal);
     const outcome = await untilAborted(Promise.race([permit, closed]), signal).finally(() => {
-      check.cancel();
+      ended.abort();
     });
-    if (!this.isOpen(entry)) return undefined;
+    if (outcome === undefined || !this.isOpen(entry)) return undefined;
     switch (outcome.kind) {
       case "unlimited":
         return { kind: "selected", entry, permit: undefined };
       case "granted":
         return { kind: "selected", entry, permit: outcome.permit };
       case "refused":
-      case "closed":
         return undefined;
     }
   }
 
+  /** Resolves when the upstream may get no request any more, or the wait for its permit has ended. */
+  private async untilClosed(entry: UpstreamEntry, ended: AbortSignal): Promise<undefined> {
+    while (!ended.aborted && this.isOpen(entry))
+      await this.parts.timers.sleep(CLOSED_CHECK_MS, ended).catch(() => undefined);
+  }
+
   private isOpen(entry: UpstreamEntry): boolean {
     const { upstreamStatements, upstreamHealth } = this.parts;
     return upstreamStatements.isOpen(entry, upstreamHealth.of(entry.id));
