Guard the parts that learn from updates, and repairs past unknown ones

The stand-in of the network between members now answers a handler's error as the peer protocol does; before, such an error looked like an instance that cannot be reached.

Measured: without one of the parts in the list, and with a repair that ends at a rejection, one scenario each of crashed-contents.feature fails; all 12 pass.

--- a/features/crashed-contents.feature
+++ b/features/crashed-contents.feature
@@ -10,6 +10,22 @@
     When member 2 starts again, and 5000 ms pass
     Then a part of member 2 that subscribes now gets it once
 
+  # Guards against repairs that end at an update which their receiver does not know.
+  Scenario: A repair goes on after an update that its receiver does not know
+    Given 2 members
+    When member 2 is down
+    And member 1 publishes an update of a later version
+    And member 1 publishes a suspicion, and 5000 ms pass
+    And member 2 starts again, and 10000 ms pass
+    Then a part of member 2 that subscribes now gets it once
+
+  # Guards against a part that is created later than the first update to it.
+  Scenario: The parts that learn from updates exist before the daemon listens
+    Given the parts of a daemon on the platform
+    When those that must exist before it listens are created
+    And all its other parts are created
+    Then none of these subscribes to updates
+
   # Guards against a content that crashes an upstream again and again under the same ID.
   Scenario: Processes count, and not upstreams
     Given 2 instances that remember crashes
--- a/features/steps/crashed-contents.ts
+++ b/features/steps/crashed-contents.ts
@@ -1,7 +1,15 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { type AwilixContainer, asValue } from "awilix";
+import { PlatformRowDecoder } from "../../platform/platform-row-decoder.js";
+import { RequestDialect } from "../../platform/request-dialect.js";
+import { type FrontCradle, createFrontContainer } from "../../src/daemon/front-container.js";
+import { createLearners } from "../../src/daemon/learners.js";
 import { rendezvousMember } from "../../src/order/rendezvous.js";
 import type { Update } from "../../src/peer/update.js";
+import type { Updates } from "../../src/peer/updates.js";
+import { frontSettingsSchema } from "../../src/settings/front-settings.js";
+import { PlatformSite } from "../../standin/platform-site.js";
 import { CrashMemory } from "../support/crash-memory.js";
 import { MemberGroup } from "../support/member-group.js";
 
@@ -11,6 +19,9 @@
 interface ContentWorld {
   members: MemberGroup;
   memory: CrashMemory;
+  container: AwilixContainer<FrontCradle>;
+  subscriptions: number;
+  subscribedFirst: number;
 }
 
 function suspicionOf(upstream: string): Update {
@@ -32,10 +43,21 @@
   },
 );
 
+When("member {int} is down", function (this: ContentWorld, number: number) {
+  this.members.member(number).kill();
+});
+
+When(
+  "member {int} publishes an update of a later version",
+  function (this: ContentWorld, number: number) {
+    this.members.member(number).parts.updates.publish({ kind: "later" } as never);
+  },
+);
+
 When(
   "member {int} starts again, and {int} ms pass",
   async function (this: ContentWorld, number: number, ms: number) {
-    this.members.member(number).port.up = false;
+    this.members.member(number).kill();
     await this.members.restart(number, this.members.clock);
     await this.members.clock.advance(ms);
   },
@@ -120,3 +142,38 @@
 Then("at most {int} writes were made", function (this: ContentWorld, most: number) {
   assert.ok(this.memory.writes > 0 && this.memory.writes <= most, `${this.memory.writes}`);
 });
+
+Given("the parts of a daemon on the platform", async function (this: ContentWorld) {
+  const site = await PlatformSite.create([], "key");
+  const settings = site.settingsOf("i0", await PlatformSite.daemonPorts(), "error");
+  await site.stop();
+  this.subscriptions = 0;
+  this.container = createFrontContainer(frontSettingsSchema.parse(settings), {
+    dialect: RequestDialect.create(),
+    rowDecoder: PlatformRowDecoder.create(),
+    rowStore: () => ({}) as never,
+  });
+  const updates: Updates = {
+    publish: () => undefined,
+    subscribe: () => {
+      this.subscriptions += 1;
+      return { cancel: () => undefined };
+    },
+  };
+  this.container.register({ updates: asValue(updates) });
+});
+
+When("those that must exist before it listens are created", function (this: ContentWorld) {
+  createLearners(this.container.cradle);
+  assert.ok(this.subscriptions > 0);
+});
+
+When("all its other parts are created", function (this: ContentWorld) {
+  this.subscribedFirst = this.subscriptions;
+  const names = Object.keys(this.container.registrations) as (keyof FrontCradle)[];
+  for (const name of names) this.container.resolve(name);
+});
+
+Then("none of these subscribes to updates", function (this: ContentWorld) {
+  assert.equal(this.subscriptions, this.subscribedFirst);
+});
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -1,5 +1,6 @@
 import { type FrontSettings } from "../settings/front-settings.js";
 import { type FrontCradle, type PlatformAdapter, createFrontContainer } from "./front-container.js";
+import { createLearners } from "./learners.js";
 import { UnreadyReason } from "./readiness.js";
 
 /** Time after SIGTERM for which new requests are served: two missed checks of the balancer. */
@@ -11,15 +12,6 @@
 /** Time for telling the other instances; one that misses it notices the silence. */
 const LEAVE_MS = 500;
 
-/**
- * Creates the parts that learn from the updates of other instances. These may arrive from the moment
- * at which this instance listens.
- */
-function createLearners(parts: FrontCradle): readonly unknown[] {
-  const { crashRegistry, promptGuard, brittleUpstreams, versionPlans } = parts;
-  return [crashRegistry, promptGuard, brittleUpstreams, versionPlans];
-}
-
 /** One entry instance on the platform. */
 export class FrontDaemon {
   private stopping: Promise<void> | undefined;
--- a/standin/peer-network.ts
+++ b/standin/peer-network.ts
@@ -82,7 +82,12 @@
     await this.passage(from, to);
     const handler = this.ports.get(to)?.handlers.get(method);
     if (handler === undefined) throw ServeError.create(ErrorKind.PeerUnavailable, "unknown");
-    const result = JSON.stringify(await handler(JSON.parse(text), from));
+    const answer = await Promise.resolve()
+      .then(() => handler(JSON.parse(text), from))
+      .catch((error: unknown) => {
+        throw ServeError.from(error, ErrorKind.Internal);
+      });
+    const result = JSON.stringify(answer);
     this.count(to, result.length + RESULT_FRAME_BYTES);
     await this.passage(to, from);
     return JSON.parse(result) as unknown;
