--- a/features/configuration-lag.feature
+++ b/features/configuration-lag.feature
@@ -4,13 +4,13 @@
   # Guards against requests that are handled by an old configuration for as long as reads fail.
   Scenario: An instance that lacks a configuration takes it from one that has it
     Given an instance with configuration 4 whose reads of the store hang
-    When a heartbeat tells configuration 7, which the other instance sends
+    When a heartbeat names configuration 7, which the other instance sends
     And 2500 ms pass for it
     Then its configuration is 7, and it handles requests
 
   Scenario: An instance that cannot get the newer configuration handles no requests by the old one
     Given an instance with configuration 4 whose reads of the store hang
-    When a heartbeat tells configuration 7, which no instance sends
+    When a heartbeat names configuration 7, which no instance sends
     And 600 ms pass for it
     Then its configuration is 4, and it handles requests
     When 200 ms pass for it
@@ -19,17 +19,17 @@
   # Guards against an instance that counts as behind only since the newest version.
   Scenario: Newer versions do not make an instance count as current
     Given an instance with configuration 4 whose reads of the store hang
-    When a heartbeat tells configuration 7, which no instance sends
+    When a heartbeat names configuration 7, which no instance sends
     And 400 ms pass for it
-    And a heartbeat tells configuration 9, which no instance sends
+    And a heartbeat names configuration 9, which no instance sends
     And 400 ms pass for it
     Then its configuration is 4, and it handles no requests
 
   # Guards against instances that refuse everything while the store is away.
-  Scenario Outline: An old configuration without news is <outcome>
+  Scenario Outline: With an old configuration that is not confirmed, an instance handles <outcome>
     Given an instance with configuration 4 whose reads of the store hang
     When it handles what arrives <delay> ms late
-    And <heartbeats> s of heartbeats tell configuration 4, and then none for <silent> s
+    And <heartbeats> s of heartbeats name configuration 4, and then none for <silent> s
     Then its configuration is 4, and it handles <outcome>
 
     Examples:
@@ -42,7 +42,7 @@
   # Guards against reads without a pause, and no rows, at an instance that starts without the store.
   Scenario: An instance that starts while the store turns it away takes its rows from another one
     Given an instance that starts while the store refuses its reads
-    When a heartbeat tells configuration 7, which the other instance sends
+    When a heartbeat names configuration 7, which the other instance sends
     And 4000 ms pass for it
     Then its configuration is 7, and it handles requests
     And it made at most 20 reads of a table
@@ -50,13 +50,13 @@
   # Guards against rows that count as fresh although they waited in a busy process.
   Scenario Outline: The age of rows counts the time that their answer waited in this process
     When a process that is <delay> ms late handles an answer to a call of 4000 ms before
-    Then its rows are <age> ms old, and it tells others <told> ms
+    Then its rows are <age> ms old, and it answers others with <answered> ms
 
     Examples:
-      | delay | age  | told |
-      | 0     | 250  | 250  |
-      | 1000  | 1250 | 2250 |
-      | 9000  | 4000 | 13000 |
+      | delay | age  | answered |
+      | 0     | 250  | 250      |
+      | 1000  | 1250 | 2250     |
+      | 9000  | 4000 | 13000    |
 
   # Guards against a process that takes its rows for fresh after its machine was suspended.
   Scenario: A suspended machine counts as late, although its monotonic clock stood still
--- a/features/steps/configuration-lag.ts
+++ b/features/steps/configuration-lag.ts
@@ -115,7 +115,7 @@
 });
 
 When(
-  /^a heartbeat tells configuration (\d+), which (the other|no) instance sends$/,
+  /^a heartbeat names configuration (\d+), which (the other|no) instance sends$/,
   function (this: LagWorld, version: string, which: string) {
     if (which === "the other") this.sent = Number(version);
     this.tell(Number(version));
@@ -131,7 +131,7 @@
 });
 
 When(
-  "{int} s of heartbeats tell configuration {int}, and then none for {int} s",
+  "{int} s of heartbeats name configuration {int}, and then none for {int} s",
   async function (this: LagWorld, seconds: number, version: number, silent: number) {
     for (let second = 0; second < seconds; second += 1) {
       this.tell(version);
@@ -159,10 +159,10 @@
 );
 
 Then(
-  "its rows are {int} ms old, and it tells others {int} ms",
-  function (this: LagWorld, ageMs: number, toldMs: number) {
+  "its rows are {int} ms old, and it answers others with {int} ms",
+  function (this: LagWorld, ageMs: number, answeredMs: number) {
     assert.equal(this.freshness.ageMs, ageMs);
-    assert.equal(this.freshness.reportedAgeMs, toldMs);
+    assert.equal(this.freshness.reportedAgeMs, answeredMs);
   },
 );
 
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -102,8 +102,11 @@
     const { timers, routeView, loopDelay } = this.parts;
     if (this.versionLag.behindMs(routeView.version) > MAX_BEHIND_MS) return false;
     // While the store is away, the configuration stays in force; heartbeats name a newer one.
-    const newsAgeMs = Math.min(this.configuration.freshness.ageMs, timers.now() - this.heartbeatMs);
-    return newsAgeMs <= MAX_AGE_MS || loopDelay.recentMs <= LATE_LOOP_MS;
+    const sinceConfirmedMs = Math.min(
+      this.configuration.freshness.ageMs,
+      timers.now() - this.heartbeatMs,
+    );
+    return sinceConfirmedMs <= MAX_AGE_MS || loopDelay.recentMs <= LATE_LOOP_MS;
   }
 
   start(): void {
