Pause the socket of a response that nobody reads, not the HTTP client

Cause: the HTTP client finishes a response that ends with its connection also while its parser is paused, where its own assertion throws; nothing can catch that, and the process ends with all its requests. On an upstream that resets a response while a slow caller has not read 64 KiB of it is enough. With 16 KiB read ahead a plain close is enough, and since bodies that are refused stay paused the daemon's own close.

The parser is never paused now: the socket stops to receive, and the rest stays with the system.

--- a/features/slow-streams.feature
+++ b/features/slow-streams.feature
@@ -20,3 +20,24 @@
     When a caller asks for "/stream/patient/1"
     Then the caller gets status 200 and 5 complete events
     And one request ran
+
+  # Guards against a process that the HTTP client ends when a response that it has paused ends.
+  Scenario Outline: A response of <bytes> bytes that ends by <how> while its caller does not read is <outcome>
+    When a response of <bytes> bytes ends by "<how>" while nobody reads it
+    Then the response is "<outcome>"
+
+    Examples:
+      | bytes | how     | outcome |
+      | 20000 | a close | whole   |
+      | 20000 | a reset | cut     |
+      | 70000 | a close | whole   |
+      | 70000 | a reset | cut     |
+
+  Scenario Outline: A connection can be closed while <bytes> bytes of its response are not read
+    When a response of <bytes> bytes ends by "its own end" while nobody reads it
+    Then the process goes on
+
+    Examples:
+      | bytes |
+      | 20000 |
+      | 70000 |
--- a/features/steps/response-resets.ts
+++ b/features/steps/response-resets.ts
@@ -4,8 +4,10 @@
 import { Then, When } from "@cucumber/cucumber";
 import { SystemTimers } from "../../src/time/system-timers.js";
 import { Connection } from "../../src/upstream/connection.js";
+import { readBoundedText } from "../../src/upstream/read-bounded-text.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n";
+const MAX_BYTES = 1_000;
 
 interface ResetsWorld {
   /** Whether each response is known to have been reset. */
@@ -16,8 +18,8 @@
   const { signal } = new AbortController();
   const connection = await Connection.open(address, SystemTimers.create(), signal);
   try {
-    const { body } = await connection.request({ path: "/", method: "GET", reset: true });
-    await body.text();
+    const { body } = await connection.request({ path: "/", method: "GET", reset: true, signal });
+    await readBoundedText(body, MAX_BYTES);
     return connection.wasReset;
   } catch {
     // The response ended with an error.
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -1,16 +1,16 @@
 import { once } from "node:events";
-import { type Socket, connect } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
+import { PausableSocket } from "./pausable-socket.js";
+import { ResponseReceiver } from "./response-receiver.js";
+import type { UpstreamResponse } from "./upstream-response.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const DEFAULT_PORT = 80;
 /** Idle connections close before the other end does so at its usual 5 s. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
-/** Bytes of a body that are read ahead; in chunks of one byte, each takes some hundred bytes. */
-const MAX_UNREAD_BYTES = 16_384;
 /** Errors of a socket whose other end is gone; those of the client have codes of their own. */
 const PEER_CLOSED_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
@@ -21,7 +21,7 @@
 
   private constructor(
     private readonly client: Client,
-    private readonly socket: Socket,
+    private readonly socket: PausableSocket,
     private readonly fault: { readonly code: string | undefined },
     /** Monotonic time in ms at which the upstream was last heard on this connection. */
     public lastReceivedAt: number,
@@ -43,7 +43,9 @@
     const timeout = timers.after(connectTimeoutMs, () => {
       connectTimeout.abort();
     });
-    const socket = connect({ host, port: Number(port || DEFAULT_PORT), noDelay: true });
+    const socket = new PausableSocket();
+    socket.setNoDelay(true);
+    socket.connect({ host, port: Number(port || DEFAULT_PORT) });
     const fault: { code: string | undefined } = { code: undefined };
     // The connection may fail between calls; the next call then finds it closed.
     socket.on("error", (error: NodeJS.ErrnoException) => {
@@ -82,8 +84,10 @@
     return this.socket.readableEnded || PEER_CLOSED_CODES.has(this.fault.code ?? "");
   }
 
-  request(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
-    return this.client.request({ highWaterMark: MAX_UNREAD_BYTES, ...options });
+  request(
+    options: Dispatcher.DispatchOptions & { readonly signal: AbortSignal },
+  ): Promise<UpstreamResponse> {
+    return ResponseReceiver.request(this.client, this.socket, options);
   }
 
   /** Closes the connection; a call in progress fails. */
@@ -94,7 +98,7 @@
 }
 
 /** A client on an open socket. A second connect attempt of the client means the first one closed. */
-function createClient(address: string, socket: Socket): Client {
+function createClient(address: string, socket: PausableSocket): Client {
   let used = false;
   return new Client(address, {
     pipelining: 1,
--- /dev/null
+++ b/src/upstream/response-receiver.ts
@@ -0,0 +1,93 @@
+import { Readable } from "node:stream";
+import type { Client, Dispatcher } from "undici";
+import type { PausableSocket } from "./pausable-socket.js";
+import type { UpstreamResponse } from "./upstream-response.js";
+
+const MIN_FINAL_STATUS = 200;
+/** Bytes of a body that are read ahead; in chunks of one byte, each takes some hundred bytes. */
+const MAX_UNREAD_BYTES = 16_384;
+
+interface Parts {
+  readonly socket: PausableSocket;
+  readonly signal: AbortSignal;
+  readonly resolve: (response: UpstreamResponse) => void;
+  readonly reject: (error: Error) => void;
+}
+
+/** Receives the response to one request; a body that nobody reads pauses the socket. */
+export class ResponseReceiver implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private body: Readable | undefined;
+  private complete = false;
+  private readonly onAbort = (): void => {
+    this.controller?.abort(this.parts.signal.reason as Error);
+  };
+
+  private constructor(private readonly parts: Parts) {
+    parts.signal.addEventListener("abort", this.onAbort, { once: true });
+  }
+
+  /** Sends a request and resolves with the response once its head is there. */
+  static request(
+    client: Client,
+    socket: PausableSocket,
+    { signal, ...options }: Dispatcher.DispatchOptions & { readonly signal: AbortSignal },
+  ): Promise<UpstreamResponse> {
+    return new Promise((resolve, reject) => {
+      const parts = { socket, signal, resolve, reject };
+      client.dispatch(options, new ResponseReceiver(parts));
+    });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.parts.signal.aborted) this.onAbort();
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: UpstreamResponse["headers"],
+  ): void {
+    if (statusCode < MIN_FINAL_STATUS) return;
+    const { socket } = this.parts;
+    const body = new Readable({
+      highWaterMark: MAX_UNREAD_BYTES,
+      read: () => {
+        socket.resumeReceiving();
+      },
+      destroy: (error, callback) => {
+        if (!this.complete)
+          controller.abort(error ?? new Error("the body was not read to its end"));
+        callback(error);
+      },
+    });
+    // The response may break off before anything reads the body.
+    body.on("error", () => undefined);
+    this.body = body;
+    this.parts.resolve({ statusCode, headers, body });
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.body?.push(chunk) === false) this.parts.socket.pauseReceiving();
+  }
+
+  onResponseEnd(): void {
+    this.end();
+    this.complete = true;
+    this.body?.push(null);
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.end();
+    const { body } = this;
+    if (body === undefined) this.parts.reject(error);
+    // What waits for the head gets the body before the body fails.
+    else queueMicrotask(() => body.destroy(error));
+  }
+
+  private end(): void {
+    this.parts.signal.removeEventListener("abort", this.onAbort);
+    this.parts.socket.resumeReceiving();
+  }
+}
--- a/src/upstream/upstream-exchange.ts
+++ b/src/upstream/upstream-exchange.ts
@@ -1,4 +1,3 @@
-import type { Dispatcher } from "undici";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
@@ -13,6 +12,7 @@
 import { UpstreamCondition } from "./upstream-condition.js";
 import { UpstreamConnections } from "./upstream-connections.js";
 import { probeUpstream } from "./upstream-probe.js";
+import type { UpstreamResponse } from "./upstream-response.js";
 
 /** Idle connections are used again for idempotent calls within this time. */
 const MAX_IDLE_MS = 3_000;
@@ -84,7 +84,7 @@
     call: UpstreamCall,
     connection: Connection,
     signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData["body"]> {
+  ): Promise<UpstreamResponse["body"]> {
     const header = requestIdHeader(call.identity);
     const { statusCode, headers, body } = await connection.request({
       path: call.path,
