Ignore answers of other instances that are older than the cached rows

Cause: an instance whose read of the store fails asks two others at once. If the second answer was made at an older version, its rows replaced the newer ones in the cache, whose version stayed. Instances that asked this one then took the version with the old row, and the store had nothing more to tell them.

An answer that is not ahead of the cache has no effect now. The scenario "An older answer of another instance that comes last" fails without the change (row 1 of version 2 as of version 3). 62 scenarios of readers, eras, configurations, plans and stream versions pass.

--- a/features/store-readers.feature
+++ b/features/store-readers.feature
@@ -33,6 +33,20 @@
     And 1950 ms pass on the fleet's clock
     Then all other instances know "row" as "1"
 
+  # Guards against rows that an older answer of another instance puts back, and that are then taken for the newest.
+  Scenario Outline: An older answer of another instance that comes <order> does not undo a newer one
+    Given an instance whose row is "0" as of version 1 and whose reads of the store then fail
+    And another instance answers with "2" as of version 3 after <newer> ms
+    And another instance answers with "1" as of version 2 after <older> ms
+    When it has asked both
+    Then its row is "2" as of version 3
+    And it answers a query for what follows version 1 with "2" as of version 3
+
+    Examples:
+      | order | newer | older |
+      | first | 20    | 10    |
+      | last  | 10    | 20    |
+
   # Guards against all instances keeping removed upstreams because one reader cannot reach the store.
   Scenario: A reader without answers from the store does not make the others record a failure
     Given 8 instances follow a table of the store
--- a/src/forward/row-cache.ts
+++ b/src/forward/row-cache.ts
@@ -77,14 +77,18 @@
     return this.applyChanges(this.withoutOlder(changes), version);
   }
 
-  /** Applies the answer of another instance; in another era, its changes are all rows. */
+  /**
+   * Applies the answer of another instance; in another era, its changes are all rows. An answer that
+   * is not ahead of the cache has no effect: a newer one may have come while it was on its way.
+   */
   applyUpdate(update: {
     era: number;
     version: number;
     changes: readonly RowChange[];
   }): RowChange[] {
     const { era, version, changes } = update;
-    if (era === this.currentEra) return this.applyChanges(changes, version);
+    if (era === this.currentEra)
+      return version > this.currentVersion ? this.applyChanges(changes, version) : [];
     const rows = changes.flatMap(([key, text]) =>
       text === undefined ? [] : [[key, text] as const],
     );
