Play crowds of callers without restraint against daemon processes

These scenarios start the daemon's own process with a heap of 64 MiB and 400 descriptors, play a small crowd that reads nothing and comes back when it is closed, and check that the process lives, its peak resident memory and its descriptors stay under a bound, and one ordinary request of another team is answered while the crowd is there.

--- a/standin/child.ts
+++ b/standin/child.ts
@@ -10,8 +10,15 @@
   ) {}
 
   /** Starts a program of `dist/` and waits until it reports that it is ready. */
-  static async create(program: string, options: readonly string[]): Promise<Child> {
-    const started = fork(program, options, { stdio: ["ignore", "pipe", "pipe", "ipc"] });
+  static async create(
+    program: string,
+    options: readonly string[],
+    runtimeOptions: readonly string[] = [],
+  ): Promise<Child> {
+    const started = fork(program, options, {
+      stdio: ["ignore", "pipe", "pipe", "ipc"],
+      execArgv: [...runtimeOptions],
+    });
     const lines: string[] = [];
     for (const stream of [started.stdout, started.stderr]) {
       if (stream !== null)
--- a/standin/daemon-process.ts
+++ b/standin/daemon-process.ts
@@ -16,6 +16,14 @@
   Own = "dist/src/program/nutmegstaged.js",
 }
 
+/** Limits that a daemon process is started with. */
+export interface ProcessLimits {
+  /** Limit of the old part of its heap, in MiB. */
+  readonly heapMiB: number;
+  /** Limit of its open descriptors. */
+  readonly descriptors: number;
+}
+
 /** A daemon as a process of its own, started again under the same addresses. */
 export class DaemonProcess {
   private child: ChildProcess | undefined;
@@ -26,6 +34,7 @@
     private readonly program: DaemonProgram,
     private readonly settingsFile: string,
     private readonly logFile: string,
+    private readonly limits: ProcessLimits | undefined,
   ) {}
 
   /** Starts the daemon; its log is written to the directory. */
@@ -34,10 +43,12 @@
     directory: string,
     name: string,
     settings: unknown,
+    limits?: ProcessLimits,
   ): Promise<DaemonProcess> {
     const settingsFile = join(directory, `${name}.json`);
     await writeFile(settingsFile, JSON.stringify(settings));
-    const daemon = new DaemonProcess(program, settingsFile, join(directory, `${name}.log`));
+    const logFile = join(directory, `${name}.log`);
+    const daemon = new DaemonProcess(program, settingsFile, logFile, limits);
     daemon.start();
     return daemon;
   }
@@ -47,6 +58,11 @@
     return this.ends;
   }
 
+  /** Process id; 0 if it is not running. */
+  get pid(): number {
+    return this.child?.pid ?? 0;
+  }
+
   get running(): boolean {
     return this.child !== undefined;
   }
@@ -67,9 +83,8 @@
     this.ending = false;
     const verb = this.program === DaemonProgram.Own ? ["run"] : [];
     const options = [this.program, ...verb, "--settings", this.settingsFile];
-    const child = spawn(process.execPath, options, {
-      stdio: ["ignore", "pipe", "pipe"],
-    });
+    const [command, ...given] = commandOf(this.limits, options);
+    const child = spawn(command, given, { stdio: ["ignore", "pipe", "pipe"] });
     const log = createWriteStream(this.logFile, { flags: "a" });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
@@ -98,3 +113,13 @@
     return code;
   }
 }
+
+function commandOf(
+  limits: ProcessLimits | undefined,
+  options: readonly string[],
+): [string, ...string[]] {
+  if (limits === undefined) return [process.execPath, ...options];
+  const { heapMiB, descriptors } = limits;
+  const runtime = [process.execPath, `--max-old-space-size=${heapMiB}`];
+  return ["/bin/sh", "-c", `ulimit -n ${descriptors}; exec "$@"`, "sh", ...runtime, ...options];
+}
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -31,6 +31,8 @@
   readonly services: Readonly<Record<string, number>>;
   /** Changes to the settings of the daemons. */
   readonly settings?: (settings: Settings) => Settings;
+  /** Options of the runtime of the daemons. */
+  readonly runtimeOptions?: readonly string[];
   /** True if the table is to hold no configuration yet. */
   readonly unconfigured?: boolean;
   /** Changes to the initial configuration. */
@@ -112,10 +114,13 @@
   }
 
   /** Starts a daemon that was not part of the fleet, or one again with the same settings. */
-  async startDaemon(settings: Settings): Promise<FleetDaemon> {
+  async startDaemon(
+    settings: Settings,
+    runtimeOptions: readonly string[] = [],
+  ): Promise<FleetDaemon> {
     const file = join(this.directory, `${settings.instance.id}.json`);
     await writeFile(file, JSON.stringify(settings));
-    const child = await Child.create(DAEMON, ["run", "--settings", file]);
+    const child = await Child.create(DAEMON, ["run", "--settings", file], runtimeOptions);
     this.children.push(child);
     const daemon = { settings, child, url: `http://127.0.0.1:${settings.callers.port}` };
     this.daemons.push(daemon);
@@ -163,7 +168,9 @@
         state: "live",
       })),
     });
-    await allSettled(settings.map((one) => this.startDaemon(size.settings?.(one) ?? one)));
+    await allSettled(
+      settings.map((one) => this.startDaemon(size.settings?.(one) ?? one, size.runtimeOptions)),
+    );
     this.daemons.sort((a, b) => a.settings.instance.id.localeCompare(b.settings.instance.id));
   }
 
--- a/standin/platform-upstream.ts
+++ b/standin/platform-upstream.ts
@@ -34,6 +34,8 @@
   mode = UpstreamMode.Serving;
   /** Time to the first byte of an answer, in ms. */
   delayMs = 0;
+  /** Bytes that are added to each answer and to each event of a stream. */
+  addedBytes = 0;
   /** Whether all its answers say that it is leaving. */
   leaving = false;
   /** Version of its software; undefined for none. Its events name it. */
@@ -211,10 +213,14 @@
       case UpstreamMode.AnswersOther:
       case UpstreamMode.Full:
         if (url.startsWith("/stream/")) await this.stream(headers, response);
-        else response.end(`answer to ${id}`);
+        else response.end(`answer to ${id}${this.added}`);
     }
   }
 
+  private get added(): string {
+    return "x".repeat(this.addedBytes);
+  }
+
   private async stream(
     headers: IncomingMessage["headers"],
     response: ServerResponse,
@@ -223,7 +229,7 @@
     const first = Number(headers["last-event-id"] ?? 0) + 1;
     const writer = this.version === undefined ? "" : ` of ${this.version}`;
     for (let event = first; event <= EVENTS; event += 1) {
-      response.write(`id: ${event}\ndata: token ${event}${writer}\n\n`);
+      response.write(`id: ${event}\ndata: token ${event}${writer}${this.added}\n\n`);
       await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
       if (this.mode === UpstreamMode.BreaksOff && event >= first + 1) {
         response.write(`id: ${event + 1}\ndata: tok`);
