Bound requests sent ahead, unread responses, bodies and connections of callers

Requests of a connection now start one after the other, and no more are read from it meanwhile; with more than 16 waiting (limits.requestsAhead) it is closed. Responses above 16 KiB count in the memory of the buffers until they have left. When memory is short, an unfinished body of the team that holds most is refused with 503 for the buffer of another team, or a response that is unread for 5 s is closed. Callers' connections are bounded by half of the descriptors and a fourth of the memory for their heads; above that, the one that is longest without a request is closed. limits.memoryBytes and limits.maxDescriptors state the process's limits; without them they are read from the system.

--- a/src/buffer/byte-buffer.ts
+++ b/src/buffer/byte-buffer.ts
@@ -17,11 +17,17 @@
   private constructor(
     private readonly budget: BufferBudget,
     private readonly maxBytes: number,
+    private readonly owner: string | undefined,
   ) {}
 
-  /** Holds at most `maxBytes`. */
-  static create(budget: BufferBudget, maxBytes: number): ByteBuffer {
-    return new ByteBuffer(budget, maxBytes);
+  /** Holds at most `maxBytes`, for a team if one is named. */
+  static create(budget: BufferBudget, maxBytes: number, owner?: string): ByteBuffer {
+    return new ByteBuffer(budget, maxBytes, owner);
+  }
+
+  /** Memory that is reserved for it, in bytes. */
+  get reservedBytes(): number {
+    return chargeOf(this.storage.length);
   }
 
   get length(): number {
@@ -60,7 +66,8 @@
   private grow(minBytes: number): boolean {
     const doubled = Math.max(minBytes, 2 * this.storage.length, MIN_CAPACITY_BYTES);
     const capacity = Math.max(minBytes, Math.min(doubled, this.maxBytes));
-    if (!this.budget.tryReserve(chargeOf(capacity) - chargeOf(this.storage.length))) return false;
+    const added = chargeOf(capacity) - chargeOf(this.storage.length);
+    if (!this.budget.tryReserve(added, this.owner)) return false;
     // Memory of the shared pool would stay in use as long as any other slice of it.
     const storage = Buffer.allocUnsafeSlow(capacity);
     storage.set(this.bytes);
@@ -69,6 +76,7 @@
   }
 }
 
-function chargeOf(capacity: number): number {
+/** Bytes that a buffer of a capacity is charged for. */
+export function chargeOf(capacity: number): number {
   return Math.max(0, capacity - UNCHARGED_BYTES);
 }
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -1,5 +1,9 @@
 import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
 import { BufferBudget } from "../buffer/buffer-budget.js";
+import { CallerConnections } from "../intake/caller-connections.js";
+import { CallerLosses } from "../intake/caller-losses.js";
+import { type CallerShares, callerSharesOf } from "../intake/caller-shares.js";
+import { UnreadResponses } from "../intake/unread-responses.js";
 import type { ConsolaInstance } from "consola";
 import { CrashReports } from "../crash/crash-reports.js";
 import { PromptGuard } from "../crash/prompt-guard.js";
@@ -79,6 +83,10 @@
   readonly pauses: PauseDetection;
   readonly loopDelay: LoopDelay;
   readonly bufferBudget: BufferBudget;
+  readonly callerShares: CallerShares;
+  readonly callerLosses: CallerLosses;
+  readonly callerConnections: CallerConnections;
+  readonly unreadResponses: UnreadResponses;
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
   readonly rowFeed: RowFeed;
@@ -152,7 +160,13 @@
     decisionLines: asFunction(DecisionLines.create).singleton(),
     pauses: asFunction(PauseDetection.create).singleton(),
     loopDelay: asFunction(LoopDelay.create).singleton(),
-    bufferBudget: asFunction(() => BufferBudget.create()).singleton(),
+    callerShares: asFunction(() => callerSharesOf(frontSettings.limits)).singleton(),
+    callerLosses: asFunction(CallerLosses.create).singleton(),
+    callerConnections: asFunction(CallerConnections.create).singleton(),
+    unreadResponses: asFunction(UnreadResponses.create).singleton(),
+    bufferBudget: asFunction(({ callerShares }: FrontCradle) =>
+      BufferBudget.create(callerShares.bufferBytes),
+    ).singleton(),
     dialect: asValue(adapter.dialect),
     rowDecoder: asValue(adapter.rowDecoder),
     rowStore: asFunction(adapter.rowStore).singleton(),
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -96,6 +96,12 @@
     registers: [this.registry],
   });
 
+  private readonly callerLosses = new Counter({
+    name: "nutmegstage_caller_limited_total",
+    help: "Requests refused and connections closed to bound memory and descriptors",
+    labelNames: ["reason", "team"],
+    registers: [this.registry],
+  });
   private readonly loopDelay = new Histogram({
     name: "nutmegstage_loop_delay_seconds",
     help: "How late the process handles what is due, measured each 0.2 s",
@@ -164,6 +170,10 @@
     this.loopDelay.observe(delayMs / MS_PER_SECOND);
   }
 
+  recordCallerLoss(reason: string, team: string): void {
+    this.callerLosses.inc({ reason, team });
+  }
+
   recordConnectionUse(use: ConnectionUse): void {
     this.connections.inc({ use });
   }
--- a/src/forward/front-server.ts
+++ b/src/forward/front-server.ts
@@ -1,10 +1,16 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { type FastifyInstance, fastify } from "fastify";
 import type { BufferBudget } from "../buffer/buffer-budget.js";
 import { answerConnectionError } from "../http/connection-error.js";
 import type { RandomSource } from "../random/random-source.js";
 import type { Timers } from "../time/timers.js";
 import { CallerBody } from "../intake/caller-body.js";
+import type { CallerConnection } from "../intake/caller-connection.js";
+import type { CallerConnections } from "../intake/caller-connections.js";
+import type { CallerLosses } from "../intake/caller-losses.js";
+import { LossReason } from "../intake/loss-reason.js";
+import type { UnreadResponses } from "../intake/unread-responses.js";
 import { ResponseWriter } from "./response-writer.js";
 import type { RequestForwarder } from "./request-forwarder.js";
 import type { RouteView } from "./route-view.js";
@@ -30,6 +36,9 @@
   readonly requestForwarder: RequestForwarder;
   readonly bufferBudget: BufferBudget;
   readonly callers: { readonly host: string; readonly port: number };
+  readonly callerConnections: CallerConnections;
+  readonly callerLosses: CallerLosses;
+  readonly unreadResponses: UnreadResponses;
 }
 
 /** HTTP server for callers; passes each request to the forwarder. */
@@ -58,6 +67,9 @@
       },
     });
     const frontServer = new FrontServer(parts, server);
+    (server as { server: Server }).server.prependListener("connection", (socket: Socket) => {
+      parts.callerConnections.add(socket);
+    });
     frontServer.addRoutes();
     parts.routeView.subscribe(({ limits }) => {
       const { server: http } = server as { server: Server };
@@ -95,15 +107,25 @@
     // The forwarder reads the body, so the server must not.
     server.addHook("onRequest", (request, reply) => {
       reply.hijack();
-      void this.serve(request.raw, reply.raw);
+      const { raw } = request;
+      const connection = this.parts.callerConnections.of(raw.socket);
+      const arrivedMs = this.parts.timers.now();
+      connection?.begin(reply.raw, () => void this.serve(raw, reply.raw, connection, arrivedMs));
     });
     server.all("/*", () => undefined);
   }
 
-  private async serve(raw: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { timers, bufferBudget, requestForwarder } = this.parts;
+  private async serve(
+    raw: IncomingMessage,
+    response: ServerResponse,
+    connection: CallerConnection,
+    arrivedMs: number,
+  ): Promise<void> {
+    const { timers, bufferBudget, callerLosses, requestForwarder, unreadResponses } = this.parts;
     const callerClosed = new AbortController();
-    const body = CallerBody.create(raw, bufferBudget);
+    const body = CallerBody.create(raw, bufferBudget, timers, (owner) => {
+      callerLosses.record(LossReason.BodyMemory, owner);
+    });
     let arrived = false;
     response.once("close", () => {
       if (arrived) this.openRequests -= 1;
@@ -115,11 +137,16 @@
       target: raw.url ?? "/",
       headers: raw.headers,
       rawHeaders: raw.rawHeaders,
-      arrivedMs: timers.now(),
+      arrivedMs,
       signal: callerClosed.signal,
     };
-    const readBody = async (maxBytes: number, signal: AbortSignal): Promise<Buffer> => {
-      const bytes = await body.read(maxBytes, signal);
+    const readBody = async (
+      maxBytes: number,
+      signal: AbortSignal,
+      owner: string,
+    ): Promise<Buffer> => {
+      connection.owner = owner;
+      const bytes = await body.read(maxBytes, signal, owner);
       if (response.closed) return bytes;
       arrived = true;
       this.openRequests += 1;
@@ -128,7 +155,7 @@
     await requestForwarder.serve(
       head,
       readBody,
-      ResponseWriter.create(response, () => this.closing),
+      ResponseWriter.create(response, () => this.closing, unreadResponses),
     );
     if (!raw.complete) this.discardRest(raw, response);
   }
--- a/src/forward/response-writer.ts
+++ b/src/forward/response-writer.ts
@@ -1,16 +1,25 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import type { UnreadResponses } from "../intake/unread-responses.js";
 
 /** Writes the response to a caller's request. */
 export class ResponseWriter {
+  /** Name of the team that gets the response; empty if there is none. */
+  owner = "";
+
   private constructor(
     private readonly response: ServerResponse,
     private readonly shouldClose: () => boolean,
+    private readonly unread: UnreadResponses | undefined,
   ) {}
 
   /** `shouldClose` tells whether the connection should be closed after the response. */
-  static create(response: ServerResponse, shouldClose: () => boolean): ResponseWriter {
-    return new ResponseWriter(response, shouldClose);
+  static create(
+    response: ServerResponse,
+    shouldClose: () => boolean,
+    unread?: UnreadResponses,
+  ): ResponseWriter {
+    return new ResponseWriter(response, shouldClose, unread);
   }
 
   /** Whether the response head was sent. */
@@ -27,7 +36,7 @@
   /** Sends a chunk of a streamed response; a promise resolves when more can be written. */
   write(chunk: Uint8Array): Promise<void> | undefined {
     if (this.response.destroyed || this.response.write(chunk)) return undefined;
-    return this.waitForDrain();
+    return this.waitForDrain(chunk.length);
   }
 
   /** Completes a streamed response. */
@@ -39,6 +48,9 @@
   send(status: number, headers: readonly string[], body: Buffer): void {
     this.writeHead(status, [...headers, "content-length", String(body.length)]);
     this.response.end(body);
+    if (this.response.writableFinished) return;
+    const release = this.unread?.hold(this.owner, body.length, this.response);
+    if (release !== undefined) this.response.once("close", release);
   }
 
   /** Destroys the connection so that a partial response does not look complete. */
@@ -47,8 +59,10 @@
     process.nextTick(() => this.response.destroy());
   }
 
-  private async waitForDrain(): Promise<void> {
+  private async waitForDrain(bytes: number): Promise<void> {
+    const release = this.unread?.hold(this.owner, bytes, this.response);
     await Promise.race([once(this.response, "drain"), once(this.response, "close")]);
+    release?.();
   }
 
   private writeHead(status: number, headers: readonly string[]): void {
--- a/src/intake/request-head.ts
+++ b/src/intake/request-head.ts
@@ -18,6 +18,7 @@
 
 /**
  * Reads the body of a request. Rejects with `BodyTooLarge` if it exceeds `maxBytes`, `Overloaded` if
- * there is no memory for it, `Cancelled` if the caller leaves, or the signal's reason.
+ * there is no memory for it, `Cancelled` if the caller leaves, or the signal's reason. Its memory
+ * counts for the owner, a team's name.
  */
-export type BodyRead = (maxBytes: number, signal: AbortSignal) => Promise<Buffer>;
+export type BodyRead = (maxBytes: number, signal: AbortSignal, owner: string) => Promise<Buffer>;
--- a/src/settings/front-settings.ts
+++ b/src/settings/front-settings.ts
@@ -20,6 +20,19 @@
   .transform((value) => value * MS_PER_SECOND);
 const milliseconds = z.number().positive();
 
+const count = z.number().int().positive();
+const processLimits = z.object({
+  memoryBytes: count
+    .optional()
+    .describe("Memory that the process may take, in bytes; without it, that of the machine."),
+  maxDescriptors: count
+    .optional()
+    .describe("Descriptors that the process may open; without it, the limit of the process."),
+  requestsAhead: count
+    .default(16)
+    .describe("Requests that may wait on a connection; with more of them, it is closed."),
+});
+
 /** Schema of the settings of a daemon on the platform; the platform fills in its template. */
 export const frontSettingsSchema = z.object({
   instance: z
@@ -52,6 +65,7 @@
     budgetWindowSeconds: seconds.describe("Window of the budget, in s."),
     budgetSlack: z.number().nonnegative().describe("Further attempts beside the ratio."),
   }),
+  limits: processLimits.prefault({}),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 });
 
