--- a/review/lib/daemon.ts
+++ b/review/lib/daemon.ts
@@ -104,6 +104,8 @@
       zone,
       "limits.cpu-share": "1",
       "limits.cores": "1",
+      "limits.memory-mb": "350",
+      "limits.max-fds": "4100",
       "listen.front": `${ip}:${ports.callers}`,
       "listen.ready": `${ip}:${ports.readiness}`,
       "listen.control": `${ip}:${ports.peers}`,
