Fail a response that ends with its connection during the upload

A response without a length or chunks ends with its connection.

ResponseReceiver now fails such a response, so that all calls over our connections are covered. Early responses that are whole by their own framing are still taken.

--- /dev/null
+++ b/features/early-responses.feature
@@ -0,0 +1,28 @@
+Feature: Responses that come before the request is read, and statuses that are none
+  A part of a response never reaches a caller as a whole one, nor does a status that HTTP does not have.
+
+  # Guards against the beginning of a response that is passed on as a whole one (MIXED).
+  Scenario Outline: A <kind> with <framing> as framing that ends by <how> <place> during the upload is <outcome>
+    Then a "<kind>" with framing "<framing>" that ends by "<how>" "<place>" during the upload is <outcome>
+
+    Examples:
+      | kind   | framing | how            | place          | outcome |
+      | result | none    | a close        | after the head | broken  |
+      | result | none    | a close        | in the body    | broken  |
+      | result | none    | a close        | at the end     | broken  |
+      | result | none    | an abandonment | after the head | broken  |
+      | result | none    | an abandonment | in the body    | broken  |
+      | result | none    | a reset        | after the head | broken  |
+      | result | none    | a reset        | in the body    | broken  |
+      | result | length  | a close        | in the body    | broken  |
+      | result | length  | a close        | at the end     | whole   |
+      | result | length  | a reset        | at the end     | whole   |
+      | result | chunks  | an abandonment | in the body    | broken  |
+      | result | chunks  | a close        | at the end     | whole   |
+      | stream | none    | a close        | after the head | broken  |
+      | stream | none    | a close        | after an event | broken  |
+      | stream | none    | a close        | at the end     | broken  |
+      | stream | none    | an abandonment | after an event | broken  |
+      | stream | none    | a reset        | after an event | broken  |
+      | stream | length  | a reset        | after an event | broken  |
+      | stream | chunks  | a close        | at the end     | whole   |
--- a/features/steps/response-framing.ts
+++ b/features/steps/response-framing.ts
@@ -35,7 +35,7 @@
     const parts = status === 204 ? [] : ["error text"];
     const framing = status === 204 ? Framing.None : Framing.Length;
     const chunks = encode({ status, framing, closes: true, parts, place: EndPlace.End });
-    this.relayed = await relay(chunks, ResponseEnd.Close, true, true);
+    this.relayed = await relay(chunks, ResponseEnd.Close, true, { started: true });
   },
 );
 
--- a/features/support/response-trial.ts
+++ b/features/support/response-trial.ts
@@ -10,6 +10,8 @@
 import { entryOf } from "./forward-samples.js";
 
 const SILENCE_TIMEOUT_MS = 150;
+/** Writing a large request can take longer than that on a busy machine. */
+const UPLOAD_SILENCE_TIMEOUT_MS = 3_000;
 const HEAD = "nutmegstage-attempt-id: a1\r\nnutmegstage-replica-stamp: s\r\n";
 
 /** What tells where the body of a response ends. */
@@ -45,6 +47,16 @@
   readonly outcome: AttemptOutcome;
   readonly bytes: string;
   readonly ended: boolean;
+  /** Whether the caller has got the head of a response. */
+  readonly started: boolean;
+}
+
+/** What differs from a request without a body to an upstream that reads it. */
+interface RelayOptions {
+  /** Whether the caller has got the head of an earlier response. */
+  readonly started?: boolean;
+  /** Size of the body of the request; the upstream reads only the beginning of it. */
+  readonly unreadBytes?: number;
 }
 
 /** The chunks of bytes of a response up to the place where it ends. */
@@ -82,10 +94,10 @@
   chunks: readonly string[],
   end: ResponseEnd,
   streamed: boolean,
-  started = false,
+  { started = false, unreadBytes = 0 }: RelayOptions = {},
 ): Promise<Relayed> {
   const [port = 0] = await freePorts(1);
-  const upstream = await RawUpstream.create(port, [chunks], end);
+  const upstream = await RawUpstream.create(port, [chunks], end, unreadBytes === 0);
   const timers = SystemTimers.create();
   const passed: Uint8Array[] = [];
   const state = { started, ended: false };
@@ -105,11 +117,12 @@
     },
     send: (_status, _headers, body) => {
       passed.push(body);
+      state.started = true;
       state.ended = true;
     },
   };
   const { signal } = new AbortController();
-  const request = { method: "POST", target: "/1", headers: {}, body: Buffer.alloc(0) };
+  const request = { method: "POST", target: "/1", headers: {}, body: Buffer.alloc(unreadBytes) };
   const attempt = UpstreamAttempt.create(
     { timers, dialect: RequestDialect.create(), bufferBudget: BufferBudget.create() },
     {
@@ -123,7 +136,7 @@
       writer: writer as ResponseWriter,
       progress: StreamProgress.create(undefined),
       streamed,
-      silenceTimeoutMs: SILENCE_TIMEOUT_MS,
+      silenceTimeoutMs: unreadBytes === 0 ? SILENCE_TIMEOUT_MS : UPLOAD_SILENCE_TIMEOUT_MS,
       onResponseHead: () => undefined,
       trySend: () => true,
       onResponseStart: () => undefined,
@@ -135,5 +148,5 @@
   );
   const outcome = await attempt.run();
   await upstream.stop();
-  return { outcome, bytes: Buffer.concat(passed).toString(), ended: state.ended };
+  return { outcome, bytes: Buffer.concat(passed).toString(), ...state };
 }
--- a/src/upstream/response-receiver.ts
+++ b/src/upstream/response-receiver.ts
@@ -1,6 +1,7 @@
 import { Readable } from "node:stream";
 import type { Client, Dispatcher } from "undici";
 import type { PausableSocket } from "./pausable-socket.js";
+import { hasKnownLength } from "./response-end.js";
 import type { UpstreamResponse } from "./upstream-response.js";
 
 const MIN_FINAL_STATUS = 200;
@@ -19,6 +20,8 @@
   private controller: Dispatcher.DispatchController | undefined;
   private body: Readable | undefined;
   private complete = false;
+  /** Whether the end of the connection is the only end that the response has. */
+  private endsWithConnection = false;
   private readonly onAbort = (): void => {
     this.controller?.abort(this.parts.signal.reason as Error);
   };
@@ -51,6 +54,7 @@
   ): void {
     if (statusCode < MIN_FINAL_STATUS) return;
     const { socket } = this.parts;
+    this.endsWithConnection = !hasKnownLength(headers);
     const body = new Readable({
       highWaterMark: MAX_UNREAD_BYTES,
       read: () => {
@@ -72,7 +76,15 @@
     if (this.body?.push(chunk) === false) this.parts.socket.pauseReceiving();
   }
 
-  onResponseEnd(): void {
+  onResponseEnd(controller: Dispatcher.DispatchController): void {
+    // An upstream that ends the connection before it has the whole request has broken off.
+    if (this.endsWithConnection && this.parts.socket.writableLength > 0) {
+      this.onResponseError(
+        controller,
+        new Error("the connection ended while the request was still being sent"),
+      );
+      return;
+    }
     this.end();
     this.complete = true;
     this.body?.push(null);
--- a/standin/raw-upstream.ts
+++ b/standin/raw-upstream.ts
@@ -4,6 +4,8 @@
 export enum ResponseEnd {
   /** It closes the connection. */
   Close = "a close",
+  /** It closes both directions at once; a request that it has not read is reset. */
+  Abandon = "an abandonment",
   /** It resets the connection. */
   Reset = "a reset",
   /** It sends nothing more. */
@@ -22,11 +24,15 @@
 
   private constructor(private readonly server: Server) {}
 
-  /** Sends the chunks of `responses` in turn, one array for each request. */
+  /**
+   * Sends the chunks of `responses` in turn, one array for each request. Reads only the beginning of
+   * a request unless `reading`.
+   */
   static async create(
     port: number,
     responses: readonly (readonly string[])[],
     end: ResponseEnd,
+    reading = true,
   ): Promise<RawUpstream> {
     let next = 0;
     const server = createServer((socket) => {
@@ -35,6 +41,7 @@
       socket.once("data", () => {
         const chunks = responses[Math.min(next, responses.length - 1)] ?? [];
         next += 1;
+        if (!reading) socket.pause();
         void send(socket, chunks, end);
       });
     });
@@ -59,6 +66,9 @@
     case ResponseEnd.Close:
       socket.end();
       return;
+    case ResponseEnd.Abandon:
+      socket.destroy();
+      return;
     case ResponseEnd.Reset:
       await new Promise((resolve) => setTimeout(resolve, RESET_DELAY_MS));
       socket.resetAndDestroy();
