Take no status above 599 for a response of an upstream

An upstream in trouble may send a status that HTTP does not have. The HTTP client rejects those below 200 and malformed ones; a signed 600 or 999 was passed on to the caller as the failure that the upstream reported.

ResponseReceiver fails the exchange: the upstream counts as failed, and the request may have run.

features/early-responses.feature: the 4 cases with 600 and 999 fail without the change, none with it; the others were right before and stay as guards.

--- a/features/early-responses.feature
+++ b/features/early-responses.feature
@@ -26,3 +26,31 @@
       | stream | none    | a reset        | after an event | broken  |
       | stream | length  | a reset        | after an event | broken  |
       | stream | chunks  | a close        | at the end     | whole   |
+
+  # Guards against failures of upstreams that reach callers as answers (MIXED).
+  Scenario Outline: A <kind> with the status "<status>" does not reach the caller
+    Then a "<kind>" with the status line "<status>" is broken, and the caller gets no part of it
+
+    Examples:
+      | kind   | status   |
+      | result | 000      |
+      | result | 099      |
+      | result | 100      |
+      | result | 101      |
+      | result | 199      |
+      | result | 600      |
+      | result | 999      |
+      | result | 2000     |
+      | result | 20       |
+      | result | OK       |
+      | stream | 000      |
+      | stream | 099      |
+      | stream | 101      |
+      | stream | 600      |
+      | stream | 999      |
+      | result | 204      |
+      | result | 304      |
+
+  # Guards against a body that is cut at the wrong length.
+  Scenario: A response with two lengths that differ does not reach the caller
+    Then a response with two lengths that differ is broken, and the caller gets no part of it
--- a/features/steps/early-responses.ts
+++ b/features/steps/early-responses.ts
@@ -8,6 +8,17 @@
 const UPLOAD_BYTES = 16_777_216;
 const EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: token ${id}\n\n`);
 const RESULT_PARTS = ["the whole ", "answer of it"];
+const FIELDS = "nutmegstage-attempt-id: a1\r\nnutmegstage-replica-stamp: s\r\n";
+const BODY = EVENTS.join("");
+
+async function assertNothingPassedOn(head: string, streamed: boolean): Promise<void> {
+  const chunks = [`HTTP/1.1 ${head}\r\n${FIELDS}\r\n${BODY}`];
+  const { outcome, bytes, started } = await relay(chunks, ResponseEnd.Close, streamed);
+  assert.deepEqual(
+    { kind: outcome.kind, bytes, started },
+    { kind: "broken", bytes: "", started: false },
+  );
+}
 
 Then(
   "a {string} with framing {string} that ends by {string} {string} during the upload is {word}",
@@ -21,3 +32,20 @@
     assert.ok(parts.join("").startsWith(relayed.bytes));
   },
 );
+
+Then(
+  "a {string} with the status line {string} is broken, and the caller gets no part of it",
+  async (kind: string, status: string) => {
+    const head = `${status} Status\r\ncontent-length: ${BODY.length}`;
+    await assertNothingPassedOn(head, kind === "stream");
+  },
+);
+
+Then(
+  "a response with two lengths that differ is broken, and the caller gets no part of it",
+  async () => {
+    const length = BODY.length;
+    const head = `200 OK\r\ncontent-length: ${length}\r\ncontent-length: ${length - 1}`;
+    await assertNothingPassedOn(head, false);
+  },
+);
--- a/src/upstream/response-receiver.ts
+++ b/src/upstream/response-receiver.ts
@@ -5,6 +5,8 @@
 import type { UpstreamResponse } from "./upstream-response.js";
 
 const MIN_FINAL_STATUS = 200;
+/** HTTP defines no higher status. */
+const MAX_STATUS = 599;
 /** Bytes of a body that are read ahead; in chunks of one byte, each takes some hundred bytes. */
 const MAX_UNREAD_BYTES = 16_384;
 
@@ -53,6 +55,10 @@
     headers: UpstreamResponse["headers"],
   ): void {
     if (statusCode < MIN_FINAL_STATUS) return;
+    if (statusCode > MAX_STATUS) {
+      controller.abort(new Error(`HTTP has no status ${statusCode}`));
+      return;
+    }
     const { socket } = this.parts;
     this.endsWithConnection = !hasKnownLength(headers);
     const body = new Readable({
