Begin a stream to a caller only for a response with status 200

A 204 or 304 with a body to a request for a stream was found to be invalid only after its head had been passed on, and such a head is a whole answer. Any status but 200 is read whole first now.

--- a/features/early-responses.feature
+++ b/features/early-responses.feature
@@ -50,6 +50,8 @@
       | stream | 999      |
       | result | 204      |
       | result | 304      |
+      | stream | 204      |
+      | stream | 304      |
 
   # Guards against a body that is cut at the wrong length.
   Scenario: A response with two lengths that differ does not reach the caller
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -16,7 +16,6 @@
 /** Time within which an upstream accepts a connection; several round trips in a region. */
 const CONNECT_TIMEOUT_MS = 250;
 const MIN_SERVER_ERROR_STATUS = 500;
-const MIN_ERROR_STATUS = 400;
 const OK = 200;
 /** Maximum size of a response that is not streamed; these are buffered before relaying. */
 const MAX_BUFFERED_BYTES = 4_194_304;
@@ -102,7 +101,8 @@
       return this.broken(`status ${statusCode} to a request to continue a stream`);
     this.phase = AttemptPhase.Begun;
     this.task.onResponseStart();
-    if (streamed && statusCode < MIN_ERROR_STATUS) {
+    // Another status has no events; one with an invalid body must not begin a response.
+    if (streamed && statusCode === OK) {
       return this.relayStream(connection, statusCode, headers, body);
     }
     return this.relayWhole(connection, statusCode, headers, body);
