Take only chunks for a transfer coding that tells the end of a response

A response has a known end if it has a length, chunks as the last coding, or no body. A stream begins for any 2xx that may have a body.

--- a/features/early-responses.feature
+++ b/features/early-responses.feature
@@ -27,6 +27,30 @@
       | stream | length  | a reset        | after an event | broken  |
       | stream | chunks  | a close        | at the end     | whole   |
 
+  # Guards against sound responses to requests of which the upstream needs no more.
+  Scenario Outline: A response with status <status> that ends with its head during the upload is whole
+    Then a response with status <status> and no body that ends by "a close" during the upload is whole
+
+    Examples:
+      | status |
+      | 204    |
+      | 304    |
+
+  # Guards against responses that are neither counted nor chunked, whatever their coding (MIXED).
+  Scenario Outline: A <kind> with the transfer coding "<coding>" that is reset is broken
+    Then a "<kind>" with the transfer coding "<coding>" that is reset in its body is broken
+
+    Examples:
+      | kind   | coding        |
+      | result | identity      |
+      | result | gzip          |
+      | result | gzip, chunked |
+      | stream | identity      |
+
+  # Guards against streams that are held back until their end.
+  Scenario: A stream with status 202 is passed on as it comes
+    Then a stream with status 202 that falls silent after an event has passed that event on
+
   # Guards against failures of upstreams that reach callers as answers (MIXED).
   Scenario Outline: A <kind> with the status "<status>" does not reach the caller
     Then a "<kind>" with the status line "<status>" is broken, and the caller gets no part of it
--- a/features/steps/early-responses.ts
+++ b/features/steps/early-responses.ts
@@ -49,3 +49,34 @@
     await assertNothingPassedOn(head, false);
   },
 );
+
+Then(
+  "a response with status {int} and no body that ends by {string} during the upload is whole",
+  async (status: number, how: ResponseEnd) => {
+    const chunks = [`HTTP/1.1 ${status} Status\r\n${FIELDS}\r\n`];
+    const relayed = await relay(chunks, how, false, { unreadBytes: UPLOAD_BYTES });
+    assert.equal(relayed.outcome.kind, "relayed");
+  },
+);
+
+Then(
+  "a {string} with the transfer coding {string} that is reset in its body is broken",
+  async (kind: string, coding: string) => {
+    const head = `HTTP/1.1 200 OK\r\n${FIELDS}transfer-encoding: ${coding}\r\n\r\n`;
+    const { outcome, ended } = await relay(
+      [`${head}${EVENTS.join("")}`],
+      ResponseEnd.Reset,
+      kind === "stream",
+    );
+    assert.deepEqual({ kind: outcome.kind, ended }, { kind: "broken", ended: false });
+  },
+);
+
+Then(
+  "a stream with status {int} that falls silent after an event has passed that event on",
+  async (status: number) => {
+    const head = `HTTP/1.1 ${status} Status\r\n${FIELDS}\r\n`;
+    const { bytes } = await relay([head, EVENTS[0] ?? ""], ResponseEnd.Silence, true);
+    assert.equal(bytes, EVENTS[0]);
+  },
+);
--- a/src/forward/upstream-attempt.ts
+++ b/src/forward/upstream-attempt.ts
@@ -17,6 +17,8 @@
 const CONNECT_TIMEOUT_MS = 250;
 const MIN_SERVER_ERROR_STATUS = 500;
 const OK = 200;
+const MIN_REDIRECT_STATUS = 300;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205]);
 /** Maximum size of a response that is not streamed; these are buffered before relaying. */
 const MAX_BUFFERED_BYTES = 4_194_304;
 
@@ -101,8 +103,7 @@
       return this.broken(`status ${statusCode} to a request to continue a stream`);
     this.phase = AttemptPhase.Begun;
     this.task.onResponseStart();
-    // Another status has no events; one with an invalid body must not begin a response.
-    if (streamed && statusCode === OK) {
+    if (streamed && mayHaveEvents(statusCode)) {
       return this.relayStream(connection, statusCode, headers, body);
     }
     return this.relayWhole(connection, statusCode, headers, body);
@@ -217,3 +218,8 @@
     });
   }
 }
+
+/** The head of any other response may be a whole one, and must not be passed on before its end. */
+function mayHaveEvents(status: number): boolean {
+  return status >= OK && status < MIN_REDIRECT_STATUS && !BODILESS_STATUSES.has(status);
+}
--- a/src/upstream/response-end.ts
+++ b/src/upstream/response-end.ts
@@ -8,5 +8,8 @@
 }
 
 export function hasKnownLength(headers: ResponseHeaders): boolean {
-  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+  if (headers["content-length"] !== undefined) return true;
+  // Without chunks as the last coding, a response ends with its connection.
+  const codings = [headers["transfer-encoding"] ?? []].flat().join(",").split(",");
+  return codings.at(-1)?.trim().toLowerCase() === "chunked";
 }
--- a/src/upstream/response-receiver.ts
+++ b/src/upstream/response-receiver.ts
@@ -5,12 +5,15 @@
 import type { UpstreamResponse } from "./upstream-response.js";
 
 const MIN_FINAL_STATUS = 200;
+/** Statuses of responses that end with their head. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** HTTP defines no higher status. */
 const MAX_STATUS = 599;
 /** Bytes of a body that are read ahead; in chunks of one byte, each takes some hundred bytes. */
 const MAX_UNREAD_BYTES = 16_384;
 
 interface Parts {
+  readonly method: Dispatcher.HttpMethod;
   readonly socket: PausableSocket;
   readonly signal: AbortSignal;
   readonly resolve: (response: UpstreamResponse) => void;
@@ -39,7 +42,8 @@
     { signal, ...options }: Dispatcher.DispatchOptions & { readonly signal: AbortSignal },
   ): Promise<UpstreamResponse> {
     return new Promise((resolve, reject) => {
-      const parts = { socket, signal, resolve, reject };
+      const { method } = options;
+      const parts = { method, socket, signal, resolve, reject };
       client.dispatch(options, new ResponseReceiver(parts));
     });
   }
@@ -59,8 +63,9 @@
       controller.abort(new Error(`HTTP has no status ${statusCode}`));
       return;
     }
-    const { socket } = this.parts;
-    this.endsWithConnection = !hasKnownLength(headers);
+    const { socket, method } = this.parts;
+    const hasBody = method !== "HEAD" && !BODILESS_STATUSES.has(statusCode);
+    this.endsWithConnection = hasBody && !hasKnownLength(headers);
     const body = new Readable({
       highWaterMark: MAX_UNREAD_BYTES,
       read: () => {
