Send nothing to the upstreams of an evacuated data centre

Cause: the operator's rows evacuate/ZONE were read with the table op and dropped; requests and stage calls went on to the evacuated data centre. Change: Evacuations holds the evacuated data centres; the directory leaves their upstreams out of selection and counts, and says no just before anything is sent; crash and reach probes leave them out; requests with pieces for a stage service that is wholly evacuated are refused at once.

--- a/features/steps/configuration-lag.ts
+++ b/features/steps/configuration-lag.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { Evacuations } from "../../src/evacuation/evacuations.js";
 import type { RowSnapshot } from "../../src/forward/row-feed.js";
 import { type RowUpdate, rowQuerySchema } from "../../src/forward/row-update.js";
 import { RowFreshness } from "../../src/rows/row-freshness.js";
@@ -81,6 +82,7 @@
     },
     ...{ rowDecoder: PlatformRowDecoder.create(), routeView: world.routeView },
     directory: UpstreamDirectory.create({ timers }),
+    evacuations: Evacuations.create({ timers }),
     decisionLines: { write: () => undefined } as never,
   });
   world.storeView.start();
--- a/features/support/front-host.ts
+++ b/features/support/front-host.ts
@@ -119,6 +119,7 @@
   const decoder = PlatformRowDecoder.create();
   return {
     configuration: (key, text) => decoder.configuration(key, text),
+    evacuation: (key) => decoder.evacuation(key),
     upstreamWrite: (id, text) => decoder.upstreamWrite(id, text),
     upstream: (id, text) => {
       const entry = decoder.upstream(id, text);
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -7,6 +7,8 @@
 import { StoredSuspicions } from "../crash/stored-suspicions.js";
 import { createLogger } from "../decision/logger.js";
 import { LogOutput } from "../decision/log-output.js";
+import { EvacuationReport } from "../evacuation/evacuation-report.js";
+import { Evacuations } from "../evacuation/evacuations.js";
 import { CrashProbe } from "../forward/crash-probe.js";
 import { CrashRegistry } from "../forward/crash-registry.js";
 import { DecisionLines } from "../forward/decision-lines.js";
@@ -85,6 +87,8 @@
   readonly rowStore: RowStore;
   readonly routeView: RouteView;
   readonly instanceList: InstanceList;
+  readonly evacuations: Evacuations;
+  readonly evacuationReport: EvacuationReport;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly limitOwners: LimitOwners;
@@ -161,6 +165,8 @@
     configurationView: aliasTo("routeView"),
     demandSource: asValue({ digest: () => ({ services: {}, teams: {} }) }),
     instanceList: asFunction(instanceList).singleton(),
+    evacuations: asFunction(Evacuations.create).singleton(),
+    evacuationReport: asFunction(EvacuationReport.create).singleton(),
     directory: asFunction(UpstreamDirectory.create).singleton(),
     upstreamHealth: asFunction(UpstreamHealthRegistry.create).singleton(),
     limitOwners: asFunction(LimitOwners.create).singleton(),
--- a/src/forward/crash-probe.ts
+++ b/src/forward/crash-probe.ts
@@ -2,6 +2,7 @@
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
 import { Connection } from "../upstream/connection.js";
+import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
 
@@ -11,6 +12,7 @@
 interface Parts {
   readonly timers: Timers;
   readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly directory: Pick<UpstreamDirectory, "isEvacuated">;
 }
 
 /** Checks by a new connection whether an upstream has crashed after a lost response. */
@@ -24,8 +26,9 @@
     return new CrashProbe(parts);
   }
 
-  /** Whether the upstream refuses connections. Never rejects. */
+  /** Whether the upstream refuses connections; not known of an evacuated one. Never rejects. */
   hasCrashed(entry: UpstreamEntry): Promise<boolean> {
+    if (this.parts.directory.isEvacuated(entry.id)) return Promise.resolve(false);
     let probe = this.runningProbes.get(entry.id);
     if (probe === undefined) {
       probe = this.probe(entry).finally(() => this.runningProbes.delete(entry.id));
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -54,6 +54,18 @@
     labelNames: ["service", "kind"],
     registers: [this.registry],
   });
+  private readonly withheld = new Counter({
+    name: "nutmegstage_withheld_by_evacuation_total",
+    help: "Requests, stage calls and releases not sent after the evacuation of the upstream, by service",
+    labelNames: ["service", "kind"],
+    registers: [this.registry],
+  });
+  private readonly evacuated = new Gauge({
+    name: "nutmegstage_evacuated",
+    help: "Whether an evacuation is in force at this instance, by data centre",
+    labelNames: ["data_centre"],
+    registers: [this.registry],
+  });
   private readonly permits = new Counter({
     name: "nutmegstage_permits_total",
     help: "Requests for permits of upstreams that state a limit, by service and outcome",
@@ -136,6 +148,14 @@
     this.sentUnderLimit.inc({ service, kind });
   }
 
+  recordWithheld(service: string, kind: string): void {
+    this.withheld.inc({ service, kind });
+  }
+
+  setEvacuated(dataCentre: string, evacuated: boolean): void {
+    this.evacuated.set({ data_centre: dataCentre }, evacuated ? 1 : 0);
+  }
+
   recordPermit(service: string, outcome: string): void {
     this.permits.inc({ service, outcome });
   }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -1,5 +1,6 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import { requireServedStages } from "../evacuation/require-served-stages.js";
 import type { Timers } from "../time/timers.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { CrashRegistry } from "./crash-registry.js";
@@ -120,6 +121,7 @@
    */
   private admitToStages(context: RequestContext): number {
     this.requirePermitsInTime(context);
+    requireServedStages(this.parts.directory, context.route.stages, context.attributes.pieces);
     const { route, attributes, configuration, rank, targetMs, returning } = context;
     const { stageLoads, timers, decisionLines } = this.parts;
     const { attemptId, pieces } = attributes;
--- a/src/forward/row-cache.ts
+++ b/src/forward/row-cache.ts
@@ -21,6 +21,8 @@
   private currentVersion = -1;
   /** Removals up to this version are no longer kept. */
   private removalsDroppedAtVersion = -1;
+  /** Version of the first rows of this era; undefined if no earlier era is known. */
+  private restoredVersion: number | undefined;
 
   private constructor(private readonly order: RowOrder) {}
 
@@ -38,6 +40,11 @@
     return this.currentEra;
   }
 
+  /** Whether nothing has changed since the first read after the store came back from a copy. */
+  get isRestored(): boolean {
+    return this.currentVersion === this.restoredVersion;
+  }
+
   /** Applies changes of the current era and returns those that had an effect. */
   applyChanges(changes: readonly RowChange[], version: number): RowChange[] {
     const effective = changes.filter(([key, text]) => this.rows.get(key) !== text);
@@ -71,6 +78,7 @@
     }
     this.currentEra = era;
     this.currentVersion = version;
+    this.restoredVersion = version;
     // An instance that read an earlier snapshot of this era must get all rows, or read the store.
     for (const key of this.updatedAtVersion.keys()) this.updatedAtVersion.set(key, version);
     this.removalsDroppedAtVersion = version;
--- a/src/forward/store-view.ts
+++ b/src/forward/store-view.ts
@@ -1,4 +1,6 @@
 import { isDeepStrictEqual } from "node:util";
+import { EvacuationRows } from "../evacuation/evacuation-rows.js";
+import type { Evacuations } from "../evacuation/evacuations.js";
 import type { HeartbeatReports } from "../peer/heartbeat-reports.js";
 import type { PeerMethods } from "../peer/peer-methods.js";
 import { PeerMethod } from "../peer/peer-method.js";
@@ -39,6 +41,7 @@
   readonly rowDecoder: RowDecoder;
   readonly routeView: RouteView;
   readonly directory: UpstreamDirectory;
+  readonly evacuations: Evacuations;
   readonly decisionLines: DecisionLines;
   readonly heartbeatReports: Pick<HeartbeatReports, "onVersion">;
 }
@@ -48,17 +51,21 @@
   private readonly configuration: RowFollower;
   private readonly upstreams: RowFollower;
   private readonly versionLag: VersionLag;
+  private readonly evacuationRows: EvacuationRows;
   /** Earliest time at which the last heartbeat can have arrived; infinite before the first one. */
   private heartbeatMs = Infinity;
 
   private constructor(private readonly parts: Parts) {
     this.versionLag = VersionLag.create(parts.timers);
+    this.evacuationRows = EvacuationRows.create(parts);
     this.configuration = RowFollower.create(
       parts,
       StoreTable.Configuration,
       CONFIGURATION_SCHEDULE,
       ConfigurationOrder.create(parts.rowDecoder),
       (changes) => {
+        // First, so that an instance that starts knows them before it has a configuration to serve.
+        this.evacuationRows.apply(changes, this.configuration.cache.isRestored);
         this.applyConfiguration(changes);
         return changes.map(([key]) => key);
       },
--- a/src/forward/upstream-statements.ts
+++ b/src/forward/upstream-statements.ts
@@ -19,7 +19,7 @@
 
 interface Parts {
   readonly timers: Timers;
-  readonly directory: Pick<UpstreamDirectory, "isServing">;
+  readonly directory: Pick<UpstreamDirectory, "isServing" | "isEvacuated">;
   readonly limitKnowledge: Pick<LimitKnowledge, "recordResponse">;
   readonly brittleUpstreams: Pick<BrittleUpstreams, "recordResponse">;
   readonly decisionLines: DecisionLines;
@@ -68,6 +68,8 @@
       case SentKind.StageCall:
         return !health.unavailable && this.parts.directory.isServing(upstream);
       case SentKind.Release:
+        // Results in an evacuated data centre expire by themselves, and nothing may be sent there.
+        if (this.parts.directory.isEvacuated(upstream.id)) return false;
         // A leaving upstream needs its memory until it ends.
         return !health.unavailable || health.availableInMs === Infinity;
     }
@@ -87,7 +89,10 @@
     const { id, service } = upstream;
     const { timers, decisionLines, forwardMetrics } = this.parts;
     if (!this.isOpen(upstream, health, kind)) {
-      decisionLines.write("not sent to closed upstream", { upstream: id, service, kind });
+      const evacuated = this.parts.directory.isEvacuated(id);
+      if (evacuated) forwardMetrics.recordWithheld(service, kind);
+      const fields = { upstream: id, service, kind, ...(evacuated ? { evacuated } : {}) };
+      decisionLines.write("not sent to closed upstream", fields);
       return false;
     }
     const limit = health.statedLimit;
--- a/src/isolation/upstream-reach.ts
+++ b/src/isolation/upstream-reach.ts
@@ -27,7 +27,7 @@
 interface Parts {
   readonly timers: Timers;
   readonly random: RandomSource;
-  readonly directory: Pick<UpstreamDirectory, "ids" | "find">;
+  readonly directory: Pick<UpstreamDirectory, "contactable">;
   readonly dialect: Pick<Dialect, "statusPath">;
   readonly decisionLines: DecisionLines;
 }
@@ -102,13 +102,13 @@
   /** Records that an upstream could not be connected to. */
   recordFailure({ id }: Pick<UpstreamEntry, "id">): void {
     this.failed.add(id);
-    const known = this.parts.directory.ids.length;
+    const known = this.parts.directory.contactable.length;
     if (this.failed.size >= Math.min(SUSPICIOUS_FAILURES, known)) void this.probe();
   }
 
   private checkSilence(): void {
     if (this.isolated) return;
-    const needed = Math.min(SUSPICIOUS_FAILURES, this.parts.directory.ids.length);
+    const needed = Math.min(SUSPICIOUS_FAILURES, this.parts.directory.contactable.length);
     if (this.unanswered.silentUpstreams(SILENCE_MS) >= Math.max(1, needed)) void this.probe();
   }
 
@@ -117,9 +117,7 @@
     this.probing = true;
     const { timers, random, directory } = this.parts;
     const count = this.isolated ? REPROBED_UPSTREAMS : PROBED_UPSTREAMS;
-    const entries = random
-      .sample([...directory.ids], count)
-      .flatMap((id) => directory.find(id) ?? []);
+    const entries = random.sample(directory.contactable, count);
     const reached = await Promise.all(entries.map((entry) => this.answers(entry)));
     this.probing = false;
     if (entries.length === 0 || reached.includes(true)) {
