--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -42,6 +42,19 @@
       | stage-call |
       | release    |
 
+  # Guards against connections to an evacuated data centre whose upstreams are not listed any more.
+  Scenario Outline: Results are not released to <where> upstream during an evacuation
+    Given "u1" of data centre "a", "u2" and "u3" of data centre "b"
+    When the evacuation of "b" begins
+    And results at <where> upstream are released
+    Then <count> connections are opened for it
+
+    Examples:
+      | where         | count |
+      | a serving     | 1     |
+      | an evacuated  | 0     |
+      | an unlisted   | 0     |
+
   Scenario: An upstream that is listed during the evacuation gets nothing either
     Given "u1" of data centre "a", "u2" and "u3" of data centre "b"
     When the evacuation of "b" begins
--- a/features/steps/evacuation.ts
+++ b/features/steps/evacuation.ts
@@ -4,6 +4,7 @@
 import { Evacuations } from "../../src/evacuation/evacuations.js";
 import { CrashProbe } from "../../src/forward/crash-probe.js";
 import { ForwardMetrics } from "../../src/forward/forward-metrics.js";
+import { StageReleases } from "../../src/forward/stage-releases.js";
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
 import { UpstreamHealthRegistry } from "../../src/forward/upstream-health-registry.js";
 import { type SentKind, UpstreamStatements } from "../../src/forward/upstream-statements.js";
@@ -18,6 +19,7 @@
   evacuations: Evacuations;
   directory: UpstreamDirectory;
   pending: { kind: SentKind; id: string };
+  opened: number;
 }
 
 Then(
@@ -29,7 +31,7 @@
 
 function list(world: EvacuationWorld, id: string, dataCentre: string): void {
   // Nothing listens there.
-  const address = "127.0.0.1:1";
+  const address = `127.0.0.1:${id.slice(1)}`;
   world.directory.apply([[id, entryOf({ id, dataCentre, address, service: SERVICE })]], 0);
 }
 
@@ -134,3 +136,38 @@
     false,
   );
 });
+
+const ADDRESS_BY_PLACE: Readonly<Record<string, string>> = {
+  "a serving": "127.0.0.1:1",
+  "an evacuated": "127.0.0.1:2",
+  "an unlisted": "127.0.0.1:9",
+};
+const RELEASE_MS = 1_000;
+
+When(
+  /^results at (an? \w+) upstream are released$/,
+  async function (this: EvacuationWorld, place: string) {
+    const { timers, directory } = this;
+    this.opened = 0;
+    const releases = StageReleases.create({
+      ...{ timers, directory },
+      dialect: { handleAddress: () => ADDRESS_BY_PLACE[place] },
+      connectionPools: {
+        acquire: () => {
+          this.opened += 1;
+          return Promise.reject(new Error("refused"));
+        },
+      },
+      upstreamHealth: UpstreamHealthRegistry.create({ timers, directory }),
+      upstreamStatements: UpstreamStatements.create({ timers, directory } as never),
+      upstreamPermits: { acquire: () => Promise.resolve({ kind: "unlimited" }) },
+      decisionLines: { write: () => undefined },
+    } as never);
+    releases.release(["h"], () => undefined);
+    await timers.advance(RELEASE_MS);
+  },
+);
+
+Then("{int} connections are opened for it", function (this: EvacuationWorld, count: number) {
+  assert.equal(this.opened, count);
+});
--- a/src/forward/stage-releases.ts
+++ b/src/forward/stage-releases.ts
@@ -89,7 +89,7 @@
     });
     try {
       if (!(await this.releaseOn({ address, entry, permit }, handles, timeout.signal)))
-        throw new Error("the upstream states a limit, and there is no permit");
+        throw new Error("the upstream must not get it, or there is no permit for it");
       for (const { handle, onReleased } of releases) onReleased(handle);
     } catch (error) {
       decisionLines.write("results not released", { address, detail: String(error) });
@@ -98,6 +98,13 @@
     }
   }
 
+  /** Whether an upstream may get releases; one that is not listed may be in any data centre. */
+  private isOpen(entry: UpstreamEntry | undefined): boolean {
+    const { directory, upstreamHealth, upstreamStatements } = this.parts;
+    if (entry === undefined) return !directory.hasEvacuations;
+    return upstreamStatements.isOpen(entry, upstreamHealth.of(entry.id), SentKind.Release);
+  }
+
   /** Undefined if no permit is needed or none was granted. */
   private async acquire(entry: UpstreamEntry): Promise<Permit | undefined> {
     const purpose = { rank: RELEASE_RANK, team: "", maxWaitMs: MAX_PERMIT_WAIT_MS };
@@ -119,6 +126,7 @@
   ): Promise<boolean> {
     const { dialect, connectionPools, upstreamHealth, upstreamStatements } = this.parts;
     const health = entry === undefined ? undefined : upstreamHealth.of(entry.id);
+    if (!this.isOpen(entry)) return false;
     for (;;) {
       const acquired = await connectionPools.acquire(address, signal);
       let reusable = false;
--- a/src/forward/upstream-directory.ts
+++ b/src/forward/upstream-directory.ts
@@ -15,7 +15,7 @@
 /** A change of the listed upstreams; `undefined` marks a removed entry. */
 export type EntryChange = readonly [id: string, entry: UpstreamEntry | undefined];
 
-type EvacuationSource = Pick<Evacuations, "isEvacuated" | "subscribe">;
+type EvacuationSource = Pick<Evacuations, "isEvacuated" | "dataCentres" | "subscribe">;
 
 interface Parts {
   readonly timers: Timers;
@@ -54,6 +54,11 @@
     return entry !== undefined && this.isInEvacuated(entry);
   }
 
+  /** Whether any data centre is evacuated. */
+  get hasEvacuations(): boolean {
+    return (this.evacuations?.dataCentres.length ?? 0) > 0;
+  }
+
   /** Whether a service has upstreams that are not draining, all in evacuated data centres. */
   isWhollyEvacuated(service: string): boolean {
     this.expire();
