Refuse work at the owner of its first stage before its target is lost

An instance admitted requests by the waits that its own last submissions had reported, and the owner then queued everything that could meet its deadline. The owner now refuses the first submission of a request if the waits of its path exceed what the target allows: the wait at its own stage, the admitted backlog, and the newest wait at later stages that any submitter knows, with the work on its way there. Forecasts count calls that are not quite full and upstreams that are slow at present.

--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -101,7 +101,7 @@
     return new StageBench(upstreams, batchCapacity, timers);
   }
 
-  submit(changes: Partial<StageSubmission>): StageTicket {
+  submit(changes: Partial<StageSubmission>, pathWaitMs?: (ownMs: number) => number): StageTicket {
     this.sequence += 1;
     const submission: StageSubmission = {
       service: "stage",
@@ -127,7 +127,7 @@
         return rank;
       },
     });
-    const ticket = this.pool.submit(submission);
+    const ticket = this.pool.submit(submission, pathWaitMs);
     if (ticket.kind === "accepted") this.accepted.push(submission);
     return ticket;
   }
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -185,6 +185,7 @@
       run,
       allowedMs,
       rank: context.rank,
+      returning: context.returning,
       targetMs: context.targetMs,
       deadlineMs: context.deadlineMs,
       services: configuration.services,
--- a/src/forward/stage-admission.ts
+++ b/src/forward/stage-admission.ts
@@ -1,11 +1,10 @@
+import { allowedWaitMs } from "../congestion/wait-bound.js";
 import type { ServiceDefinition } from "./service-definition.js";
 import type { StageDefinition } from "./stage-definition.js";
 import { ENGINE_FIRST_EVENT_MS } from "./stage-timing.js";
 
-/** Fraction of the slack that waits may use; the rest is a reserve for arrivals not known yet. */
-const MAX_WAIT_FRACTION = 0.75;
-/** Wait that is always allowed: about one call. A shorter queue drains before a caller retries. */
-const MIN_ALLOWED_WAIT_MS = 500;
+/** Added to the retry delay, as the reports on waits are some time old. */
+const RETRY_RESERVE_MS = 500;
 /** Lower bound of the retry delay sent to callers. */
 const MIN_RETRY_AFTER_MS = 300;
 
@@ -44,9 +43,9 @@
     workMs: 0,
   });
   const slackMs = input.targetLeftMs - longest.workMs - ENGINE_FIRST_EVENT_MS;
-  const allowedMs = Math.max(MIN_ALLOWED_WAIT_MS, MAX_WAIT_FRACTION * slackMs);
+  const allowedMs = allowedWaitMs(slackMs);
   if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs, allowedMs };
-  const excessMs = longest.waitMs - allowedMs + MIN_ALLOWED_WAIT_MS;
+  const excessMs = longest.waitMs - allowedMs + RETRY_RESERVE_MS;
   // A caller that retries after the target has passed can only be served late.
   const retryAfterMs = Math.min(excessMs, Math.max(MIN_RETRY_AFTER_MS, slackMs));
   return { kind: "refused", waitMs: longest.waitMs, retryAfterMs };
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -73,13 +73,17 @@
     let report = this.nextReport(key);
     let owner: string | undefined;
     const earlier = { unanswered: false };
+    let { first } = submission;
     try {
       while (timers.now() < deadlineMs) {
         signal.throwIfAborted();
         const now = timers.now();
-        const current = { ...submission, leftMs: deadlineMs - now, targetLeftMs: targetMs - now };
+        const times = { leftMs: deadlineMs - now, targetLeftMs: targetMs - now };
+        const later = this.withReportedWaits(submission);
+        const current = { ...submission, ...times, first, later };
         const acceptance = await this.submit(current, earlier, owner);
         ({ owner } = acceptance);
+        first = false;
         const reportTimeoutMs = OVERDUE_FACTOR * acceptance.expectedMs + OVERDUE_SLACK_MS;
         const reportTimeout = timers.sleep(Math.min(reportTimeoutMs, deadlineMs - now), signal);
         const outcome = await Promise.race([report, reportTimeout]);
@@ -106,6 +110,14 @@
     }
   }
 
+  private withReportedWaits({ attemptId, rank, later }: StageSubmission): StageSubmission["later"] {
+    return later.map((each) => {
+      const { service, resultBytes = 0 } = each;
+      const wait = this.parts.stageLoads.reported(service, attemptId, rank, resultBytes);
+      return wait === undefined ? each : { ...each, wait };
+    });
+  }
+
   /** Releases results that are no longer needed. */
   release(service: string, attemptId: string, handles: readonly string[]): void {
     if (handles.length === 0) return;
--- a/src/forward/stage-loads.ts
+++ b/src/forward/stage-loads.ts
@@ -1,3 +1,4 @@
+import type { ReportedWait } from "../congestion/reported-waits.js";
 import type { Timers } from "../time/timers.js";
 import { shardOf } from "./stage-shard.js";
 import { type StageWaits, waitMsForRank } from "./stage-wait.js";
@@ -27,10 +28,21 @@
 
   /** Estimated wait of the pieces of a request in ms; assumes that queues drain between reports. */
   waitMs(service: string, attemptId: string, rank: number, resultBytes: number): number {
+    const reported = this.reported(service, attemptId, rank, resultBytes);
+    return reported === undefined ? 0 : Math.max(0, reported.ms - reported.ageMs);
+  }
+
+  /** The last reported wait of the pieces of a request. */
+  reported(
+    service: string,
+    attemptId: string,
+    rank: number,
+    resultBytes: number,
+  ): ReportedWait | undefined {
     const report = this.waitReports.get(this.key(service, attemptId));
-    if (report === undefined) return 0;
-    const ageMs = this.timers.now() - report.receivedAtMs;
-    return Math.max(0, waitMsForRank(report.waits, rank, resultBytes) - ageMs);
+    if (report === undefined) return undefined;
+    const ms = waitMsForRank(report.waits, rank, resultBytes);
+    return { ms, ageMs: this.timers.now() - report.receivedAtMs };
   }
 
   private key(service: string, attemptId: string): string {
--- a/src/forward/stage-phase.ts
+++ b/src/forward/stage-phase.ts
@@ -31,6 +31,7 @@
   /** Longest wait over all stages that is allowed, in ms. */
   readonly allowedMs: number;
   readonly rank: number;
+  readonly returning: boolean;
   /** On the monotonic clock, in ms. */
   readonly targetMs: number;
   readonly deadlineMs: number;
@@ -47,7 +48,7 @@
   private readonly retainedHandles = new Map<string, Set<string>>();
   private readonly failure = new AbortController();
   private possiblyRunSubmissions = 0;
-  private laterPiecesSent = false;
+  private firstSubmitted = false;
   private ended = false;
 
   private constructor(
@@ -122,6 +123,8 @@
       targetLeftMs: targetMs - now,
       leftMs: deadlineMs - now,
       afterMs: this.afterMs(index),
+      first: this.task.run === 0 && !this.firstSubmitted,
+      returning: this.task.returning,
       later: this.takeLaterPieces(index),
       allowedMs: this.task.allowedMs,
       resultBytes: stage.resultBytes,
@@ -193,12 +196,12 @@
   }
 
   /** Pieces of all other stages in the first call; empty in later calls. */
-  private takeLaterPieces(first: number): { service: string; pieces: number }[] {
-    if (this.laterPiecesSent) return [];
-    this.laterPiecesSent = true;
-    return this.task.route.stages.flatMap(({ service }, index) => {
+  private takeLaterPieces(first: number): StageSubmission["later"] {
+    if (this.firstSubmitted) return [];
+    this.firstSubmitted = true;
+    return this.task.route.stages.flatMap(({ service, resultBytes }, index) => {
       const pieces = this.task.attributes.pieces[index] ?? 0;
-      return index === first || pieces === 0 ? [] : [{ service, pieces }];
+      return index === first || pieces === 0 ? [] : [{ service, pieces, resultBytes }];
     });
   }
 
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -1,3 +1,4 @@
+import { type PathWait, refusalDelayMs } from "../congestion/refusal-delay.js";
 import { CallDelays } from "./call-delays.js";
 import { PieceFailure, type PieceResult } from "./piece-result.js";
 import type { QueuedPiece } from "./queued-submission.js";
@@ -53,8 +54,8 @@
     return new StagePool(parts);
   }
 
-  /** Queues a submission if its deadline can be met; a repeated one gets its outcome again. */
-  submit(submission: StageSubmission): StageTicket {
+  /** Queues a submission unless it would be late; a repeated one gets its outcome again. */
+  submit(submission: StageSubmission, pathWaitMs: PathWait = (ownMs) => ownMs): StageTicket {
     const capacity = this.parts.capacity();
     const upstreams = this.parts.upstreams().length;
     if (capacity === undefined || upstreams === 0) {
@@ -63,16 +64,16 @@
     const key = submissionKey(submission);
     const waits = this.waits(capacity);
     const { rank, resultBytes, pieces } = submission;
-    const callMs = expectedCallMs(capacity, pieces);
-    const expectedMs = waitMsForRank(waits, rank, resultBytes) + callMs;
+    const waitMs = waitMsForRank(waits, rank, resultBytes);
+    const expectedMs = waitMs + expectedCallMs(capacity, pieces);
     const known = this.registry.find(key);
     if (known !== undefined) {
       if (known.outcome !== undefined) this.parts.onEnded(submission, known.outcome);
       return { kind: "accepted", expectedMs, waits };
     }
-    if (expectedMs + submission.afterMs > submission.leftMs) {
-      return { kind: "refused", retryAfterMs: expectedMs, waits };
-    }
+    const times = { resultsMs: expectedMs, pathWaitMs: pathWaitMs(waitMs) };
+    const retryAfterMs = refusalDelayMs(submission, times);
+    if (retryAfterMs !== undefined) return { kind: "refused", retryAfterMs, waits };
     this.forecast.recordArrival(rank, pieces);
     const queued = this.registry.add(submission);
     this.queue.add(queued.handles.map((_, piece) => ({ parent: queued, piece })));
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { FirstStageAdmission } from "../congestion/first-stage-admission.js";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import type { HeldPermits } from "../limit/held-permits.js";
@@ -8,15 +9,14 @@
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { RetryBudget } from "./retry-budget.js";
-import { AdmittedBacklog } from "./admitted-backlog.js";
 import type { RouteView } from "./route-view.js";
 import type { StageCaller } from "./stage-caller.js";
 import { type StageOutcome, type StageTicket, stageOutcomeSchema } from "./stage-outcome.js";
 import { StagePool } from "./stage-pool.js";
 import { effectiveUpstreams } from "./effective-upstreams.js";
-import { piecesPerMs } from "./stage-timing.js";
+import { CALL_FILL_FRACTION, piecesPerMs } from "./stage-timing.js";
 import type { StageOwners } from "./stage-owners.js";
-import { shardOf, shardUpstreams, shardCount } from "./stage-shard.js";
+import { shardOf, shardUpstreams } from "./stage-shard.js";
 import {
   type StageSubmission,
   type SubmissionIdentity,
@@ -29,8 +29,6 @@
 /** Limits of the peer calls that report an outcome to the submitter. */
 const REPORT_TIMEOUT_MS = 500;
 const MAX_REPORT_ATTEMPTS = 3;
-/** Fraction of the full throughput that is reached; some calls wait for inputs or transfers. */
-const CALL_FILL_FRACTION = 0.85;
 
 const identityFields = { attemptId: z.string(), stage: z.number(), run: z.number() };
 const cancelSchema = z.object({ service: z.string(), ...identityFields });
@@ -65,11 +63,16 @@
   private readonly pools = new Map<string, StagePool>();
   /** Submitting instance by submission key. */
   private readonly submitters = new Map<string, string>();
-  /** Backlog by shard of the first stage; shards share the throughput of later services equally. */
-  private readonly backlogs = new Map<string, AdmittedBacklog>();
+  private readonly firstStageAdmission: FirstStageAdmission;
   private reportLocally: (report: StageReport) => void = () => undefined;
 
-  private constructor(private readonly parts: Parts) {}
+  private constructor(private readonly parts: Parts) {
+    this.firstStageAdmission = FirstStageAdmission.create({
+      timers: parts.timers,
+      upstreams: (service) => parts.directory.forService(service).length,
+      piecesPerMs: (service) => this.piecesPerMs(service),
+    });
+  }
 
   static create(parts: Parts): StagePools {
     const pools = new StagePools(parts);
@@ -135,36 +138,20 @@
     return ticket;
   }
 
-  /** Refuses a request if admitted work that has not reached its later stages overloads them. */
+  /** Refuses a request whose target the waits at its stages do not allow. */
   private admit(submission: StageSubmission): StageTicket {
-    const { rank, later, allowedMs, pieces } = submission;
-    const backlog = this.backlogFor(submission);
-    const laterMs = later.map(({ service }) => backlog.waitMs(service, rank));
-    const waitMs = Math.max(0, ...laterMs);
-    if (waitMs > allowedMs) return { kind: "refused", retryAfterMs: waitMs - allowedMs };
-    const ticket = this.pool(submission).submit(submission);
-    if (ticket.kind === "accepted") {
-      for (const each of later) backlog.add(each.service, rank, each.pieces);
-      if (later.length > 0) backlog.add(submission.service, rank, pieces);
+    const { firstStageAdmission } = this;
+    const ticket = this.pool(submission).submit(submission, (ownMs) =>
+      firstStageAdmission.waitMs(submission, ownMs),
+    );
+    if (ticket.kind === "refused") {
+      const retryAfterMs = firstStageAdmission.returnDelayMs(submission, ticket.retryAfterMs);
+      return { ...ticket, retryAfterMs };
     }
+    firstStageAdmission.recordAccepted(submission);
     return ticket;
   }
 
-  private backlogFor({ service, attemptId }: StageSubmission): AdmittedBacklog {
-    const upstreams = this.parts.directory.forService(service).length;
-    const shards = shardCount(upstreams);
-    const key = `${service}/${shardOf(attemptId, upstreams)}/${shards}`;
-    let backlog = this.backlogs.get(key);
-    if (backlog === undefined) {
-      backlog = AdmittedBacklog.create(
-        this.parts.timers,
-        (later) => this.piecesPerMs(later) / shards,
-      );
-      this.backlogs.set(key, backlog);
-    }
-    return backlog;
-  }
-
   /** Throughput of the upstreams of a service in pieces per ms, over all shards. */
   private piecesPerMs(service: string): number {
     const { directory, routeView, upstreamHealth } = this.parts;
@@ -173,7 +160,8 @@
     const entries = directory.forService(service);
     const upstreams =
       entries.length === 0 ? 0 : effectiveUpstreams(entries, upstreamHealth, capacity);
-    return CALL_FILL_FRACTION * piecesPerMs(capacity, upstreams);
+    const latencyRatio = Math.max(1, upstreamHealth.medianLatencyRatio(entries));
+    return (CALL_FILL_FRACTION * piecesPerMs(capacity, upstreams)) / latencyRatio;
   }
 
   cancel(submission: SubmissionIdentity & Pick<StageSubmission, "service">): void {
--- a/src/forward/stage-submission.ts
+++ b/src/forward/stage-submission.ts
@@ -18,9 +18,21 @@
   /** Minimum time that the request needs after this stage, in ms. */
   afterMs: z.number(),
   /** Pieces at the other stages; empty except in the first submission of a request. */
-  later: z.array(z.object({ service: z.string(), pieces: z.number() })),
+  later: z.array(
+    z.object({
+      service: z.string(),
+      pieces: z.number(),
+      resultBytes: z.number().optional(),
+      /** Wait there of the last submission of the submitter; absent if it knows none. */
+      wait: z.object({ ms: z.number(), ageMs: z.number() }).optional(),
+    }),
+  ),
   /** Longest wait over all stages with which the request still meets its target, in ms. */
   allowedMs: z.number(),
+  /** Whether no stage of the request has been submitted before; absent from older instances. */
+  first: z.boolean().optional(),
+  /** Whether the caller was refused before and has probably kept its retry delay. */
+  returning: z.boolean().optional(),
   /** Approximate size of one result in bytes. */
   resultBytes: z.number(),
   /** Bytes transferred between data centres for each piece that runs in another one. */
--- a/src/forward/stage-wait-forecast.ts
+++ b/src/forward/stage-wait-forecast.ts
@@ -1,7 +1,7 @@
 import { DecayedSum } from "../admission/decayed-sum.js";
 import type { Timers } from "../time/timers.js";
 import type { StageCapacity } from "./service-definition.js";
-import { fullCallMs, piecesPerMs } from "./stage-timing.js";
+import { CALL_FILL_FRACTION, fullCallMs, piecesPerMs } from "./stage-timing.js";
 import type { QueuedWork } from "./stage-queue.js";
 import { type StageWaits, TRACKED_RANKS } from "./stage-wait.js";
 
@@ -50,7 +50,7 @@
   waits(input: ForecastInput): StageWaits {
     const { capacity, upstreams, callTimeRatio } = input;
     const fullMs = callTimeRatio * fullCallMs(capacity);
-    const rate = piecesPerMs(capacity, upstreams) / callTimeRatio;
+    const rate = (CALL_FILL_FRACTION * piecesPerMs(capacity, upstreams)) / callTimeRatio;
     const bytesPerMs = (upstreams * capacity.resultBytes) / (fullMs + RESULT_HOLD_MS);
     const busyMs = input.allBusy ? fullMs / (upstreams * capacity.maxCalls + 1) : 0;
     const small: number[] = [];
