--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -132,6 +132,8 @@
       pieces: submission.pieces,
       rank: submission.rank,
       leftMs: submission.leftMs,
+      allowedMs: submission.allowedMs,
+      returning: submission.returning,
       from,
       ...ticket,
     });
