Count released results in every pool of a service

An owner of two shards of a service, or one that kept a pool of an earlier number of shards, told only the first of them that results were released. The memory of the upstreams of the others counted as used until the results expired, 4 s later, and their calls carried fewer pieces meanwhile. The pools of a service now share what they know of the memory of its upstreams.

The scenario in stage-owners.feature fails with a memory for each pool.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -75,3 +75,9 @@
     Then it still owns the service
     When the owner of a service is late once
     Then another instance owns the service
+
+  # Guards against memory that counts as used until its results expire, when the pool that is told
+  # of a release is not the one that made them.
+  Scenario: Results that one pool of a service releases make room for the others
+    When an owner of two pools of a service fills the memory of its upstreams twice, with a release between
+    Then all its submissions are done before results expire
--- a/features/steps/stage-owners.ts
+++ b/features/steps/stage-owners.ts
@@ -61,7 +61,11 @@
   };
 }
 
-function createParts(counts: Readonly<Record<string, number>>, peers: readonly string[]) {
+function createParts(
+  counts: Readonly<Record<string, number>>,
+  peers: readonly string[],
+  stageCaller: Partial<StageCaller> = { call: () => new Promise(() => undefined) },
+) {
   const timers = ManualTimers.create();
   const directory = UpstreamDirectory.create({ timers });
   const entries = Object.entries(counts).flatMap(([service, count]) =>
@@ -95,7 +99,7 @@
     directory,
     upstreamHealth: UpstreamHealthRegistry.create({ timers, directory }),
     heldPermits: { isReady: () => true, take: () => undefined },
-    stageCaller: { call: () => new Promise(() => undefined) } as unknown as StageCaller,
+    stageCaller: stageCaller as StageCaller,
     retryBudget: RetryBudget.create({ timers, retryBudgetLimits, liveInstances: () => 1 }),
     decisionLines: DecisionLines.create({ log, timers }),
     stageLoads: StageLoads.create({ timers, directory }),
@@ -194,3 +198,43 @@
     (error) => error instanceof ServeError && error.kind === ErrorKind.NotReady,
   );
 });
+
+When(
+  "an owner of two pools of a service fills the memory of its upstreams twice, with a release between",
+  async function (this: OwnersWorld) {
+    let sequence = 0;
+    const parts = createParts({ first: 16 }, [], {
+      call: (entry, pieces) => {
+        const results = pieces.map(() => {
+          sequence += 1;
+          return { kind: "made", handle: `${entry.id}/${sequence}` } as const;
+        });
+        return Promise.resolve({ kind: "results", results });
+      },
+      release: (handles, onReleased) => {
+        handles.forEach(onReleased);
+      },
+    });
+    this.reports = [];
+    parts.stagePools.onReport((report) => this.reports.push(report));
+    const perShard = [0, 0];
+    for (let index = 0; perShard.some((count) => count < 16); index += 1) {
+      const attemptId = `r${index}`;
+      const shard = shardOf(attemptId, 16);
+      const count = perShard[shard] ?? 0;
+      if (count >= 16) continue;
+      perShard[shard] = count + 1;
+      const submission = submissionOf({ attemptId, pieces: 10, resultBytes: 100_000 });
+      parts.stagePools.submit(submission, "self");
+    }
+    await parts.timers.advance(300);
+    for (const { outcome } of this.reports)
+      if (outcome.kind === "made") parts.stagePools.release("first", outcome.handles);
+    await parts.timers.advance(300);
+  },
+);
+
+Then("all its submissions are done before results expire", function (this: OwnersWorld) {
+  const made = this.reports.filter(({ outcome }) => outcome.kind === "made");
+  assert.equal(made.length, 32);
+});
--- a/features/support/stage-bench.ts
+++ b/features/support/stage-bench.ts
@@ -9,6 +9,7 @@
 import type { UpstreamEntry } from "../../src/forward/upstream-entry.js";
 import type { UpstreamHealth } from "../../src/forward/upstream-health.js";
 import { UpstreamHealthRegistry } from "../../src/forward/upstream-health-registry.js";
+import { UpstreamResultMemory } from "../../src/forward/upstream-result-memory.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 
 const DATA_CENTRES = ["a", "b", "c"];
@@ -47,6 +48,7 @@
     upstreams: number,
     private readonly batchCapacity: Pick<StageCapacity, "maxPieces" | "baseCallMs" | "pieceMs">,
     readonly timers: ManualTimers,
+    memory: UpstreamResultMemory,
   ) {
     this.entries = DATA_CENTRES.slice(0, upstreams).map((dataCentre, index) => ({
       id: `u${index}`,
@@ -62,6 +64,7 @@
     const directory = UpstreamDirectory.create({ timers: this.timers });
     this.healthRegistry = UpstreamHealthRegistry.create({ timers: this.timers, directory });
     this.pool = StagePool.create({
+      memory,
       timers: this.timers,
       upstreamHealth: this.healthRegistry,
       heldPermits: { isReady: () => true, take: () => undefined },
@@ -97,8 +100,9 @@
     upstreams: number,
     batchCapacity: Pick<StageCapacity, "maxPieces" | "baseCallMs" | "pieceMs">,
     timers = ManualTimers.create(),
+    memory = UpstreamResultMemory.create(timers),
   ): StageBench {
-    return new StageBench(upstreams, batchCapacity, timers);
+    return new StageBench(upstreams, batchCapacity, timers, memory);
   }
 
   submit(changes: Partial<StageSubmission>, pathWaitMs?: (ownMs: number) => number): StageTicket {
--- a/src/forward/stage-pool-parts.ts
+++ b/src/forward/stage-pool-parts.ts
@@ -6,6 +6,7 @@
 import type { StageSubmission } from "./stage-submission.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
+import type { UpstreamResultMemory } from "./upstream-result-memory.js";
 
 /** Dependencies of the pool of one stage service. */
 export interface StagePoolParts {
@@ -13,6 +14,8 @@
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly heldPermits: Pick<HeldPermits, "isReady" | "take">;
   readonly stageCaller: Pick<StageCaller, "call" | "release">;
+  /** Shared by the pools of the service, as any of them may be told of a release. */
+  readonly memory: UpstreamResultMemory;
   /** Upstreams that this pool sends calls to. */
   readonly upstreams: () => readonly UpstreamEntry[];
   readonly capacity: () => StageCapacity | undefined;
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -2,7 +2,6 @@
 import { CallDelays } from "./call-delays.js";
 import { PieceFailure, type PieceResult } from "./piece-result.js";
 import type { QueuedPiece } from "./queued-submission.js";
-import { UpstreamResultMemory } from "./upstream-result-memory.js";
 import { RunningCalls } from "./running-calls.js";
 import type { StageCapacity } from "./service-definition.js";
 import { StageWaitForecast } from "./stage-wait-forecast.js";
@@ -27,7 +26,6 @@
 /** Batches the pieces of all instances into calls to the upstreams of one stage service. */
 export class StagePool {
   private readonly queue = StageQueue.create();
-  private readonly memory: UpstreamResultMemory;
   private readonly calls: RunningCalls;
   private readonly forecast: StageWaitForecast;
   private readonly registry: SubmissionRegistry;
@@ -44,7 +42,6 @@
         this.release(handles);
       },
     });
-    this.memory = UpstreamResultMemory.create(parts.timers);
     this.calls = RunningCalls.create(parts.timers);
     this.delays = CallDelays.create(parts.timers);
     this.forecast = StageWaitForecast.create(parts.timers);
@@ -94,7 +91,7 @@
   /** Releases results at their upstreams. */
   release(handles: readonly string[]): void {
     this.parts.stageCaller.release(handles, (handle) => {
-      this.memory.release(handle);
+      this.parts.memory.release(handle);
       this.fillCalls();
     });
   }
@@ -149,7 +146,7 @@
     limits: Omit<CallTarget, "dataCentre" | "resultBytes">,
   ): void {
     if (this.queue.size === 0 || !this.isFree(entry, capacity)) return;
-    const resultBytes = this.memory.of(entry.id).freeBytes(capacity.resultBytes);
+    const resultBytes = this.parts.memory.of(entry.id).freeBytes(capacity.resultBytes);
     const target = { ...limits, dataCentre: entry.dataCentre, resultBytes };
     const pieces = this.queue.takeBatch(target, this.parts.timers.now());
     if (this.delays.shouldDelay(entry.id, { pieces, waiting: this.queue.size, target })) {
@@ -184,7 +181,7 @@
     const expectedMs = latencyRatio * expectedCallMs(capacity, pieces.length);
     const endCall = this.calls.begin(entry.id, capacity.maxCalls, expectedMs, this.refill);
     const bytes = pieces.reduce((sum, { parent }) => sum + parent.submission.resultBytes, 0);
-    const endReservation = this.memory.of(entry.id).reserve(bytes);
+    const endReservation = this.parts.memory.of(entry.id).reserve(bytes);
     try {
       const permit = this.parts.heldPermits.take(entry);
       const outcome = await stageCaller.call(entry, pieces, capacity, permit);
@@ -219,7 +216,9 @@
   ): void {
     const { parent } = piece;
     if (result.kind === "made") {
-      this.memory.of(entry.id).add(result.handle, parent.submission.resultBytes, capacity.ttlMs);
+      this.parts.memory
+        .of(entry.id)
+        .add(result.handle, parent.submission.resultBytes, capacity.ttlMs);
       if (parent.ended) this.release([result.handle]);
       else this.registry.recordResult(piece, result.handle, entry.dataCentre);
       return;
@@ -230,7 +229,7 @@
         this.registry.fail(parent, result.reason);
         return;
       case PieceFailure.NoRoom:
-        this.memory.of(entry.id).markFull(MEMORY_FULL_PAUSE_MS);
+        this.parts.memory.of(entry.id).markFull(MEMORY_FULL_PAUSE_MS);
         if (!parent.ended) this.queue.add([piece]);
         return;
       case PieceFailure.Failed:
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -25,6 +25,7 @@
 } from "./stage-submission.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 import type { UpstreamHealthRegistry } from "./upstream-health-registry.js";
+import { UpstreamResultMemory } from "./upstream-result-memory.js";
 
 /** Limits of the peer calls that report an outcome to the submitter. */
 const REPORT_TIMEOUT_MS = 500;
@@ -63,6 +64,8 @@
   private readonly pools = new Map<string, StagePool>();
   /** Submitting instance by submission key. */
   private readonly submitters = new Map<string, string>();
+  /** Result memory of the upstreams by service. */
+  private readonly memories = new Map<string, UpstreamResultMemory>();
   private readonly firstStageAdmission: FirstStageAdmission;
   private reportLocally: (report: StageReport) => void = () => undefined;
 
@@ -186,6 +189,7 @@
     if (pool === undefined) {
       pool = StagePool.create({
         ...this.parts,
+        memory: this.memoryOf(service),
         upstreams: () => shardUpstreams(directory.forService(service), shard),
         capacity: () => routeView.configuration?.services.get(service)?.stage,
         tryTakeRetry: () => retryBudget.tryTakeRetry(service),
@@ -196,6 +200,12 @@
     return pool;
   }
 
+  private memoryOf(service: string): UpstreamResultMemory {
+    const memory = this.memories.get(service) ?? UpstreamResultMemory.create(this.parts.timers);
+    this.memories.set(service, memory);
+    return memory;
+  }
+
   private async report(submission: StageSubmission, outcome: StageOutcome): Promise<void> {
     const { attemptId, stage, run, service } = submission;
     const key = submissionKey(submission);
