--- a/features/settings.feature
+++ b/features/settings.feature
@@ -38,3 +38,17 @@
       | "upstreams.0.service"   | "\"none\""       | upstreams.0.service: "none" is not defined    |
       | "classes.0.rank"        | "\"top\""        | classes.0.rank                                |
       | "classes.0.target.share" | "2"             | classes.0.target.share                        |
+
+  # Guards against bounds of a deployment that are dropped or misread without a word.
+  Scenario Outline: Two numbers of the command line
+    Then the numbers "<text>" are read as <read>
+
+    Examples:
+      | text     | read                                                       |
+      | 350,4100 | 350 and 4100                                               |
+      | 1.5,0    | 1.5 and 0                                                  |
+      | ,        | none and none                                              |
+      | ,5       | none and 5                                                 |
+      | 1.5      | limits: must be two numbers, separated by a comma: "1.5"   |
+      | 1,-2     | limits: must be two numbers, separated by a comma: "1,-2"  |
+      | 1,2,3    | limits: must be two numbers, separated by a comma: "1,2,3" |
--- a/features/steps/settings.ts
+++ b/features/steps/settings.ts
@@ -3,6 +3,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import { Configuration } from "../../src/configuration/configuration.js";
 import { ServeError } from "../../src/error/serve-error.js";
+import { parseNumberPair } from "../../src/settings/number-pair.js";
 import { parseSettings } from "../../src/settings/load-settings.js";
 
 interface Checks {
@@ -78,3 +79,17 @@
   const [error] = this.errors ?? [];
   assert.ok(error?.includes(text), `${error ?? "no error"} does not name ${text}`);
 });
+
+Then(/^the numbers "(.*)" are read as (.+)$/, (text: string, read: string) => {
+  assert.equal(pairText(text), read);
+});
+
+function pairText(text: string): string {
+  try {
+    return parseNumberPair("limits", text)
+      .map((each) => each ?? "none")
+      .join(" and ");
+  } catch (error) {
+    return error instanceof Error ? error.message : String(error);
+  }
+}
--- a/src/upstream/response-receiver.ts
+++ b/src/upstream/response-receiver.ts
@@ -1,13 +1,19 @@
 import { Readable } from "node:stream";
 import type { Client, Dispatcher } from "undici";
 import type { PausableSocket } from "./pausable-socket.js";
+import { hasKnownLength } from "./response-end.js";
 import type { UpstreamResponse } from "./upstream-response.js";
 
 const MIN_FINAL_STATUS = 200;
+/** Statuses of responses that end with their head. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** HTTP defines no higher status. */
+const MAX_STATUS = 599;
 /** Bytes of a body that are read ahead; in chunks of one byte, each takes some hundred bytes. */
 const MAX_UNREAD_BYTES = 16_384;
 
 interface Parts {
+  readonly method: Dispatcher.HttpMethod;
   readonly socket: PausableSocket;
   readonly signal: AbortSignal;
   readonly resolve: (response: UpstreamResponse) => void;
@@ -19,6 +25,8 @@
   private controller: Dispatcher.DispatchController | undefined;
   private body: Readable | undefined;
   private complete = false;
+  /** Whether the end of the connection is the only end that the response has. */
+  private endsWithConnection = false;
   private readonly onAbort = (): void => {
     this.controller?.abort(this.parts.signal.reason as Error);
   };
@@ -34,7 +42,8 @@
     { signal, ...options }: Dispatcher.DispatchOptions & { readonly signal: AbortSignal },
   ): Promise<UpstreamResponse> {
     return new Promise((resolve, reject) => {
-      const parts = { socket, signal, resolve, reject };
+      const { method } = options;
+      const parts = { method, socket, signal, resolve, reject };
       client.dispatch(options, new ResponseReceiver(parts));
     });
   }
@@ -50,7 +59,13 @@
     headers: UpstreamResponse["headers"],
   ): void {
     if (statusCode < MIN_FINAL_STATUS) return;
-    const { socket } = this.parts;
+    if (statusCode > MAX_STATUS) {
+      controller.abort(new Error(`HTTP has no status ${statusCode}`));
+      return;
+    }
+    const { socket, method } = this.parts;
+    const hasBody = method !== "HEAD" && !BODILESS_STATUSES.has(statusCode);
+    this.endsWithConnection = hasBody && !hasKnownLength(headers);
     const body = new Readable({
       highWaterMark: MAX_UNREAD_BYTES,
       read: () => {
@@ -72,7 +87,15 @@
     if (this.body?.push(chunk) === false) this.parts.socket.pauseReceiving();
   }
 
-  onResponseEnd(): void {
+  onResponseEnd(controller: Dispatcher.DispatchController): void {
+    // An upstream that ends the connection before it has the whole request has broken off.
+    if (this.endsWithConnection && this.parts.socket.writableLength > 0) {
+      this.onResponseError(
+        controller,
+        new Error("the connection ended while the request was still being sent"),
+      );
+      return;
+    }
     this.end();
     this.complete = true;
     this.body?.push(null);
