Keep a body that has ended, and read connections on which requests wait

A body counts as whole from its end; a connection is always read. A fifth of the descriptors, not 64, stays for files, peers and the store.

--- a/features/caller-bounds.feature
+++ b/features/caller-bounds.feature
@@ -4,12 +4,12 @@
   Scenario: Requests that are sent ahead start one after the other
     Given a connection on which 2 requests may wait
     When 3 requests arrive on it at once
-    Then the requests that have started are 1, and the connection is paused
+    Then the requests that have started are 1
     When the response to request 1 ends
-    Then the requests that have started are 1, 2, and the connection is paused
+    Then the requests that have started are 1, 2
     When the response to request 2 ends
     And the response to request 3 ends
-    Then the requests that have started are 1, 2, 3, and the connection is read
+    Then the requests that have started are 1, 2, 3
 
   Scenario: A connection with too many requests sent ahead is closed, with a log line for its team
     Given a connection on which 2 requests may wait
@@ -35,6 +35,12 @@
     Then it is read whole
     And the bodies of 50000 bytes are refused as not run
 
+  # Guards against a body that is passed on empty.
+  Scenario: A body that ends in the turn in which another one needs its memory is kept
+    Given 200000 bytes of memory for all bodies
+    When a body of 120000 bytes of team "one" ends as 120000 bytes of team "two" are reserved
+    Then the body has 120000 bytes, and the others were not reserved
+
   Scenario: A body of the team that holds most is refused for no other one of its team
     Given 200000 bytes of memory for all bodies
     And unfinished bodies of 120000 and 50000 bytes of team "one"
@@ -53,5 +59,5 @@
 
   Scenario: Shares of callers follow from the limits of the process
     Then with 350 MB and 4100 descriptors callers get at least 1000 connections
-    And with 350 MB and 400 descriptors callers get at most 168 connections
+    And with 350 MB and 400 descriptors callers get at most 160 connections
     And with 100 MB and 4100 descriptors callers get at most 400 connections
--- a/src/intake/caller-body.ts
+++ b/src/intake/caller-body.ts
@@ -67,6 +67,10 @@
     this.buffer = buffer;
     this.lastChunkMs = this.timers.now();
     this.budget.add(this);
+    // Before anything else runs, as the body of another caller may need memory in the same turn.
+    message.once("end", () => {
+      this.complete = true;
+    });
     try {
       const refused = new Promise<never>((_resolve, reject) => (this.refuse = reject));
       const consumed = consumeBody(
@@ -82,7 +86,6 @@
         signal,
       );
       await Promise.race([consumed, refused]);
-      this.complete = true;
       return buffer.bytes;
     } catch (error) {
       this.clear();
--- a/src/intake/caller-connection.ts
+++ b/src/intake/caller-connection.ts
@@ -2,8 +2,8 @@
 import type { Socket } from "node:net";
 
 /**
- * Starts the requests of one connection one after the other, and reads no further ones from it while
- * a response is not read.
+ * Starts the requests of one connection one after the other. The connection is read all the while,
+ * so that its end is noticed; a caller that sends too many requests ahead loses it.
  */
 export class CallerConnection {
   private current: ServerResponse | undefined;
@@ -46,7 +46,6 @@
       this.run(response, start);
       return;
     }
-    this.socket.pause();
     this.waiting.push([response, start]);
     if (this.waiting.length <= this.maxAhead) return;
     this.waiting.length = 0;
@@ -60,7 +59,6 @@
       this.current = undefined;
       const next = this.waiting.shift();
       if (next !== undefined) this.run(...next);
-      else if (this.socket.isPaused()) this.socket.resume();
     });
     start();
   }
--- a/src/intake/caller-shares.ts
+++ b/src/intake/caller-shares.ts
@@ -11,8 +11,8 @@
 /** Memory of the runtime and its code outside the heap, as measured, with peers and updates. */
 const RUNTIME_BYTES = 67_108_864;
 const MIN_BUFFER_BYTES = 8_388_608;
-/** Descriptors for files, peers, the store, health checks and metrics. */
-const RESERVED_DESCRIPTORS = 64;
+/** Part of the descriptors for files, peers, the store, health checks and metrics. */
+const RESERVED_FRACTION = 0.2;
 /** Each request in progress has a connection of its caller and one to an upstream. */
 const DESCRIPTORS_PER_REQUEST = 2;
 const DEFAULT_DESCRIPTORS = 1_024;
@@ -39,7 +39,7 @@
   const { memoryBytes = totalmem(), maxDescriptors = descriptorLimit() } = limits;
   const heapBytes = getHeapStatistics().heap_size_limit;
   const outsideHeap = Math.max(MIN_BUFFER_BYTES, memoryBytes - heapBytes - RUNTIME_BYTES);
-  const byDescriptors = (maxDescriptors - RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_REQUEST;
+  const byDescriptors = ((1 - RESERVED_FRACTION) * maxDescriptors) / DESCRIPTORS_PER_REQUEST;
   const byMemory = (HEAD_FRACTION * memoryBytes) / HEAD_BYTES;
   return {
     bufferBytes: Math.min(HEAP_FRACTION * heapBytes, outsideHeap),
