--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -1,9 +1,4 @@
 import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
-import { BufferBudget } from "../buffer/buffer-budget.js";
-import { CallerConnections } from "../intake/caller-connections.js";
-import { CallerLosses } from "../intake/caller-losses.js";
-import { type CallerShares, callerSharesOf } from "../intake/caller-shares.js";
-import { UnreadResponses } from "../intake/unread-responses.js";
 import type { ConsolaInstance } from "consola";
 import { CrashReports } from "../crash/crash-reports.js";
 import { PromptGuard } from "../crash/prompt-guard.js";
@@ -58,6 +53,7 @@
 import type { Timers } from "../time/timers.js";
 import type { RowStore } from "../version/row-store.js";
 import { type PeerCradle, peerParts } from "./peer-parts.js";
+import { type IntakeCradle, intakeParts } from "./intake-parts.js";
 import { type IsolationCradle, isolationParts } from "./isolation-parts.js";
 import { Readiness } from "./readiness.js";
 import { type VersionCradle, versionParts } from "./version-parts.js";
@@ -71,7 +67,11 @@
 
 /** The parts of a daemon on the platform by name. */
 export interface FrontCradle
-  extends Omit<PeerCradle, "demandReports" | "peerVersions">, VersionCradle, IsolationCradle {
+  extends
+    Omit<PeerCradle, "demandReports" | "peerVersions">,
+    VersionCradle,
+    IsolationCradle,
+    IntakeCradle {
   readonly frontSettings: FrontSettings;
   readonly settings: PeerSettings;
   readonly self: string;
@@ -84,11 +84,6 @@
   readonly decisionLines: DecisionLines;
   readonly pauses: PauseDetection;
   readonly loopDelay: LoopDelay;
-  readonly bufferBudget: BufferBudget;
-  readonly callerShares: CallerShares;
-  readonly callerLosses: CallerLosses;
-  readonly callerConnections: CallerConnections;
-  readonly unreadResponses: UnreadResponses;
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
   readonly rowFeed: RowFeed;
@@ -146,6 +141,7 @@
     ...peerParts,
     ...versionParts,
     ...isolationParts,
+    ...intakeParts,
     frontSettings: asValue(frontSettings),
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
@@ -164,13 +160,6 @@
     decisionLines: asFunction(DecisionLines.create).singleton(),
     pauses: asFunction(PauseDetection.create).singleton(),
     loopDelay: asFunction(LoopDelay.create).singleton(),
-    callerShares: asFunction(() => callerSharesOf(frontSettings.limits)).singleton(),
-    callerLosses: asFunction(CallerLosses.create).singleton(),
-    callerConnections: asFunction(CallerConnections.create).singleton(),
-    unreadResponses: asFunction(UnreadResponses.create).singleton(),
-    bufferBudget: asFunction(({ callerShares }: FrontCradle) =>
-      BufferBudget.create(callerShares.bufferBytes),
-    ).singleton(),
     dialect: asValue(adapter.dialect),
     rowDecoder: asValue(adapter.rowDecoder),
     rowStore: asFunction(adapter.rowStore).singleton(),
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -66,9 +66,8 @@
       this.parts.admit();
       const headMatch = requestMatcher.matchHead(head);
       cancellation.setDeadline(headMatch.deadlineMs);
-      const { configuration, team } = headMatch;
-      writer.owner = team?.name ?? "";
-      const body = await readBody(configuration.limits.bodyBytes, signal, writer.owner);
+      writer.owner = headMatch.team?.name ?? "";
+      const body = await readBody(headMatch.configuration.limits.bodyBytes, signal, writer.owner);
       // A stop may have begun meanwhile, which waits for requests that have arrived whole only.
       this.parts.admit();
       const matched = requestMatcher.match({ ...head, body }, headMatch, writer, signal);
