Send a submission that got no answer as a repeated one

Cause: StageDispatch cleared `first` only after an owner had accepted. When the first owner accepted and froze, or its answer was lost, the next owner got the submission as a first one and could refuse it for its wait: the request failed with may-have-run, not 503, while the first owner made its pieces in vain.

Change: after an owner that gave no answer, the next one (and this instance) gets `first: false`. A submission without `first`, of an older version, counts as repeated at an instance that is not the first owner by its own view.

--- a/features/stage-owners.feature
+++ b/features/stage-owners.feature
@@ -12,6 +12,18 @@
     When a stage is submitted
     Then it is refused with outcome "not-run"
 
+  # Guards against a failure without 503 while an owner that lost its answer makes pieces in vain.
+  Scenario Outline: The next owner takes a submission that the one before did not answer
+    Given an owner that does not answer and a wait on this instance that its target does not allow
+    When <instance> submits a stage to the owner and then to this instance
+    Then this instance queues it
+    And it refuses one that no other owner got before
+
+    Examples:
+      | instance                        |
+      | this instance                   |
+      | an instance of an older version |
+
   # Guards against shards that together admit twice the work that the later service can do.
   Scenario: Each shard of the first service admits its share of the work of a later service
     Given 16 upstreams of a first and 8 of a later service
--- a/src/forward/stage-dispatch.ts
+++ b/src/forward/stage-dispatch.ts
@@ -146,10 +146,11 @@
     const { service, attemptId } = submission;
     for (const owner of stageOwners.ownersFor(service, attemptId, previous)) {
       if (owner === self) break;
-      const ticket = await this.submitTo(owner, submission, earlier);
+      const ticket = await this.submitTo(owner, afterEarlier(submission, earlier), earlier);
       if (ticket !== undefined) return this.requireAccepted(owner, submission, ticket, earlier);
     }
-    return this.requireAccepted(self, submission, stagePools.submit(submission, self), earlier);
+    const ticket = stagePools.submit(afterEarlier(submission, earlier), self);
+    return this.requireAccepted(self, submission, ticket, earlier);
   }
 
   private requireAccepted(
@@ -209,3 +210,14 @@
     }
   }
 }
+
+/**
+ * An owner that gave no answer may be making the pieces: a refusal by the next one for its wait
+ * would waste them, and could not promise that nothing ran.
+ */
+function afterEarlier(
+  submission: StageSubmission,
+  { unanswered }: Readonly<EarlierSubmissions>,
+): StageSubmission {
+  return unanswered ? { ...submission, first: false } : submission;
+}
--- a/src/forward/stage-pools.ts
+++ b/src/forward/stage-pools.ts
@@ -144,8 +144,9 @@
   }
 
   /** Refuses a request whose target the waits at its stages do not allow. */
-  private admit(submission: StageSubmission): StageTicket {
+  private admit(received: StageSubmission): StageTicket {
     const { firstStageAdmission } = this;
+    const submission = this.isOlderRepeat(received) ? { ...received, first: false } : received;
     const ticket = this.pool(submission).submit(submission, (ownMs) =>
       firstStageAdmission.waitMs(submission, ownMs),
     );
@@ -157,6 +158,15 @@
     return ticket;
   }
 
+  /**
+   * Whether an instance of an older version, which does not tell first submissions from repeated
+   * ones, has probably sent this one to another owner before.
+   */
+  private isOlderRepeat({ first, service, attemptId }: StageSubmission): boolean {
+    const { self, stageOwners } = this.parts;
+    return first === undefined && stageOwners.ownersFor(service, attemptId)[0] !== self;
+  }
+
   /** Throughput of the upstreams of a service in pieces per ms, over all shards. */
   private piecesPerMs(service: string): number {
     const { directory, routeView, upstreamHealth } = this.parts;
