Count the room kept for more urgent callers against less urgent work

Cause: new work counted only the room that its own rank had promised. At an own wait of 600 ms with six refused callers of rank 4, new work of rank 4 counted 1,080 ms and was refused (1,000 ms allowed), work of rank 6 counted 600 ms and was admitted.

Change: kept room of all ranks up to the submission's own counts.

--- a/features/hard-load.feature
+++ b/features/hard-load.feature
@@ -39,3 +39,9 @@
     Given 20 callers whose work takes 40 ms each are refused, 100 ms too late
     When the last caller repeats at once 3 times
     Then its times to return do not fall
+
+  # Guards against less urgent work in the room that is kept for more urgent callers.
+  Scenario: Kept room counts as taken for its rank and all less urgent ones
+    Given 6 callers of rank 4 whose work takes 80 ms each were refused at a wait of 600 ms
+    Then new work of rank 4 and of rank 6 counts a wait of 1080 ms
+    And new work of rank 3 counts a wait of 600 ms
--- a/src/congestion/first-stage-admission.ts
+++ b/src/congestion/first-stage-admission.ts
@@ -29,7 +29,7 @@
   /** Backlog by shard of the first stage; shards share the throughput of later services equally. */
   private readonly backlogs = new Map<string, AdmittedBacklog>();
   /** Promised returns by shard of the first stage and rank. */
-  private readonly schedules = new Map<string, ReturnSchedule>();
+  private readonly schedules = new Map<string, Map<number, ReturnSchedule>>();
   /** Pieces that were admitted recently, by shard of the first stage, service and rank. */
   private readonly transits = new Map<string, DecayedSum>();
   private readonly reportedWaits: ReportedWaits;
@@ -47,7 +47,7 @@
    * includes the work that is still at the first stage, the reported waits do not.
    */
   waitMs(submission: StageSubmission, ownMs: number): number {
-    const { rank, later, first, returning, allowedMs } = submission;
+    const { rank, later, first, returning } = submission;
     const backlog = this.backlogFor(submission);
     const laterMs = later.map((each) =>
       Math.max(
@@ -57,7 +57,7 @@
     );
     const waitMs = Math.max(ownMs, ...laterMs);
     const yields = first === true && returning !== true && waitMs > SHORT_WAIT_MS;
-    return yields ? waitMs + this.scheduleFor(submission).reservedMs(allowedMs) : waitMs;
+    return yields ? waitMs + this.keptRoomMs(submission) : waitMs;
   }
 
   /** Counts the work of an accepted submission until the stages have probably done it. */
@@ -135,16 +135,27 @@
     return backlog;
   }
 
+  /** Room that is kept for callers of the rank of a submission and of all more urgent ones. */
+  private keptRoomMs(submission: StageSubmission): number {
+    return [...this.schedulesFor(submission)]
+      .filter(([rank]) => rank <= submission.rank)
+      .reduce((sum, [, schedule]) => sum + schedule.reservedMs(submission.allowedMs), 0);
+  }
+
   private scheduleFor(submission: StageSubmission): ReturnSchedule {
-    const key = `${this.shardKey(submission)}/${submission.rank}`;
-    let schedule = this.schedules.get(key);
-    if (schedule === undefined) {
-      schedule = ReturnSchedule.create(this.parts.timers);
-      this.schedules.set(key, schedule);
-    }
+    const schedules = this.schedulesFor(submission);
+    const schedule = schedules.get(submission.rank) ?? ReturnSchedule.create(this.parts.timers);
+    schedules.set(submission.rank, schedule);
     return schedule;
   }
 
+  private schedulesFor(submission: StageSubmission): Map<number, ReturnSchedule> {
+    const key = this.shardKey(submission);
+    const schedules = this.schedules.get(key) ?? new Map<number, ReturnSchedule>();
+    this.schedules.set(key, schedules);
+    return schedules;
+  }
+
   private shardKey({ service, attemptId }: StageSubmission): string {
     const upstreams = this.parts.upstreams(service);
     return `${service}/${shardOf(attemptId, upstreams)}/${shardCount(upstreams)}`;
