Hold short waits against a request only behind waiting pieces

Cause: requests with 200 ms of slack or less were allowed 200 ms of wait where it had been 500 ms. The forecast behind busy upstreams at which nothing waits is 184 ms for one upstream with calls of 368 ms, and more where it is slower: a request that earlier deployments served late was refused at a hardly loaded stage, by its instance or by the owner.

Change: the owner applies the bound below 500 ms only while pieces wait in its queue. The instance, whose reports do not tell that, allows 500 ms at least.

--- a/features/hard-load.feature
+++ b/features/hard-load.feature
@@ -45,3 +45,10 @@
     Given 6 callers of rank 4 whose work takes 80 ms each were refused at a wait of 600 ms
     Then new work of rank 4 and of rank 6 counts a wait of 1080 ms
     And new work of rank 3 counts a wait of 600 ms
+
+  # Guards against refusals of requests without slack while a stage is hardly loaded.
+  Scenario: Behind busy upstreams at which nothing waits, half a second of wait is allowed
+    Given the only upstream of a stage, 1.2 times as slow as configured, is busy and nothing waits
+    When requests without slack arrive, one after the other
+    Then the instance and the owner of the stage admit the first one
+    And the owner refuses the second one, which the instance would admit
--- a/src/congestion/refusal-delay.ts
+++ b/src/congestion/refusal-delay.ts
@@ -1,14 +1,17 @@
 import type { StageSubmission } from "../forward/stage-submission.js";
+import { allowedWithoutQueueMs } from "./wait-bound.js";
 
 /** Returns the wait over all stages of a request from the wait at its own stage, in ms. */
 export type PathWait = (ownMs: number) => number;
 
-/** Expected times of a submission in ms. */
+/** Expected times of a submission, in ms, and the queue before it. */
 export interface ExpectedTimes {
   /** Wait for a call and the call. */
   readonly resultsMs: number;
   /** Waits over all stages of the request. */
   readonly pathWaitMs: number;
+  /** Number of pieces that wait for a call. */
+  readonly waiting: number;
 }
 
 /**
@@ -20,8 +23,9 @@
  */
 export function refusalDelayMs(
   { leftMs, afterMs, later, first = later.length > 0, allowedMs }: StageSubmission,
-  { resultsMs, pathWaitMs }: ExpectedTimes,
+  { resultsMs, pathWaitMs, waiting }: ExpectedTimes,
 ): number | undefined {
   if (resultsMs + afterMs > leftMs) return resultsMs;
-  return first && pathWaitMs > allowedMs ? pathWaitMs - allowedMs : undefined;
+  const boundMs = waiting > 0 ? allowedMs : allowedWithoutQueueMs(allowedMs);
+  return first && pathWaitMs > boundMs ? pathWaitMs - boundMs : undefined;
 }
--- a/src/congestion/wait-bound.ts
+++ b/src/congestion/wait-bound.ts
@@ -6,7 +6,7 @@
 const SHORT_WAIT_MS = 500;
 
 /**
- * Longest wait in ms, over all stages of a request, with which it is worth starting. `slackMs` is
+ * Longest wait in ms, over all stages of a request, with which it is worth starting behind others. `slackMs` is
  * the time to its target that its work leaves. Answers a load slightly above the capacity of a
  * stage: if waits longer than the slack are allowed, the queue stays that long for the whole burst,
  * and all its requests end late although nearly all of them could be in time.
@@ -15,3 +15,11 @@
   const shortMs = Math.min(SHORT_WAIT_MS, Math.max(MIN_ALLOWED_WAIT_MS, slackMs));
   return Math.max(shortMs, MAX_WAIT_FRACTION * slackMs);
 }
+
+/**
+ * Longest wait in ms if no pieces are known to wait: busy upstreams alone are no overload, and their
+ * calls may be half empty. `allowedMs` is the wait by `allowedWaitMs`.
+ */
+export function allowedWithoutQueueMs(allowedMs: number): number {
+  return Math.max(SHORT_WAIT_MS, allowedMs);
+}
--- a/src/forward/stage-admission.ts
+++ b/src/forward/stage-admission.ts
@@ -1,4 +1,4 @@
-import { allowedWaitMs } from "../congestion/wait-bound.js";
+import { allowedWaitMs, allowedWithoutQueueMs } from "../congestion/wait-bound.js";
 import type { ServiceDefinition } from "./service-definition.js";
 import type { StageDefinition } from "./stage-definition.js";
 import { ENGINE_FIRST_EVENT_MS } from "./stage-timing.js";
@@ -22,7 +22,7 @@
 
 /** Whether a request should start its stages now. */
 export type Admission =
-  /** `allowedMs` is the longest wait with which the target can still be met. */
+  /** `allowedMs` is the longest wait behind queued pieces with which the request should start. */
   | { readonly kind: "admitted"; readonly waitMs: number; readonly allowedMs: number }
   | { readonly kind: "refused"; readonly waitMs: number; readonly retryAfterMs: number };
 
@@ -44,8 +44,10 @@
   });
   const slackMs = input.targetLeftMs - longest.workMs - ENGINE_FIRST_EVENT_MS;
   const allowedMs = allowedWaitMs(slackMs);
-  if (longest.waitMs <= allowedMs) return { kind: "admitted", waitMs: longest.waitMs, allowedMs };
-  const excessMs = longest.waitMs - allowedMs + RETRY_RESERVE_MS;
+  // Reports do not tell whether pieces wait; the owner of the first stage knows.
+  const boundMs = allowedWithoutQueueMs(allowedMs);
+  if (longest.waitMs <= boundMs) return { kind: "admitted", waitMs: longest.waitMs, allowedMs };
+  const excessMs = longest.waitMs - boundMs + RETRY_RESERVE_MS;
   // A caller that retries after the target has passed can only be served late.
   const retryAfterMs = Math.min(excessMs, Math.max(MIN_RETRY_AFTER_MS, slackMs));
   return { kind: "refused", waitMs: longest.waitMs, retryAfterMs };
--- a/src/forward/stage-pool.ts
+++ b/src/forward/stage-pool.ts
@@ -58,17 +58,17 @@
     if (capacity === undefined || upstreams === 0) {
       return { kind: "refused", retryAfterMs: capacity?.baseCallMs ?? 0 };
     }
-    const key = submissionKey(submission);
     const waits = this.waits(capacity);
     const { rank, resultBytes, pieces } = submission;
     const waitMs = waitMsForRank(waits, rank, resultBytes);
     const expectedMs = waitMs + expectedCallMs(capacity, pieces);
-    const known = this.registry.find(key);
+    const known = this.registry.find(submissionKey(submission));
     if (known !== undefined) {
       if (known.outcome !== undefined) this.parts.onEnded(submission, known.outcome);
       return { kind: "accepted", expectedMs, waits };
     }
-    const times = { resultsMs: expectedMs, pathWaitMs: pathWaitMs(waitMs) };
+    const waiting = this.queue.size;
+    const times = { resultsMs: expectedMs, pathWaitMs: pathWaitMs(waitMs), waiting };
     const retryAfterMs = refusalDelayMs(submission, times);
     if (retryAfterMs !== undefined) return { kind: "refused", retryAfterMs, waits };
     this.forecast.recordArrival(rank, pieces);
