Let pieces wait for their own data centre as long as before

The change of the queue is taken out with its two scenarios; the refusals by the waits of the whole path stay.

stage-pool, hard-load, stage-flood and stage-owners: all scenarios pass.

--- a/features/stage-pool.feature
+++ b/features/stage-pool.feature
@@ -56,20 +56,6 @@
     And the stage clock advances by 100 ms
     Then its pieces were sent to data centre "b"
 
-  # Guards against waits that leave a tight target no time for what comes after the stage.
-  Scenario: Bulky pieces wait for their data centre for a part of their slack only
-    Given the upstream in data centre "a" is busy
-    When a request with bulky results for data centre "a" and 1100 ms to its target arrives
-    And the stage clock advances by 220 ms
-    Then its pieces were sent to data centre "b"
-
-  # Guards against idle upstreams beside a queue of pieces that all wait for the same one.
-  Scenario: Bulky pieces fill calls elsewhere while more than a full call waits
-    Given the upstream in data centre "a" is busy
-    When 3 requests with bulky results for data centre "a" arrive
-    And the stage clock advances by 10 ms
-    Then a full call was sent to data centre "b"
-
   Scenario: Unreleased results count against the memory of their upstream
     Given upstreams have memory for 4 results
     When 4 requests of 2 pieces with results arrive
--- a/src/forward/stage-queue.ts
+++ b/src/forward/stage-queue.ts
@@ -5,8 +5,8 @@
 const MIN_AFFINITY_BYTES = 1_000_000;
 /** Longest wait for an upstream in the own data centre; about one stage call. */
 const MAX_AFFINITY_WAIT_MS = 400;
-/** Fraction of the slack before the target that may be spent on that wait. */
-const MAX_AFFINITY_SLACK_FRACTION = 0.25;
+/** Fraction of the time to the target that may be spent on that wait. */
+const MAX_AFFINITY_WAIT_FRACTION = 0.25;
 
 /** The upstream that a call is assembled for, and the limits of the call. */
 export interface CallTarget {
@@ -127,25 +127,18 @@
     return expired;
   }
 
-  /**
-   * Removes and returns the pieces of the next call; empty if none should run there now. While more
-   * than a full call waits, pieces that wait for their data centre fill calls elsewhere: their wait
-   * would be added to that of all work behind them, and retain the inputs of their stage.
-   */
+  /** Removes and returns the pieces of the next call; empty if none should run there now. */
   takeBatch(target: CallTarget, now: number): QueuedPiece[] {
     const order = { now, baseCallMs: target.baseCallMs };
-    const live = [...this.waiting].filter(([parent]) => !parent.ended);
-    live.sort(([a], [b]) => compareSubmissions(a, b, order));
+    const eligible = [...this.waiting].filter(
+      ([parent]) => !parent.ended && !this.waitsForDataCentre(parent, target, now),
+    );
+    eligible.sort(([a], [b]) => compareSubmissions(a, b, order));
     // A probe may be slow or lost, so it carries the least urgent pieces.
-    if (target.probe) live.reverse();
-    const waitsElsewhere = ([parent]: (typeof live)[number]): boolean =>
-      this.waitsForDataCentre(parent, target, now);
-    const eligible = live.filter((each) => !waitsElsewhere(each));
-    const crowded = !target.probe && this.pieceCount > target.maxPieces;
-    const others = crowded ? live.filter(waitsElsewhere) : [];
+    if (target.probe) eligible.reverse();
     const taken: QueuedPiece[] = [];
     let freeBytes = target.resultBytes;
-    for (const [parent, group] of [...eligible, ...others]) {
+    for (const [parent, group] of eligible) {
       if (taken.length >= target.maxPieces) break;
       const { resultBytes } = parent.submission;
       const fitting = Math.min(
@@ -187,7 +180,8 @@
   const { dataCentre, pieces, movedBytes } = parent.submission;
   if (dataCentre === undefined || pieces * movedBytes < MIN_AFFINITY_BYTES) return 0;
   const slackMs = stageDueMs(parent) - ENGINE_FIRST_EVENT_MS - fullMs - parent.enqueuedAtMs;
-  return Math.max(0, Math.min(MAX_AFFINITY_WAIT_MS, MAX_AFFINITY_SLACK_FRACTION * slackMs));
+  const shareMs = MAX_AFFINITY_WAIT_FRACTION * (parent.targetMs - parent.enqueuedAtMs);
+  return Math.max(0, Math.min(MAX_AFFINITY_WAIT_MS, shareMs, slackMs));
 }
 
 function compareSubmissions(
