Pace what cold upstreams get by permits of one owner

Nothing paced by cold-left-ms: each instance sent its usual load to an engine that had just started. A cold upstream now gets a request only with a permit of the owner that rendezvous hashing names, as for stated limits; the owner tells the fleet which upstreams are cold. After a pause, a failure to connect or the end of an evacuation an upstream counts as cold for a while. Settings without the bounds pace nothing. features/cold-upstreams.feature: 20 scenarios pass.

--- /dev/null
+++ b/features/cold-upstreams.feature
@@ -0,0 +1,86 @@
+Feature: Cold upstreams get what they bear from all instances together
+  Engines bear 7.3 requests per second while they are cold, and 16 in any second. Instances on a
+  manual clock read rows up to 1.5 s late; messages between them take 5 ms.
+
+  # Guards against instances that each send their usual load to engines that have just started.
+  Scenario: A data centre returns cold under 2.6 times the load with a hot prompt
+    Given 64 instances and 99 engines
+    When 541 requests per second and 106 of the hot prompt arrive for 6 s and the data centre returns
+    Then no cold engine gets more than 16 requests in a second
+    And cold engines get at least 100 requests
+    And at most 0.01 of the requests are refused
+
+  # Guards against a bound that is lost together with an owner, or doubled by its successor.
+  Scenario Outline: The bound holds when <event>
+    Given 64 instances and 9 engines
+    When the data centre returns cold
+    And its rows are read
+    And <event>
+    And 60 requests per second and 100 of the hot prompt arrive for 3 s
+    Then no cold engine gets more than 16 requests in a second
+
+    Examples:
+      | event                                  |
+      | the owner of the home ends             |
+      | the owner of the home restarts         |
+      | half of the others suspect the owner   |
+      | the fleet is split                     |
+      | 1 in 5 messages is lost                |
+
+  # Guards against what instances send before they have read that an engine is cold.
+  Scenario: Warm engines become cold under the load of calm
+    Given 64 instances and 99 engines
+    When 249 requests per second arrive for 4 s while the data centre becomes cold
+    Then no cold engine gets more than 16 requests in a second
+
+  # Guards against instances that go on with what they read before a pause.
+  Scenario: Instances that were frozen while an engine became cold
+    Given 64 instances and 9 engines
+    When 32 instances freeze while the data centre becomes cold
+    And 80 requests of the hot prompt arrive at them
+    Then no cold engine gets more than 16 requests in a second
+
+  # Guards against engines that became cold while their data centre was evacuated.
+  Scenario: The evacuation of a data centre ends
+    Given 64 instances and 9 engines
+    When the evacuation of the data centre ends and its engines are cold
+    And 60 requests per second and 100 of the hot prompt arrive for 3 s
+    Then no cold engine gets more than 16 requests in a second
+
+  # Guards against requests that are lost for want of permits, and callers that are not told.
+  Scenario: All engines are cold
+    Given 8 instances and 3 engines
+    When all engines start
+    And 0 requests per second and 60 of the hot prompt arrive for 2 s
+    Then no cold engine gets more than 16 requests in a second
+    And cold engines get at least 20 requests
+    And at least 20 requests are refused
+
+  Scenario: An earlier deployment paces nothing
+    Given 64 instances and 9 engines of an earlier deployment
+    When the data centre returns cold
+    And its rows are read
+    And 60 requests per second and 100 of the hot prompt arrive for 2 s
+    Then no permit is asked for
+    And a cold engine gets more than 60 requests in a second
+
+  Scenario Outline: The pace for <perSecond> requests per second, factor <factor> and slack <slack>
+    Then the pace of <perSecond> requests per second, factor <factor> and slack <slack> is <pace>
+
+    Examples:
+      | perSecond | factor | slack | pace |
+      | 7.3       | 1.5    | 5     | 6.64 |
+      | 2         | 1.5    | 5     | 2    |
+      | 10        | 1.2    | 0     | 4.76 |
+      | 1         | 1      | 0     | 0    |
+
+  Scenario Outline: The header "<text>" states <ms>
+    Then a response with the remaining time "<text>" states <ms>
+
+    Examples:
+      | text | ms        |
+      | 2500 | 2500      |
+      | 0    | 0         |
+      | -1   | undefined |
+      | x    | undefined |
+      | 1e99 | undefined |
--- a/features/steps/closed-upstreams.ts
+++ b/features/steps/closed-upstreams.ts
@@ -65,6 +65,7 @@
       upstreamHealth.of(id).statedLimit = limit;
     }
     const upstreamPermits = {
+      isNeeded: ({ id }: UpstreamEntry) => upstreamHealth.of(id).statedLimit !== undefined,
       expectedWaitMs: ({ id }: UpstreamEntry) => waitMs.get(id) ?? 0,
       acquire: async ({ id }: UpstreamEntry, { maxWaitMs }: { maxWaitMs: number }) => {
         this.asked.get(id)?.push(timers.now());
@@ -77,6 +78,7 @@
     this.statements = UpstreamStatements.create({
       ...{ timers, directory, forwardMetrics: ForwardMetrics.create() },
       limitKnowledge: { recordResponse: () => undefined },
+      coldUpstreams: { isCold: () => false, knownMs: () => 0, record: () => undefined },
       brittleUpstreams: { recordResponse: () => undefined },
       decisionLines: { write: () => undefined } as unknown as DecisionLines,
     });
--- a/features/steps/limited-selection.ts
+++ b/features/steps/limited-selection.ts
@@ -71,6 +71,7 @@
       promptGuard: { suspectAmong: () => undefined },
     });
     const upstreamPermits = {
+      isNeeded: ({ id }: { id: string }) => this.upstreamHealth.of(id).statedLimit !== undefined,
       expectedWaitMs: () => 0,
       acquire: ({ id }: { id: string }) =>
         Promise.resolve(
--- /dev/null
+++ b/features/support/cold-fleet.ts
@@ -0,0 +1,234 @@
+import type { RequestContext } from "../../src/forward/request-context.js";
+import { PermittedSelection } from "../../src/forward/permitted-selection.js";
+import { RouteView } from "../../src/forward/route-view.js";
+import type { UpstreamEntry } from "../../src/forward/upstream-entry.js";
+import { UpstreamSelector } from "../../src/forward/upstream-selector.js";
+import { SentKind } from "../../src/forward/upstream-statements.js";
+import { MemberState } from "../../src/peer/member-state.js";
+import { RandomSource } from "../../src/random/random-source.js";
+import { ManualTimers } from "../../src/time/manual-timers.js";
+import { configurationOf, entryOf, routeOf } from "./forward-samples.js";
+import { LimitInstance, type Warmup } from "./limit-instance.js";
+import { LimitNetwork } from "./limit-network.js";
+
+const SERVICE = "engines";
+const SLOTS = 24;
+const START_MS = 3_000;
+const RATE = { requestsPerSecond: 7.3, startMs: START_MS };
+export const BOUNDS = { factor: 1.5, slack: 5 };
+const MS_PER_SECOND = 1_000;
+const SERVICE_MS = 400;
+/** Prompts that requests share. */
+const PROMPTS = 200;
+const SETTLE_MS = 3_000;
+const TARGET_MS = 1_000;
+/** Longest time from the write of a row until an instance has read it. */
+const ROW_LAG_MS = 1_500;
+const DARK_MS = 2_000;
+const SEED = 0x9e3779b1;
+const HOT_PROMPT = "hot";
+
+interface Load {
+  readonly perSecond: number;
+  readonly seconds: number;
+  /** Requests per second with the same prompt, beside the others. */
+  readonly hotPerSecond?: number;
+}
+
+interface EngineArrival {
+  readonly atMs: number;
+  readonly id: string;
+  readonly cold: boolean;
+}
+
+/** Instances before engines that become cold, on a manual clock. */
+export class ColdFleet {
+  readonly timers = ManualTimers.create();
+  readonly instances: LimitInstance[] = [];
+  readonly arrivals: EngineArrival[] = [];
+  refused = 0;
+  asked = 0;
+  private readonly random = RandomSource.create(SEED);
+  readonly network = LimitNetwork.create(this.timers, this.random);
+  private readonly engines = new Map<string, UpstreamEntry>();
+  private readonly darkUntilMs = new Map<string, number>();
+  private readonly coldUntilMs = new Map<string, number>();
+  private readonly selections = new WeakMap<LimitInstance, PermittedSelection>();
+  private readonly routeView = RouteView.create();
+
+  private constructor(private readonly warmup: Warmup["warmupBounds"]) {
+    const service = { name: SERVICE, engine: { slots: SLOTS }, warmup: RATE };
+    this.routeView.adopt(configurationOf({ services: new Map([[SERVICE, service]]) }));
+  }
+
+  /** The engines of "a" and "b" are warm. */
+  static async create(
+    instances: number,
+    engines: number,
+    warmupBounds: Warmup["warmupBounds"],
+  ): Promise<ColdFleet> {
+    const fleet = new ColdFleet(warmupBounds);
+    for (let at = 0; at < engines; at += 1) {
+      const id = `e${at}`;
+      const dataCentre = at % 3 === 0 ? "a" : "b";
+      fleet.engines.set(id, entryOf({ id, service: SERVICE, dataCentre, slots: SLOTS }));
+    }
+    for (let at = 0; at < instances; at += 1) fleet.start(`i${at}`);
+    await fleet.timers.advance(SETTLE_MS);
+    return fleet;
+  }
+
+  /** Starts an instance; an earlier process of that id has ended. */
+  start(id: string, incarnation = 1): void {
+    this.end(id);
+    const { timers, network, routeView, warmup: warmupBounds } = this;
+    const warmup = { warmupBounds, routeView };
+    const instance = LimitInstance.create(id, timers, network, incarnation, warmup);
+    for (const entry of this.engines.values()) instance.list(entry);
+    for (const other of this.instances) {
+      other.see(id, MemberState.Alive, incarnation);
+      instance.see(other.id, MemberState.Alive, other.incarnation);
+    }
+    this.instances.push(instance);
+    const { directory, upstreamHealth, upstreamPermits, statements } = instance;
+    const parts = { timers: instance.timers, directory, upstreamHealth, upstreamPermits };
+    const promptGuard = { suspectAmong: () => undefined };
+    const upstreamSelector = UpstreamSelector.create({
+      ...{ ...parts, routeView, promptGuard, dataCentre: "a" },
+    });
+    const selectionParts = { ...parts, upstreamSelector, upstreamStatements: statements };
+    this.selections.set(instance, PermittedSelection.create(selectionParts));
+  }
+
+  end(id: string): void {
+    const at = this.instances.findIndex((each) => each.id === id);
+    if (at < 0) return;
+    this.instances.splice(at, 1);
+    this.network.remove(id);
+  }
+
+  seeAs(id: string, state: MemberState): void {
+    for (const other of this.instances) if (other.id !== id) other.see(id, state);
+  }
+
+  /** Home of the hot prompt. */
+  get home(): string {
+    const prompt = [{ id: HOT_PROMPT, tokens: 1 }];
+    const [instance] = this.instances;
+    if (instance === undefined) throw new Error("there are no instances");
+    const { directory, upstreamHealth } = instance;
+    const selector = UpstreamSelector.create({
+      ...{ directory, upstreamHealth, routeView: this.routeView, dataCentre: "a" },
+      promptGuard: { suspectAmong: () => undefined },
+    });
+    return selector.select(SERVICE, prompt, new Set())?.id ?? "";
+  }
+
+  get owner(): string {
+    return this.instances[0]?.owners.ownerOf(this.home) ?? "";
+  }
+
+  dataCentreOf(id: string): string {
+    return this.engines.get(id)?.dataCentre ?? "";
+  }
+
+  /** Engines of a data centre, or the engine of an id, start as new processes, or become cold. */
+  async chill(place: string, change: "start" | "become cold" | "unseen"): Promise<void> {
+    const now = this.timers.now();
+    for (const [id, previous] of this.engines) {
+      if (previous.dataCentre !== place && id !== place) continue;
+      this.coldUntilMs.set(id, now + START_MS);
+      const startedMs = change === "start" ? now : previous.startedMs;
+      const entry = { ...previous, startedMs, warmupMs: START_MS };
+      this.engines.set(id, entry);
+      if (change === "unseen") continue;
+      this.write(entry);
+    }
+    await this.timers.advance(0);
+  }
+
+  /** The engines of a data centre cannot be reached for a while; their rows stay. */
+  darken(dataCentre: string): Promise<void> {
+    for (const [id, entry] of this.engines)
+      if (entry.dataCentre === dataCentre) this.darkUntilMs.set(id, this.timers.now() + DARK_MS);
+    return this.timers.advance(DARK_MS);
+  }
+
+  /** Each instance reads the present rows at a time of its own. */
+  readRows(): void {
+    for (const entry of this.engines.values()) this.write(entry);
+  }
+
+  private write(entry: UpstreamEntry): void {
+    const untilMs = this.coldUntilMs.get(entry.id) ?? 0;
+    const warmupMs = Math.max(0, untilMs - this.timers.now());
+    for (const instance of this.instances)
+      instance.timers.after(this.random.below(ROW_LAG_MS), () => {
+        instance.list({ ...entry, warmupMs });
+      });
+  }
+
+  /** Sends requests at random times; returns before they have ended. */
+  load({ perSecond, seconds, hotPerSecond = 0 }: Load): void {
+    const endMs = this.timers.now() + seconds * MS_PER_SECOND;
+    const total = perSecond + hotPerSecond;
+    const next = (): void => {
+      this.timers.after(this.random.exponential(MS_PER_SECOND / total), () => {
+        if (this.timers.now() >= endMs) return;
+        const hot = this.random.fraction() < hotPerSecond / total;
+        const prompt = hot ? HOT_PROMPT : `p${this.random.below(PROMPTS)}`;
+        const instance = this.instances[this.random.below(this.instances.length)];
+        if (instance !== undefined) void this.send(instance, prompt);
+        next();
+      });
+    };
+    next();
+  }
+
+  async send(instance: LimitInstance, prompt = HOT_PROMPT): Promise<void> {
+    this.asked += 1;
+    while (this.network.frozen.has(instance.id)) await instance.timers.sleep(1);
+    const now = instance.timers.now();
+    const context = {
+      ...{ service: SERVICE, route: routeOf({}), rank: 0, team: undefined },
+      attributes: { attemptId: "a", promptParts: [{ id: prompt, tokens: 1 }] },
+      ...{ targetMs: now + TARGET_MS, deadlineMs: now + 2 * TARGET_MS },
+      signal: new AbortController().signal,
+    } as unknown as RequestContext;
+    const tried = new Set<string>();
+    for (let attempts = 0; attempts < 4; attempts += 1) {
+      const input = { context, tried, mayHaveRun: false, inputs: undefined };
+      const outcome = await this.selections.get(instance)?.select(input);
+      if (outcome?.kind !== "selected") break;
+      const { entry, permit } = outcome;
+      const health = instance.healthOf(entry.id);
+      if (!instance.statements.trySend(entry, health, SentKind.Request, permit)) continue;
+      const atMs = this.timers.now();
+      if (atMs < (this.darkUntilMs.get(entry.id) ?? -Infinity)) {
+        health.recordUnreachable();
+        tried.add(entry.id);
+        continue;
+      }
+      const cold = atMs < (this.coldUntilMs.get(entry.id) ?? -Infinity);
+      this.arrivals.push({ atMs, id: entry.id, cold });
+      health.inFlight += 1;
+      await instance.timers.sleep(SERVICE_MS);
+      health.inFlight -= 1;
+      return;
+    }
+    this.refused += 1;
+  }
+
+  /** The most requests that a cold engine got in any second. */
+  get mostWhileCold(): number {
+    let most = 0;
+    for (const id of this.engines.keys()) {
+      const times = this.arrivals.filter((each) => each.id === id && each.cold);
+      times.forEach(({ atMs }, last) => {
+        const first = times.findIndex((each) => each.atMs > atMs - MS_PER_SECOND);
+        most = Math.max(most, last - first + 1);
+      });
+    }
+    return most;
+  }
+}
--- a/features/support/limit-instance.ts
+++ b/features/support/limit-instance.ts
@@ -15,11 +15,24 @@
 import type { Members } from "../../src/peer/members.js";
 import type { ManualTimers } from "../../src/time/manual-timers.js";
 import { FreezableTimers } from "../../standin/freezable-timers.js";
+import type { RouteView } from "../../src/forward/route-view.js";
+import { ColdUpstreams } from "../../src/warmup/cold-upstreams.js";
+import type { WarmupBounds } from "../../src/warmup/warmup-bounds.js";
+import { WarmupGrants } from "../../src/warmup/warmup-grants.js";
+import { WarmupPermits } from "../../src/warmup/warmup-permits.js";
 import type { LimitNetwork } from "./limit-network.js";
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
+/** What bounds the requests to cold upstreams. */
+export interface Warmup {
+  readonly warmupBounds: WarmupBounds | undefined;
+  readonly routeView: Pick<RouteView, "configuration">;
+}
+
+const NO_WARMUP: Warmup = { warmupBounds: undefined, routeView: { configuration: undefined } };
+
 /** The parts of one instance that keep the limits of upstreams. */
 export class LimitInstance {
   readonly lines: LogFields[] = [];
@@ -28,8 +41,11 @@
   readonly statements: UpstreamStatements;
   readonly owners: LimitOwners;
   readonly grants: LimitGrants;
-  private readonly directory: UpstreamDirectory;
-  private readonly upstreamHealth: UpstreamHealthRegistry;
+  readonly warmupPermits: WarmupPermits;
+  readonly directory: UpstreamDirectory;
+  readonly upstreamHealth: UpstreamHealthRegistry;
+  /** Times of the ends of evacuations by data centre. */
+  readonly evacuationEnds = new Map<string, number>();
   private readonly states = new Map<string, MemberState>();
   private readonly memberHandlers: ((member: Member) => void)[] = [];
   private readonly pauseHandlers: ((lengthMs: number) => void)[] = [];
@@ -39,6 +55,7 @@
     clock: ManualTimers,
     network: LimitNetwork,
     readonly incarnation: number,
+    warmup: Warmup,
   ) {
     this.timers = FreezableTimers.create(clock);
     const { timers } = this;
@@ -67,10 +84,19 @@
     };
     this.owners = LimitOwners.create(shared);
     this.grants = LimitGrants.create({ ...shared, limitOwners: this.owners });
-    const parts = { ...shared, limitOwners: this.owners, limitGrants: this.grants };
+    const coldUpstreams = ColdUpstreams.create({
+      ...{ ...shared, ...warmup },
+      evacuationEnds: { endedMs: (dataCentre) => this.evacuationEnds.get(dataCentre) },
+    });
+    const owned = { ...shared, coldUpstreams, limitOwners: this.owners };
+    const warmupGrants = WarmupGrants.create(owned);
+    this.warmupPermits = WarmupPermits.create({ ...owned, warmupGrants });
+    const { grants: limitGrants, warmupPermits } = this;
+    const parts = { ...owned, limitGrants, warmupPermits };
     this.upstreamPermits = UpstreamPermits.create(parts);
     const limitKnowledge = LimitKnowledge.create(parts);
     limitKnowledge.start();
+    warmupGrants.start();
     const brittleUpstreams = { recordResponse: () => undefined };
     this.statements = UpstreamStatements.create({ ...parts, limitKnowledge, brittleUpstreams });
   }
@@ -80,8 +106,9 @@
     clock: ManualTimers,
     network: LimitNetwork,
     incarnation = 1,
+    warmup: Warmup = NO_WARMUP,
   ): LimitInstance {
-    return new LimitInstance(id, clock, network, incarnation);
+    return new LimitInstance(id, clock, network, incarnation, warmup);
   }
 
   list(entry: UpstreamEntry): void {
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -55,6 +55,7 @@
 import { type IsolationCradle, isolationParts } from "./isolation-parts.js";
 import { Readiness } from "./readiness.js";
 import { type VersionCradle, versionParts } from "./version-parts.js";
+import { type WarmupCradle, warmupParts } from "./warmup-parts.js";
 
 /** What the platform's adapter gives to a daemon. */
 export interface PlatformAdapter {
@@ -65,7 +66,11 @@
 
 /** The parts of a daemon on the platform by name. */
 export interface FrontCradle
-  extends Omit<PeerCradle, "demandReports" | "peerVersions">, VersionCradle, IsolationCradle {
+  extends
+    Omit<PeerCradle, "demandReports" | "peerVersions">,
+    VersionCradle,
+    IsolationCradle,
+    WarmupCradle {
   readonly frontSettings: FrontSettings;
   readonly settings: PeerSettings;
   readonly self: string;
@@ -134,6 +139,7 @@
     ...peerParts,
     ...versionParts,
     ...isolationParts,
+    ...warmupParts,
     frontSettings: asValue(frontSettings),
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
--- a/src/daemon/front-daemon.ts
+++ b/src/daemon/front-daemon.ts
@@ -33,6 +33,7 @@
     // Peer calls must be registered before they arrive, also if this instance has no requests yet.
     this.parts.stageDispatch.start();
     this.parts.limitKnowledge.start();
+    this.parts.warmupGrants.start();
     this.parts.streamRecords.start();
     this.parts.relayedRequests.start();
     this.parts.upstreamReach.subscribe((isolated) => {
@@ -105,6 +106,7 @@
     frontServer.startClosing();
     await Promise.race([membership.leave(), timers.sleep(LEAVE_MS)]);
     limitGrants.leave();
+    this.parts.warmupGrants.leave();
     stagePools.handOver();
     await timers.sleep(BALANCER_LAG_MS - LEAVE_MS);
     readiness.refuseRequests();
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -54,6 +54,18 @@
     labelNames: ["service", "kind"],
     registers: [this.registry],
   });
+  private readonly sentWhileCold = new Counter({
+    name: "nutmegstage_sent_while_cold_total",
+    help: "Requests, stage calls and releases sent to cold upstreams, by service",
+    labelNames: ["service", "kind"],
+    registers: [this.registry],
+  });
+  private readonly warmupPermits = new Counter({
+    name: "nutmegstage_warmup_permits_total",
+    help: "Requests for permits of cold upstreams, by service and outcome",
+    labelNames: ["service", "outcome"],
+    registers: [this.registry],
+  });
   private readonly permits = new Counter({
     name: "nutmegstage_permits_total",
     help: "Requests for permits of upstreams that state a limit, by service and outcome",
@@ -140,6 +152,14 @@
     this.permits.inc({ service, outcome });
   }
 
+  recordSentWhileCold(service: string, kind: string): void {
+    this.sentWhileCold.inc({ service, kind });
+  }
+
+  recordWarmupPermit(service: string, outcome: string): void {
+    this.warmupPermits.inc({ service, outcome });
+  }
+
   recordPartCrash(service: string): void {
     this.partCrashes.inc({ service });
   }
--- a/src/forward/permitted-selection.ts
+++ b/src/forward/permitted-selection.ts
@@ -48,7 +48,7 @@
       readonly entry: UpstreamEntry;
       readonly permit: Permit | undefined;
     }
-  /** All upstreams that are left state a limit that has no permit in time. */
+  /** All upstreams that are left state a limit or are cold, and have no permit in time. */
   | { readonly kind: "limited"; readonly availableInMs: number }
   /** The upstream that was waited for closed meanwhile; others may have room by now. */
   | typeof CLOSED
@@ -65,7 +65,7 @@
 
 type Selected = Extract<SelectionOutcome, { kind: "selected" }>;
 
-/** Selects upstreams for requests, with permits for those that state a limit. */
+/** Selects upstreams for requests, with permits for those that state a limit or are cold. */
 export class PermittedSelection {
   private constructor(private readonly parts: Parts) {}
 
@@ -162,9 +162,8 @@
     { attributes, rank, team, signal }: RequestContext,
     maxWaitMs: number,
   ): Promise<Selected | undefined> {
-    const { upstreamPermits, upstreamHealth } = this.parts;
-    if (upstreamHealth.of(entry.id).statedLimit === undefined)
-      return { kind: "selected", entry, permit: undefined };
+    const { upstreamPermits } = this.parts;
+    if (!upstreamPermits.isNeeded(entry)) return { kind: "selected", entry, permit: undefined };
     const permit = upstreamPermits.acquire(entry, {
       rank,
       team: team?.name ?? "",
@@ -203,8 +202,8 @@
   }
 
   private limitedUpstreams(service: string): UpstreamEntry[] {
-    const { directory, upstreamHealth } = this.parts;
+    const { directory, upstreamHealth, upstreamPermits } = this.parts;
     const available = upstreamHealth.available(directory.forService(service));
-    return available.filter(({ id }) => upstreamHealth.of(id).statedLimit !== undefined);
+    return available.filter((entry) => upstreamPermits.isNeeded(entry));
   }
 }
--- a/src/forward/response-attributes.ts
+++ b/src/forward/response-attributes.ts
@@ -24,4 +24,6 @@
   readonly toleratedRejections: number | undefined;
   /** Time for which a refusing upstream asks to get no further requests, in ms; 0 if none. */
   readonly stayAwayMs: number;
+  /** Time for which the upstream stays cold, in ms; undefined if it does not say. */
+  readonly remainingWarmupMs?: number;
 }
--- a/src/forward/service-definition.ts
+++ b/src/forward/service-definition.ts
@@ -18,9 +18,19 @@
   readonly slots: number;
 }
 
+/** What an upstream of a service bears while it is cold. */
+export interface WarmupRate {
+  /** Requests per second from all instances together. */
+  readonly requestsPerSecond: number;
+  /** Time for which it is cold after its start, in ms. */
+  readonly startMs: number;
+}
+
 /** A service that routes and stages refer to by name. */
 export interface ServiceDefinition {
   readonly name: string;
   readonly stage?: StageCapacity;
   readonly engine?: EngineCapacity;
+  /** Undefined if its upstreams are never cold. */
+  readonly warmup?: WarmupRate;
 }
--- a/src/forward/upstream-health.ts
+++ b/src/forward/upstream-health.ts
@@ -26,6 +26,7 @@
   /** Undefined while the upstream states no limit. */
   statedLimit: StatedLimit | undefined;
   private backoffUntilMs = -Infinity;
+  private lastBackoffEndMs = -Infinity;
   private backoffMs = INITIAL_BACKOFF_MS;
   private unavailableUntilMs = -Infinity;
   private meanFailureRate = 0;
@@ -59,6 +60,11 @@
     return this.timers.now() < this.backoffUntilMs;
   }
 
+  /** End of the last backoff on the monotonic clock in ms, also if a response ended it earlier. */
+  get backedOffUntilMs(): number {
+    return this.lastBackoffEndMs;
+  }
+
   /** Whether the upstream accepts no new work: it is leaving, or asked for a pause. */
   get unavailable(): boolean {
     return this.availableInMs > 0;
@@ -119,6 +125,7 @@
   /** Records a refused connection or a silent upstream; starts or doubles the backoff. */
   recordUnreachable(): void {
     this.backoffUntilMs = this.timers.now() + this.backoffMs;
+    this.lastBackoffEndMs = this.backoffUntilMs;
     this.backoffMs = Math.min(2 * this.backoffMs, MAX_BACKOFF_MS);
   }
 
--- a/src/forward/upstream-statements.ts
+++ b/src/forward/upstream-statements.ts
@@ -1,7 +1,8 @@
 import type { BrittleUpstreams } from "../brittle/brittle-upstreams.js";
 import type { LimitKnowledge } from "../limit/limit-knowledge.js";
-import type { Permit } from "../limit/permit.js";
+import { type Permit, PermitUse } from "../limit/permit.js";
 import type { Timers } from "../time/timers.js";
+import type { ColdUpstreams } from "../warmup/cold-upstreams.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
 import type { ResponseAttributes } from "./response-attributes.js";
@@ -21,6 +22,7 @@
   readonly timers: Timers;
   readonly directory: Pick<UpstreamDirectory, "isServing">;
   readonly limitKnowledge: Pick<LimitKnowledge, "recordResponse">;
+  readonly coldUpstreams: Pick<ColdUpstreams, "isCold" | "knownMs" | "record">;
   readonly brittleUpstreams: Pick<BrittleUpstreams, "recordResponse">;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
@@ -28,7 +30,12 @@
 
 type Statements = Pick<
   ResponseAttributes,
-  "misdirected" | "leaving" | "stayAwayMs" | "requestsPerSecond" | "toleratedRejections"
+  | "misdirected"
+  | "leaving"
+  | "stayAwayMs"
+  | "requestsPerSecond"
+  | "toleratedRejections"
+  | "remainingWarmupMs"
 >;
 type Upstream = Pick<UpstreamEntry, "id" | "service" | "address" | "startedMs">;
 
@@ -52,7 +59,8 @@
   ): void {
     // Another process answers at the address.
     if (attributes.misdirected) return;
-    const { decisionLines, limitKnowledge, brittleUpstreams } = this.parts;
+    const { decisionLines, limitKnowledge, brittleUpstreams, coldUpstreams } = this.parts;
+    coldUpstreams.record(upstream, attributes.remainingWarmupMs ?? 0);
     brittleUpstreams.recordResponse(upstream, attributes.toleratedRejections);
     recordAvailability(decisionLines, upstream, health, attributes);
     limitKnowledge.recordResponse(upstream.id, health, attributes.requestsPerSecond, permit);
@@ -75,7 +83,7 @@
 
   /**
    * Must be called just before anything is sent to an upstream; returns false if it must not be
-   * sent, because the upstream is closed, or states a limit and there is no valid permit. Uses the
+   * sent, because the upstream is closed, or states a limit or is cold and there is no valid permit. Uses the
    * permit.
    */
   trySend(
@@ -85,12 +93,22 @@
     permit: Permit | undefined,
   ): boolean {
     const { id, service } = upstream;
-    const { timers, decisionLines, forwardMetrics } = this.parts;
+    const { timers, coldUpstreams, decisionLines, forwardMetrics } = this.parts;
     if (!this.isOpen(upstream, health, kind)) {
       decisionLines.write("not sent to closed upstream", { upstream: id, service, kind });
       return false;
     }
     const limit = health.statedLimit;
+    if (coldUpstreams.isCold(upstream)) {
+      if (limit !== undefined || permit?.tryUse(PermitUse.Warmup) !== true) return false;
+      forwardMetrics.recordSentWhileCold(service, kind);
+      decisionLines.write("sent while cold", {
+        ...{ upstream: id, service, kind },
+        remainingMs: Math.round(coldUpstreams.knownMs(upstream)),
+        owner: permit.grant.owner,
+      });
+      return true;
+    }
     if (limit === undefined) return true;
     if (permit?.tryUse() !== true) return false;
     forwardMetrics.recordSentUnderLimit(service, kind);
--- a/src/limit/held-permits.ts
+++ b/src/limit/held-permits.ts
@@ -1,5 +1,4 @@
 import type { UpstreamEntry } from "../forward/upstream-entry.js";
-import type { UpstreamHealthRegistry } from "../forward/upstream-health-registry.js";
 import type { Permit } from "./permit.js";
 import type { UpstreamPermits } from "./upstream-permits.js";
 
@@ -7,7 +6,6 @@
 const MAX_WAIT_MS = 1_000;
 
 interface Parts {
-  readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamPermits: UpstreamPermits;
 }
 
@@ -28,14 +26,14 @@
    */
   isReady(entry: UpstreamEntry, rank: () => number, onReady: () => void): boolean {
     const { id } = entry;
-    if (this.parts.upstreamHealth.of(id).statedLimit === undefined) return true;
+    if (!this.parts.upstreamPermits.isNeeded(entry)) return true;
     if (this.held.get(id)?.valid === true) return true;
     this.held.delete(id);
     if (!this.awaited.has(id)) void this.obtain(entry, rank(), onReady);
     return false;
   }
 
-  /** Takes the permit for a call; undefined if the upstream states no limit. */
+  /** Takes the permit for a call; undefined if the upstream needs none. */
   take({ id }: UpstreamEntry): Permit | undefined {
     const permit = this.held.get(id);
     this.held.delete(id);
--- a/src/limit/permit.ts
+++ b/src/limit/permit.ts
@@ -7,7 +7,13 @@
  */
 export const PERMIT_LIFETIME_MS = 400;
 
-/** The right to send one request to an upstream that states a limit. */
+/** For what a permit holds. */
+export enum PermitUse {
+  StatedLimit = "stated-limit",
+  Warmup = "warmup",
+}
+
+/** The right to send one request to an upstream that states a limit or is cold. */
 export class Permit {
   private used = false;
 
@@ -15,20 +21,26 @@
     private readonly timers: Timers,
     readonly grant: Grant,
     private readonly expiresMs: number,
+    private readonly use: PermitUse,
   ) {}
 
   /** `grantedBeforeMs` is a time at or before the grant, on this instance's clock. */
-  static create(timers: Timers, grant: Grant, grantedBeforeMs: number): Permit {
-    return new Permit(timers, grant, grantedBeforeMs + PERMIT_LIFETIME_MS);
+  static create(
+    timers: Timers,
+    grant: Grant,
+    grantedBeforeMs: number,
+    use = PermitUse.StatedLimit,
+  ): Permit {
+    return new Permit(timers, grant, grantedBeforeMs + PERMIT_LIFETIME_MS, use);
   }
 
   get valid(): boolean {
     return !this.used && this.timers.now() < this.expiresMs;
   }
 
-  /** Uses the permit; returns false if it has expired or was used before. */
-  tryUse(): boolean {
-    if (!this.valid) return false;
+  /** Uses the permit; returns false if it has expired, was used before or is of another use. */
+  tryUse(use = PermitUse.StatedLimit): boolean {
+    if (!this.valid || use !== this.use) return false;
     this.used = true;
     return true;
   }
--- a/src/limit/upstream-permits.ts
+++ b/src/limit/upstream-permits.ts
@@ -10,6 +10,8 @@
 import type { LimitGrants } from "./limit-grants.js";
 import { type PermitAnswer, type PermitRequest, permitAnswerSchema } from "./limit-messages.js";
 import type { LimitOwners } from "./limit-owners.js";
+import type { ColdUpstreams } from "../warmup/cold-upstreams.js";
+import type { WarmupPermits } from "../warmup/warmup-permits.js";
 import { Permit } from "./permit.js";
 import type { PermitApplicant } from "./permit-queue.js";
 import type { StatedLimit } from "./stated-limit.js";
@@ -46,6 +48,8 @@
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
+  readonly coldUpstreams: Pick<ColdUpstreams, "isCold" | "remainingMs">;
+  readonly warmupPermits: Pick<WarmupPermits, "acquire" | "expectedWaitMs">;
 }
 
 /** Applicant for a permit, and the request or call that it is for. */
@@ -56,7 +60,7 @@
 
 type Upstream = Pick<UpstreamEntry, "id" | "service">;
 
-/** Obtains permits for upstreams that state a limit, from the owners of the limits. */
+/** Obtains permits for upstreams that state a limit or are cold, from the owners of the limits. */
 export class UpstreamPermits {
   /** The last refusal by process of an upstream. */
   private readonly refusals = new WeakMap<UpstreamHealth, Refusal>();
@@ -72,12 +76,24 @@
     return new UpstreamPermits(parts);
   }
 
+  /** Whether a request needs a permit as far as this instance knows. */
+  isNeeded({ id }: Pick<Upstream, "id">): boolean {
+    const { upstreamHealth, coldUpstreams } = this.parts;
+    return upstreamHealth.of(id).statedLimit !== undefined || coldUpstreams.isCold({ id });
+  }
+
   /** Expected wait for a permit in ms as far as known; 0 without a limit or a recent refusal. */
   expectedWaitMs(
     { id }: Pick<Upstream, "id">,
     { rank, team }: Pick<PermitPurpose, "rank" | "team">,
   ): number {
+    const { coldUpstreams, warmupPermits } = this.parts;
     const health = this.parts.upstreamHealth.of(id);
+    const remainingMs = coldUpstreams.remainingMs({ id });
+    if (remainingMs > 0) {
+      if (health.statedLimit !== undefined) return remainingMs;
+      return Math.min(remainingMs, warmupPermits.expectedWaitMs({ id }, { rank }));
+    }
     const refusal = this.refusals.get(health);
     const now = this.parts.timers.now();
     if (health.statedLimit === undefined || refusal === undefined) return 0;
@@ -89,6 +105,8 @@
   async acquire(upstream: Upstream, purpose: PermitPurpose): Promise<PermitOutcome> {
     const health = this.parts.upstreamHealth.of(upstream.id);
     const limit = health.statedLimit;
+    if (this.parts.coldUpstreams.isCold(upstream))
+      return this.acquireCold(upstream, health, purpose);
     if (limit === undefined) return { kind: "unlimited" };
     const knownWaitMs = this.expectedWaitMs(upstream, purpose);
     if (knownWaitMs > purpose.maxWaitMs) return { kind: "refused", availableInMs: knownWaitMs };
@@ -108,6 +126,18 @@
     return outcome;
   }
 
+  /** One that also states a limit gets nothing while it is cold. */
+  private acquireCold(
+    upstream: Upstream,
+    { statedLimit, startedMs }: UpstreamHealth,
+    purpose: PermitPurpose,
+  ): Promise<PermitOutcome> {
+    const { coldUpstreams, warmupPermits } = this.parts;
+    if (statedLimit === undefined) return warmupPermits.acquire(upstream, startedMs, purpose);
+    const availableInMs = coldUpstreams.remainingMs(upstream);
+    return Promise.resolve({ kind: "refused", availableInMs });
+  }
+
   private async ask(
     { id }: Upstream,
     health: UpstreamHealth,
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -34,6 +34,7 @@
   [PeerMethod.LimitPermit]: false,
   [PeerMethod.LimitReport]: true,
   [PeerMethod.LimitsKnown]: true,
+  [PeerMethod.WarmupPermit]: false,
   [PeerMethod.StreamRecords]: true,
 };
 
--- a/src/peer/peer-method.ts
+++ b/src/peer/peer-method.ts
@@ -16,5 +16,6 @@
   LimitPermit = "limit.permit",
   LimitReport = "limit.report",
   LimitsKnown = "limit.known",
+  WarmupPermit = "warmup.permit",
   StreamRecords = "stream.records",
 }
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -3,6 +3,7 @@
 import { partConvictionSchema } from "../crash/part-conviction.js";
 import { knownLimitsSchema } from "../limit/limit-messages.js";
 import { versionPlanSchema } from "../version/version-plan.js";
+import { coldUpstreamsSchema } from "../warmup/warmup-messages.js";
 
 /** Schema of the updates that daemons broadcast. */
 export const updateSchema = z.discriminatedUnion("kind", [
@@ -49,6 +50,8 @@
   partConvictionSchema.extend({ kind: z.literal("part-conviction") }),
   /** Limits that upstreams state for the requests of all instances together. */
   knownLimitsSchema.extend({ kind: z.literal("upstream-limits") }),
+  /** Upstreams that are cold; the owner of their permits tells it. */
+  coldUpstreamsSchema.extend({ kind: z.literal("cold-upstreams") }),
   /** A brittle upstream that turned a request away; it gets nothing for a second. */
   z.object({
     kind: z.literal("upstream-full"),
--- a/src/settings/front-settings.ts
+++ b/src/settings/front-settings.ts
@@ -51,6 +51,19 @@
     budgetRatio: z.number().nonnegative().describe("Further attempts per request."),
     budgetWindowSeconds: seconds.describe("Window of the budget, in s."),
     budgetSlack: z.number().nonnegative().describe("Further attempts beside the ratio."),
+    warmup: z
+      .object({
+        factor: z
+          .number()
+          .nonnegative()
+          .describe("Multiple of its configured rate that a cold upstream bears."),
+        slack: z
+          .number()
+          .nonnegative()
+          .describe("Requests of one second that it bears beside that multiple."),
+      })
+      .optional()
+      .describe("What a cold upstream bears; without it, nothing is paced."),
   }),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 });
--- /dev/null
+++ b/src/warmup/warmup-grants.ts
@@ -0,0 +1,124 @@
+import type { PermitAnswer } from "../limit/limit-messages.js";
+import type { LimitOwners } from "../limit/limit-owners.js";
+import { PermitQueue } from "../limit/permit-queue.js";
+import { PeerMethod } from "../peer/peer-method.js";
+import type { PeerMethods } from "../peer/peer-methods.js";
+import type { Updates } from "../peer/updates.js";
+import type { Timers } from "../time/timers.js";
+import type { ColdUpstreams } from "./cold-upstreams.js";
+import {
+  type ColdProcess,
+  MAX_COLD_UPSTREAMS,
+  type WarmupRequest,
+  warmupRequestSchema,
+} from "./warmup-messages.js";
+
+/** Upstreams are collected for this time; a data centre may return with many at once. */
+const PUBLISH_DELAY_MS = 50;
+/** Time after which a refused requester asks whether another instance has become the owner. */
+const RETRY_MS = 200;
+
+interface Parts {
+  readonly timers: Timers;
+  readonly self: string;
+  /** Start of this process in ms since the epoch. */
+  readonly incarnation: number;
+  readonly peerMethods: PeerMethods;
+  readonly updates: Updates;
+  readonly limitOwners: LimitOwners;
+  readonly coldUpstreams: ColdUpstreams;
+}
+
+/** Grants the permits of the cold upstreams that this instance owns. */
+export class WarmupGrants {
+  /** The queues outlive coldness, so that a grant just before it began again counts. */
+  private readonly queues = new Map<string, PermitQueue>();
+  private readonly unpublished = new Map<string, ColdProcess>();
+  /** What the fleet was told; times are on the monotonic clock in ms. */
+  private readonly told = new Map<string, { startedMs: number; untilMs: number }>();
+
+  private constructor(private readonly parts: Parts) {}
+
+  static create(parts: Parts): WarmupGrants {
+    return new WarmupGrants(parts);
+  }
+
+  /** Registers for the calls and updates of other instances. */
+  start(): void {
+    const { peerMethods, updates, coldUpstreams } = this.parts;
+    peerMethods.register(PeerMethod.WarmupPermit, (params) =>
+      this.request(warmupRequestSchema.parse(params)),
+    );
+    updates.subscribe((update) => {
+      if (update.kind !== "cold-upstreams") return;
+      for (const { upstream: id, startedMs, remainingMs } of update.upstreams)
+        coldUpstreams.record({ id, startedMs }, remainingMs);
+    });
+  }
+
+  /** Grants no permits any more. */
+  leave(): void {
+    for (const queue of this.queues.values()) queue.refuseAll(RETRY_MS);
+    this.queues.clear();
+  }
+
+  /** Answers at once, or after a wait of at most `maxWaitMs` that ends with a permit. */
+  async request(request: WarmupRequest): Promise<PermitAnswer> {
+    const { self, incarnation, limitOwners, coldUpstreams } = this.parts;
+    const { upstream, service } = request;
+    if (limitOwners.ownerOf(upstream) !== self) return { kind: "not-owner" };
+    if (limitOwners.settlesInMs > 0)
+      return { kind: "refused", availableInMs: limitOwners.settlesInMs };
+    // Without the configuration of the service there is no pace.
+    if (coldUpstreams.paceOf(service) === undefined)
+      return { kind: "refused", availableInMs: RETRY_MS };
+    this.tell(request);
+    const queue = this.queueOf(upstream, service);
+    if (queue === undefined) return { kind: "refused", availableInMs: RETRY_MS };
+    const decision = await queue.request(request);
+    if (decision.kind === "refused") return decision;
+    const { grantedMs, waitedMs } = decision;
+    return { kind: "granted", grant: { owner: self, incarnation, grantedMs }, waitedMs };
+  }
+
+  private queueOf(upstream: string, service: string): PermitQueue | undefined {
+    const { timers, limitOwners, coldUpstreams } = this.parts;
+    let queue = this.queues.get(upstream);
+    if (queue !== undefined) return queue;
+    if (this.queues.size >= MAX_COLD_UPSTREAMS) this.dropUnused();
+    if (this.queues.size >= MAX_COLD_UPSTREAMS) return undefined;
+    queue = PermitQueue.create(timers, () => {
+      const pace = (coldUpstreams.paceOf(service) ?? 0) * limitOwners.grantFraction(upstream);
+      return pace > 0 ? pace : undefined;
+    });
+    this.queues.set(upstream, queue);
+    return queue;
+  }
+
+  private dropUnused(): void {
+    const { self, limitOwners, coldUpstreams } = this.parts;
+    for (const [id, queue] of this.queues) {
+      if (limitOwners.ownerOf(id) === self && coldUpstreams.isCold({ id })) continue;
+      queue.refuseAll(RETRY_MS);
+      this.queues.delete(id);
+      this.told.delete(id);
+    }
+  }
+
+  /** Tells the fleet what it may not have read; only for the first requester of a process. */
+  private tell({ upstream, startedMs, remainingMs }: WarmupRequest): void {
+    const { timers, updates, coldUpstreams } = this.parts;
+    coldUpstreams.record({ id: upstream, startedMs }, remainingMs);
+    const now = timers.now();
+    const told = this.told.get(upstream);
+    if (remainingMs <= 0 || (told?.startedMs === startedMs && now < told.untilMs)) return;
+    this.told.set(upstream, { startedMs, untilMs: now + remainingMs });
+    this.unpublished.set(upstream, { upstream, startedMs, remainingMs });
+    if (this.unpublished.size > 1) return;
+    timers.after(PUBLISH_DELAY_MS, () => {
+      const upstreams = [...this.unpublished.values()].slice(0, MAX_COLD_UPSTREAMS);
+      this.unpublished.clear();
+      updates.publish({ kind: "cold-upstreams", upstreams });
+    });
+  }
+}
