--- a/features/cold-upstreams.feature
+++ b/features/cold-upstreams.feature
@@ -24,22 +24,36 @@
       | the owner of the home ends             |
       | the owner of the home restarts         |
       | half of the others suspect the owner   |
-      | the fleet is split                     |
+      | the fleet is split into 2 parts        |
+      | the fleet is split into 4 parts        |
       | 1 in 5 messages is lost                |
 
   # Guards against what instances send before they have read that an engine is cold.
-  Scenario: Warm engines become cold under the load of calm
+  Scenario: Warm engines become cold under their usual load
     Given 64 instances and 99 engines
-    When 249 requests per second arrive for 4 s while the data centre becomes cold
+    When 249 requests per second and 12 of the hot prompt arrive for 4 s and the data centre becomes cold
+    Then no cold engine gets more than 16 requests in a second
+
+  # Guards against instances that each find out by their own rows.
+  Scenario: One instance has read that an engine has become cold
+    Given 64 instances and 9 engines
+    When one instance reads that it is cold and sends a request
+    And 60 requests of the hot prompt arrive
     Then no cold engine gets more than 16 requests in a second
 
   # Guards against instances that go on with what they read before a pause.
-  Scenario: Instances that were frozen while an engine became cold
+  Scenario: 32 instances that were frozen while an engine became cold
     Given 64 instances and 9 engines
     When 32 instances freeze while the data centre becomes cold
     And 80 requests of the hot prompt arrive at them
     Then no cold engine gets more than 16 requests in a second
 
+  Scenario: Callers of one instance that was frozen are served
+    Given 64 instances and 9 engines
+    When 1 instances freeze while the data centre becomes cold
+    And 4 requests of the hot prompt arrive at them
+    Then at most 0.0 of the requests are refused
+
   # Guards against engines that became cold while their data centre was evacuated.
   Scenario: The evacuation of a data centre ends
     Given 64 instances and 9 engines
--- a/features/steps/cold-upstreams.ts
+++ b/features/steps/cold-upstreams.ts
@@ -3,16 +3,20 @@
 import { parseWarmupMs } from "../../platform/warmup.js";
 import { MemberState } from "../../src/peer/member-state.js";
 import { warmupPace } from "../../src/warmup/warmup-bounds.js";
+import type { LimitInstance } from "../support/limit-instance.js";
 import { BOUNDS, ColdFleet } from "../support/cold-fleet.js";
 
 const MS_PER_SECOND = 1_000;
 const FREEZE_MS = 1_500;
+/** Time in which all instances are told of a cold engine. */
+const TOLD_MS = 150;
 /** Longer than the time in which all instances read a row. */
 const ROWS_READ_MS = 1_500;
 
 interface ColdWorld {
   coldFleet: ColdFleet;
   place: string;
+  frozen: readonly LimitInstance[];
 }
 
 function useFleet(world: ColdWorld, fleet: ColdFleet): void {
@@ -74,9 +78,9 @@
   for (const other of others.slice(0, others.length / 2)) other.see(owner, MemberState.Suspect);
 });
 
-When("the fleet is split", function (this: ColdWorld) {
+When("the fleet is split into {int} parts", function (this: ColdWorld, parts: number) {
   const { instances, network, timers } = this.coldFleet;
-  const sideOf = (at: number): number => (at < 24 ? 1 : 0);
+  const sideOf = (at: number): number => at % parts;
   instances.forEach(({ id }, at) => network.partition.set(id, sideOf(at)));
   timers.after(1_000, () => {
     instances.forEach((instance, at) => {
@@ -112,10 +116,10 @@
 );
 
 When(
-  "{int} requests per second arrive for {int} s while the data centre becomes cold",
-  async function (this: ColdWorld, perSecond: number, seconds: number) {
+  "{int} requests per second and {int} of the hot prompt arrive for {int} s and the data centre becomes cold",
+  async function (this: ColdWorld, perSecond: number, hotPerSecond: number, seconds: number) {
     const { coldFleet: fleet } = this;
-    fleet.load({ perSecond, seconds });
+    fleet.load({ perSecond, hotPerSecond, seconds });
     await fleet.timers.advance(MS_PER_SECOND);
     await fleet.chill(this.place, "become cold");
     await fleet.timers.advance((seconds + 1) * MS_PER_SECOND);
@@ -126,7 +130,8 @@
   "{int} instances freeze while the data centre becomes cold",
   async function (this: ColdWorld, count: number) {
     const { coldFleet: fleet } = this;
-    const frozen = fleet.instances.filter(({ id }) => id !== fleet.owner).slice(0, count);
+    const frozen = fleet.others.slice(0, count);
+    this.frozen = frozen;
     for (const instance of frozen) instance.freeze();
     await fleet.chill(this.place, "unseen");
     await fleet.timers.advance(FREEZE_MS);
@@ -139,7 +144,7 @@
   "{int} requests of the hot prompt arrive at them",
   async function (this: ColdWorld, count: number) {
     const { coldFleet: fleet } = this;
-    const woken = fleet.instances.filter(({ id }) => id !== fleet.owner).slice(0, 32);
+    const woken = this.frozen;
     for (let at = 0; at < count; at += 1) {
       const instance = woken[at % woken.length];
       if (instance !== undefined) void fleet.send(instance);
@@ -158,6 +163,24 @@
   },
 );
 
+When("one instance reads that it is cold and sends a request", async function (this: ColdWorld) {
+  const { coldFleet: fleet } = this;
+  const reader = fleet.instances.find(({ id }) => id !== fleet.owner);
+  assert.ok(reader);
+  await fleet.chillBefore(reader, fleet.home);
+  void fleet.send(reader);
+  await fleet.timers.advance(TOLD_MS);
+});
+
+When("{int} requests of the hot prompt arrive", async function (this: ColdWorld, count: number) {
+  const { coldFleet: fleet } = this;
+  for (let at = 0; at < count; at += 1) {
+    const instance = fleet.instances[at % fleet.instances.length];
+    if (instance !== undefined) void fleet.send(instance);
+  }
+  await fleet.timers.advance(MS_PER_SECOND);
+});
+
 Then(
   "no cold engine gets more than {int} requests in a second",
   function (this: ColdWorld, most: number) {
--- a/features/support/cold-fleet.ts
+++ b/features/support/cold-fleet.ts
@@ -24,6 +24,7 @@
 const TARGET_MS = 1_000;
 /** Longest time from the write of a row until an instance has read it. */
 const ROW_LAG_MS = 1_500;
+const MIN_ROW_LAG_MS = 300;
 const DARK_MS = 2_000;
 const SEED = 0x9e3779b1;
 const HOT_PROMPT = "hot";
@@ -154,6 +155,20 @@
     return this.timers.advance(DARK_MS);
   }
 
+  /** One instance reads that an engine has become cold. */
+  async chillBefore(reader: LimitInstance, id: string): Promise<void> {
+    await this.chill(id, "unseen");
+    const entry = this.engines.get(id);
+    if (entry !== undefined) reader.list(entry);
+  }
+
+  /** Instances that grant no permits. */
+  get others(): LimitInstance[] {
+    const [first] = this.instances;
+    const owners = new Set([...this.engines.keys()].map((id) => first?.owners.ownerOf(id)));
+    return this.instances.filter(({ id }) => !owners.has(id));
+  }
+
   /** Each instance reads the present rows at a time of its own. */
   readRows(): void {
     for (const entry of this.engines.values()) this.write(entry);
@@ -163,7 +178,7 @@
     const untilMs = this.coldUntilMs.get(entry.id) ?? 0;
     const warmupMs = Math.max(0, untilMs - this.timers.now());
     for (const instance of this.instances)
-      instance.timers.after(this.random.below(ROW_LAG_MS), () => {
+      instance.timers.after(MIN_ROW_LAG_MS + this.random.below(ROW_LAG_MS - MIN_ROW_LAG_MS), () => {
         instance.list({ ...entry, warmupMs });
       });
   }
