--- a/features/cold-upstreams.feature
+++ b/features/cold-upstreams.feature
@@ -88,6 +88,15 @@
       | 10        | 1.2    | 0     | 4.76 |
       | 1         | 1      | 0     | 0    |
 
+  Scenario Outline: A service with "cold-per-s" <perSecond>
+    Then a service with the rate <perSecond> has the warm-up "<warmup>"
+
+    Examples:
+      | perSecond | warmup                                     |
+      | 7.3       | {"requestsPerSecond":7.3,"startMs":3000}   |
+      | 0         | undefined                                  |
+      | absent    | undefined                                  |
+
   Scenario Outline: The header "<text>" states <ms>
     Then a response with the remaining time "<text>" states <ms>
 
--- a/features/steps/cold-upstreams.ts
+++ b/features/steps/cold-upstreams.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { decodeConfiguration } from "../../platform/configuration-decoder.js";
 import { parseWarmupMs } from "../../platform/warmup.js";
 import { MemberState } from "../../src/peer/member-state.js";
 import { warmupPace } from "../../src/warmup/warmup-bounds.js";
@@ -227,3 +228,16 @@
     assert.equal(String(parseWarmupMs(text)), ms);
   },
 );
+
+Then(
+  /^a service with the rate (\S+) has the warm-up "(.*)"$/,
+  function (rate: string, warmup: string) {
+    const cold = rate === "absent" ? {} : { "cold-per-s": Number(rate), "cold-start-s": 3 };
+    const services = [{ name: "s", ...cold }];
+    const { services: decoded } = decodeConfiguration(
+      JSON.stringify({ version: 1, routes: [], services }),
+    );
+    const value = decoded.get("s")?.warmup;
+    assert.equal(value === undefined ? "undefined" : JSON.stringify(value), warmup);
+  },
+);
