Tell the fleet of an upstream to which several instances could not connect

An instance that has not tried an upstream while it was away sends its usual load to the process that took its place until it has read its row.

--- a/features/cold-upstreams.feature
+++ b/features/cold-upstreams.feature
@@ -3,13 +3,20 @@
   manual clock read rows up to 1.5 s late; messages between them take 5 ms.
 
   # Guards against instances that each send their usual load to engines that have just started.
-  Scenario: A data centre returns cold under 2.6 times the load with a hot prompt
-    Given 64 instances and 99 engines
-    When 541 requests per second and 106 of the hot prompt arrive for 6 s and the data centre returns
+  Scenario Outline: A data centre returns cold to <instances> instances and <hot> of a hot prompt
+    Given <instances> instances and 99 engines
+    When 541 requests per second and <hot> of the hot prompt arrive for 6 s and the data centre returns
     Then no cold engine gets more than 16 requests in a second
     And cold engines get at least 100 requests
     And at most 0.01 of the requests are refused
 
+    Examples:
+      | instances | hot |
+      | 8         | 106 |
+      | 64        | 106 |
+      | 89        | 41  |
+      | 300       | 106 |
+
   # Guards against a bound that is lost together with an owner, or doubled by its successor.
   Scenario Outline: The bound holds when <event>
     Given 64 instances and 9 engines
@@ -31,7 +38,7 @@
   # Guards against what instances send before they have read that an engine is cold.
   Scenario: Warm engines become cold under their usual load
     Given 64 instances and 99 engines
-    When 249 requests per second and 12 of the hot prompt arrive for 4 s and the data centre becomes cold
+    When 249 requests per second and 20 of the hot prompt arrive for 4 s and the data centre becomes cold
     Then no cold engine gets more than 16 requests in a second
 
   # Guards against instances that each find out by their own rows.
--- a/src/warmup/cold-upstreams.ts
+++ b/src/warmup/cold-upstreams.ts
@@ -87,6 +87,16 @@
     return Math.max(0, directory.remainingWarmupMs(id), statedMs);
   }
 
+  /**
+   * Remaining time in which an upstream may be cold, as this instance could not connect to it, in ms.
+   * An entry that is read after the failure may still be one of the process that has ended.
+   */
+  unreachedMs({ id, service }: Pick<UpstreamEntry, "id" | "service">): number {
+    const { timers, upstreamHealth } = this.parts;
+    const startMs = this.rateOf(service)?.startMs ?? 0;
+    return Math.max(0, upstreamHealth.of(id).backedOffUntilMs + startMs - timers.now());
+  }
+
   /** Requests per second that the fleet may send to a cold upstream of a service. */
   paceOf(service: string): number | undefined {
     const { warmupBounds } = this.parts;
@@ -110,9 +120,8 @@
 
   /** Remaining time in which what is known of an upstream counts as too old, in ms. */
   private doubtMs(entry: UpstreamEntry, { startMs }: WarmupRate): number {
-    const { timers, evacuationEnds, upstreamHealth } = this.parts;
-    // An entry that is read after the failure may still be one of the process that has ended.
-    const restartMs = upstreamHealth.of(entry.id).backedOffUntilMs + startMs - timers.now();
+    const { timers, evacuationEnds } = this.parts;
+    const restartMs = this.unreachedMs(entry);
     if (restartMs > 0) return restartMs;
     const sinceMs = Math.max(this.pausedMs, evacuationEnds.endedMs(entry.dataCentre) ?? -Infinity);
     const remainingMs = sinceMs + startMs - timers.now();
--- a/src/warmup/warmup-grants.ts
+++ b/src/warmup/warmup-grants.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from "lru-cache";
 import type { PermitAnswer } from "../limit/limit-messages.js";
 import type { LimitOwners } from "../limit/limit-owners.js";
 import { PermitQueue } from "../limit/permit-queue.js";
@@ -18,6 +19,9 @@
 /** Time after which a refused requester asks whether another instance has become the owner. */
 const RETRY_MS = 200;
 
+/** Instances that could not connect to an upstream before all count it as cold. */
+const MIN_UNREACHED = 4;
+
 interface Parts {
   readonly timers: Timers;
   readonly self: string;
@@ -34,6 +38,10 @@
   /** The queues outlive coldness, so that a grant just before it began again counts. */
   private readonly queues = new Map<string, PermitQueue>();
   private readonly unpublished = new Map<string, ColdProcess>();
+  /** Instances that could not connect to an upstream, and how long that counts. */
+  private readonly unreached = new LRUCache<string, Map<string, number>>({
+    max: MAX_COLD_UPSTREAMS,
+  });
   /** What the fleet was told; times are on the monotonic clock in ms. */
   private readonly told = new Map<string, { startedMs: number; untilMs: number }>();
 
@@ -46,8 +54,8 @@
   /** Registers for the calls and updates of other instances. */
   start(): void {
     const { peerMethods, updates, coldUpstreams } = this.parts;
-    peerMethods.register(PeerMethod.WarmupPermit, (params) =>
-      this.request(warmupRequestSchema.parse(params)),
+    peerMethods.register(PeerMethod.WarmupPermit, (params, from) =>
+      this.request(warmupRequestSchema.parse(params), from),
     );
     updates.subscribe((update) => {
       if (update.kind !== "cold-upstreams") return;
@@ -63,7 +71,7 @@
   }
 
   /** Answers at once, or after a wait of at most `maxWaitMs` that ends with a permit. */
-  async request(request: WarmupRequest): Promise<PermitAnswer> {
+  async request(request: WarmupRequest, from: string): Promise<PermitAnswer> {
     const { self, incarnation, limitOwners, coldUpstreams } = this.parts;
     const { upstream, service } = request;
     if (limitOwners.ownerOf(upstream) !== self) return { kind: "not-owner" };
@@ -72,7 +80,7 @@
     // Without the configuration of the service there is no pace.
     if (coldUpstreams.paceOf(service) === undefined)
       return { kind: "refused", availableInMs: RETRY_MS };
-    this.tell(request);
+    this.tell({ ...request, remainingMs: this.agreedMs(request, from) });
     const queue = this.queueOf(upstream, service);
     if (queue === undefined) return { kind: "refused", availableInMs: RETRY_MS };
     const decision = await queue.request(request);
@@ -105,6 +113,18 @@
     }
   }
 
+  /** Remaining time in which the upstream is cold, or several instances could not connect to it. */
+  private agreedMs(request: WarmupRequest, from: string): number {
+    const { upstream, remainingMs, unreachedMs = 0 } = request;
+    if (remainingMs > 0 || unreachedMs === 0) return remainingMs;
+    const now = this.parts.timers.now();
+    const untilMs = this.unreached.get(upstream) ?? new Map<string, number>();
+    untilMs.set(from, now + unreachedMs);
+    for (const [id, endMs] of untilMs) if (endMs <= now) untilMs.delete(id);
+    this.unreached.set(upstream, untilMs);
+    return untilMs.size >= MIN_UNREACHED ? unreachedMs : 0;
+  }
+
   /** Tells the fleet what it may not have read; only for the first requester of a process. */
   private tell({ upstream, startedMs, remainingMs }: WarmupRequest): void {
     const { timers, updates, coldUpstreams } = this.parts;
--- a/src/warmup/warmup-messages.ts
+++ b/src/warmup/warmup-messages.ts
@@ -17,6 +17,8 @@
 export const warmupRequestSchema = z.object({
   ...processFields,
   service: z.string().max(200),
+  /** Remaining time in which it may be cold, as the sender could not connect to it, in ms. */
+  unreachedMs: z.number().nonnegative().max(MAX_WARMUP_MS).optional(),
   /** 0 is the most urgent. */
   rank: z.number(),
   team: z.string(),
--- a/src/warmup/warmup-permits.ts
+++ b/src/warmup/warmup-permits.ts
@@ -100,7 +100,9 @@
     const retry = { kind: "refused", availableInMs: OWNER_RETRY_MS } as const;
     if (waiting >= MAX_WAITING_PER_OWNER || this.unresponsiveOwners.has(owner)) return retry;
     const remainingMs = coldUpstreams.knownMs({ id });
-    const request = { upstream: id, service, startedMs, remainingMs, rank, team, maxWaitMs };
+    const unreachedMs = coldUpstreams.unreachedMs({ id, service });
+    const process = { upstream: id, service, startedMs, remainingMs, unreachedMs };
+    const request = { ...process, rank, team, maxWaitMs };
     const askedMs = timers.now();
     this.waitingByOwner.set(owner, waiting + 1);
     const answer = await this.answerOf(owner, request);
@@ -123,7 +125,7 @@
   /** Undefined if the owner does not answer. */
   private async answerOf(owner: string, request: WarmupRequest): Promise<PermitAnswer | undefined> {
     const { self, peerCalls, warmupGrants, decisionLines } = this.parts;
-    if (owner === self) return warmupGrants.request(request);
+    if (owner === self) return warmupGrants.request(request, self);
     const timeoutMs = request.maxWaitMs + OWNER_CALL_TIMEOUT_MS;
     try {
       return permitAnswerSchema.parse(
