End doubts of cold engines by responses and by rows that were read

Cause: a failure to connect made an instance pace an engine for the backoff and a whole start, and a pause or the end of an evacuation until the entry object changed, which unchanged rows never do.

Change: a pause or an evacuation counts until the rows were current after it. A failure counts until a request sent after it has a response that states no coldness, or one that is silent on it and rows read after that name the same process; all instances are told. The ends of evacuations come from the store.

--- a/features/cold-upstreams.feature
+++ b/features/cold-upstreams.feature
@@ -68,6 +68,62 @@
     And 60 requests per second and 100 of the hot prompt arrive for 3 s
     Then no cold engine gets more than 16 requests in a second
 
+  # Guards against warm engines that are paced because of a lost link.
+  Scenario: Warm engines to which connects were lost
+    Given 64 instances and 9 engines
+    When each instance fails once to connect to each engine
+    And 1000 ms pass in the fleet
+    And 100 requests per second and 20 of the hot prompt arrive for 5 s
+    Then at most 0.2 of the requests are refused
+
+  Scenario: Warm engines that state it, to which connects were lost
+    Given 64 instances and 9 engines that state that they are warm
+    When each instance fails once to connect to each engine
+    And 1000 ms pass in the fleet
+    And 100 requests per second and 20 of the hot prompt arrive for 5 s
+    Then at most 0.1 of the requests are refused
+
+  # Guards against what was read before a pause, and counts as unknown after the rows were read.
+  Scenario Outline: <count> of 64 instances are paused and the engines are warm
+    Given 64 instances and 9 engines
+    When <count> instances are paused for 1100 ms
+    And 2200 ms pass in the fleet
+    And 200 requests per second and 40 of the hot prompt arrive for 5 s
+    Then no permit is asked for
+    And at most 0.0 of the requests are refused
+
+    Examples:
+      | count |
+      | 32    |
+      | 64    |
+
+  Scenario: A data centre is taken back warm
+    Given 64 instances and 9 engines
+    When its evacuation ends
+    And 2200 ms pass in the fleet
+    And 200 requests per second and 40 of the hot prompt arrive for 3 s
+    Then no permit is asked for
+
+  Scenario: A daemon knows the ends of evacuations
+    Given the parts of a daemon on the platform
+    When the evacuation of "a" ends there
+    Then its upstreams count as unknown from then on
+
+  Scenario Outline: The option "<text>" says what a cold upstream bears
+    Then the option "<text>" gives "<bounds>"
+
+    Examples:
+      | text  | bounds                    |
+      | 1.5,5 | {"factor":1.5,"slack":5}  |
+      | 1.5,0 | {"factor":1.5,"slack":0}  |
+      | ,     | undefined                 |
+      | 1.5,  | undefined                 |
+      | ,5    | undefined                 |
+      | 1.5   | invalid-settings          |
+      | x,5   | invalid-settings          |
+      | 1,2,3 | invalid-settings          |
+      | -1,5  | invalid-settings          |
+
   # Guards against requests that are lost for want of permits, and callers that are not told.
   Scenario: All engines are cold
     Given 8 instances and 3 engines
--- a/features/steps/closed-upstreams.ts
+++ b/features/steps/closed-upstreams.ts
@@ -78,7 +78,7 @@
     this.statements = UpstreamStatements.create({
       ...{ timers, directory, forwardMetrics: ForwardMetrics.create() },
       limitKnowledge: { recordResponse: () => undefined },
-      coldUpstreams: { isCold: () => false, knownMs: () => 0, record: () => undefined },
+      coldUpstreams: { isCold: () => false, knownMs: () => 0, recordResponse: () => undefined },
       brittleUpstreams: { recordResponse: () => undefined },
       decisionLines: { write: () => undefined } as unknown as DecisionLines,
     });
--- a/features/steps/cold-upstreams.ts
+++ b/features/steps/cold-upstreams.ts
@@ -1,9 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { decodeConfiguration } from "../../platform/configuration-decoder.js";
-import { parseWarmupMs } from "../../platform/warmup.js";
 import { MemberState } from "../../src/peer/member-state.js";
-import { warmupPace } from "../../src/warmup/warmup-bounds.js";
 import type { LimitInstance } from "../support/limit-instance.js";
 import { BOUNDS, ColdFleet } from "../support/cold-fleet.js";
 
@@ -39,6 +36,14 @@
   },
 );
 
+Given(
+  "{int} instances and {int} engines that state that they are warm",
+  async function (this: ColdWorld, instances: number, engines: number) {
+    useFleet(this, await ColdFleet.create(instances, engines, BOUNDS));
+    this.coldFleet.statesWarm = true;
+  },
+);
+
 When("the data centre returns cold", async function (this: ColdWorld) {
   await this.coldFleet.chill(this.place, "start");
 });
@@ -127,6 +132,32 @@
   },
 );
 
+When("each instance fails once to connect to each engine", function (this: ColdWorld) {
+  this.coldFleet.loseConnects();
+});
+
+When(
+  "{int} instances are paused for {int} ms",
+  async function (this: ColdWorld, count: number, ms: number) {
+    const { coldFleet: fleet } = this;
+    const paused = fleet.instances.slice(0, count);
+    for (const instance of paused) instance.freeze();
+    await fleet.timers.advance(ms);
+    for (const instance of paused) instance.thaw(ms);
+    fleet.readRows();
+  },
+);
+
+When("its evacuation ends", function (this: ColdWorld) {
+  const { coldFleet: fleet, place } = this;
+  for (const { evacuationEnds } of fleet.instances) evacuationEnds.set(place, fleet.timers.now());
+  fleet.readRows();
+});
+
+When("{int} ms pass in the fleet", async function (this: ColdWorld, ms: number) {
+  await this.coldFleet.timers.advance(ms);
+});
+
 When(
   "{int} instances freeze while the data centre becomes cold",
   async function (this: ColdWorld, count: number) {
@@ -214,30 +245,3 @@
 Then("no permit is asked for", function (this: ColdWorld) {
   assert.equal(this.coldFleet.network.messages, 0);
 });
-
-Then(
-  "the pace of {float} requests per second, factor {float} and slack {float} is {float}",
-  function (perSecond: number, factor: number, slack: number, pace: number) {
-    assert.ok(Math.abs(warmupPace(perSecond, { factor, slack }) - pace) < 0.01);
-  },
-);
-
-Then(
-  /^a response with the remaining time "(.*)" states (\d+|undefined)$/,
-  function (text: string, ms: string) {
-    assert.equal(String(parseWarmupMs(text)), ms);
-  },
-);
-
-Then(
-  /^a service with the rate (\S+) has the warm-up "(.*)"$/,
-  function (rate: string, warmup: string) {
-    const cold = rate === "absent" ? {} : { "cold-per-s": Number(rate), "cold-start-s": 3 };
-    const services = [{ name: "s", ...cold }];
-    const { services: decoded } = decodeConfiguration(
-      JSON.stringify({ version: 1, routes: [], services }),
-    );
-    const value = decoded.get("s")?.warmup;
-    assert.equal(value === undefined ? "undefined" : JSON.stringify(value), warmup);
-  },
-);
--- a/features/steps/evacuation.ts
+++ b/features/steps/evacuation.ts
@@ -114,7 +114,7 @@
   const statements = UpstreamStatements.create({
     ...{ timers, directory, forwardMetrics },
     limitKnowledge: { recordResponse: () => undefined },
-    coldUpstreams: { isCold: () => false, knownMs: () => 0, record: () => undefined },
+    coldUpstreams: { isCold: () => false, knownMs: () => 0, recordResponse: () => undefined },
     brittleUpstreams: { recordResponse: () => undefined },
     decisionLines: { write: () => undefined } as never,
   });
--- a/features/support/cold-fleet.ts
+++ b/features/support/cold-fleet.ts
@@ -8,7 +8,10 @@
 import { RandomSource } from "../../src/random/random-source.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import { configurationOf, entryOf, routeOf } from "./forward-samples.js";
+import { respond } from "./engine-response.js";
 import { LimitInstance, type Warmup } from "./limit-instance.js";
+import { arriveAtRandom, type ColdLoad } from "./cold-load.js";
+import { type EngineArrival, mostWhileCold } from "./engine-arrivals.js";
 import { LimitNetwork } from "./limit-network.js";
 
 const SERVICE = "engines";
@@ -16,7 +19,6 @@
 const START_MS = 3_000;
 const RATE = { requestsPerSecond: 7.3, startMs: START_MS };
 export const BOUNDS = { factor: 1.5, slack: 5 };
-const MS_PER_SECOND = 1_000;
 const SERVICE_MS = 400;
 /** Prompts that requests share. */
 const PROMPTS = 200;
@@ -24,29 +26,20 @@
 const TARGET_MS = 1_000;
 /** Longest time from the write of a row until an instance has read it. */
 const ROW_LAG_MS = 1_500;
+/** Between two reads of the rows. */
+const READ_INTERVAL_MS = 600;
 const MIN_ROW_LAG_MS = 300;
 const DARK_MS = 2_000;
 const SEED = 0x9e3779b1;
 const HOT_PROMPT = "hot";
 
-interface Load {
-  readonly perSecond: number;
-  readonly seconds: number;
-  /** Requests per second with the same prompt, beside the others. */
-  readonly hotPerSecond?: number;
-}
-
-interface EngineArrival {
-  readonly atMs: number;
-  readonly id: string;
-  readonly cold: boolean;
-}
-
 /** Instances before engines that become cold, on a manual clock. */
 export class ColdFleet {
   readonly timers = ManualTimers.create();
   readonly instances: LimitInstance[] = [];
   readonly arrivals: EngineArrival[] = [];
+  /** Whether responses of warm engines state that they are warm. */
+  statesWarm = false;
   refused = 0;
   asked = 0;
   private readonly random = RandomSource.create(SEED);
@@ -75,6 +68,11 @@
       fleet.engines.set(id, entryOf({ id, service: SERVICE, dataCentre, slots: SLOTS }));
     }
     for (let at = 0; at < instances; at += 1) fleet.start(`i${at}`);
+    const read = (): void => {
+      fleet.confirmRows();
+      fleet.timers.after(READ_INTERVAL_MS, read);
+    };
+    read();
     await fleet.timers.advance(SETTLE_MS);
     return fleet;
   }
@@ -169,9 +167,27 @@
     return this.instances.filter(({ id }) => !owners.has(id));
   }
 
-  /** Each instance reads the present rows at a time of its own. */
+  /** Each instance reads the present rows at a time of its own; readers tell only those that changed. */
   readRows(): void {
-    for (const entry of this.engines.values()) this.write(entry);
+    const now = this.timers.now();
+    for (const entry of this.engines.values())
+      if ((this.coldUntilMs.get(entry.id) ?? 0) > now) this.write(entry);
+    this.confirmRows();
+  }
+
+  /** All rows of now are known when the last of them has been read. */
+  private confirmRows(): void {
+    const now = this.timers.now();
+    for (const instance of this.instances)
+      instance.timers.after(ROW_LAG_MS, () => {
+        instance.rowsReadMs = Math.max(instance.rowsReadMs, now);
+      });
+  }
+
+  /** Each instance fails once to connect to each engine. */
+  loseConnects(): void {
+    for (const instance of this.instances)
+      for (const id of this.engines.keys()) instance.healthOf(id).recordUnreachable();
   }
 
   private write(entry: UpstreamEntry): void {
@@ -184,20 +200,12 @@
   }
 
   /** Sends requests at random times; returns before they have ended. */
-  load({ perSecond, seconds, hotPerSecond = 0 }: Load): void {
-    const endMs = this.timers.now() + seconds * MS_PER_SECOND;
-    const total = perSecond + hotPerSecond;
-    const next = (): void => {
-      this.timers.after(this.random.exponential(MS_PER_SECOND / total), () => {
-        if (this.timers.now() >= endMs) return;
-        const hot = this.random.fraction() < hotPerSecond / total;
-        const prompt = hot ? HOT_PROMPT : `p${this.random.below(PROMPTS)}`;
-        const instance = this.instances[this.random.below(this.instances.length)];
-        if (instance !== undefined) void this.send(instance, prompt);
-        next();
-      });
-    };
-    next();
+  load(load: ColdLoad): void {
+    arriveAtRandom(this, this.random, load, (hot) => {
+      const prompt = hot ? HOT_PROMPT : `p${this.random.below(PROMPTS)}`;
+      const instance = this.instances[this.random.below(this.instances.length)];
+      if (instance !== undefined) void this.send(instance, prompt);
+    });
   }
 
   async send(instance: LimitInstance, prompt = HOT_PROMPT): Promise<void> {
@@ -229,6 +237,10 @@
       health.inFlight += 1;
       await instance.timers.sleep(SERVICE_MS);
       health.inFlight -= 1;
+      const untilMs = this.coldUntilMs.get(entry.id) ?? -Infinity;
+      const remainingMs = Math.max(0, untilMs - this.timers.now());
+      const stated = remainingMs > 0 || this.statesWarm ? remainingMs : undefined;
+      respond(instance, entry, permit, stated);
       return;
     }
     this.refused += 1;
@@ -236,14 +248,6 @@
 
   /** The most requests that a cold engine got in any second. */
   get mostWhileCold(): number {
-    let most = 0;
-    for (const id of this.engines.keys()) {
-      const times = this.arrivals.filter((each) => each.id === id && each.cold);
-      times.forEach(({ atMs }, last) => {
-        const first = times.findIndex((each) => each.atMs > atMs - MS_PER_SECOND);
-        most = Math.max(most, last - first + 1);
-      });
-    }
-    return most;
+    return mostWhileCold(this.arrivals);
   }
 }
--- a/features/support/limit-instance.ts
+++ b/features/support/limit-instance.ts
@@ -46,6 +46,8 @@
   readonly upstreamHealth: UpstreamHealthRegistry;
   /** Times of the ends of evacuations by data centre. */
   readonly evacuationEnds = new Map<string, number>();
+  /** Time as of which this instance knows the rows. */
+  rowsReadMs = -Infinity;
   private readonly states = new Map<string, MemberState>();
   private readonly memberHandlers: ((member: Member) => void)[] = [];
   private readonly pauseHandlers: ((lengthMs: number) => void)[] = [];
@@ -86,6 +88,7 @@
     this.grants = LimitGrants.create({ ...shared, limitOwners: this.owners });
     const coldUpstreams = ColdUpstreams.create({
       ...{ ...shared, ...warmup },
+      storeView: this.rows,
       evacuationEnds: { endedMs: (dataCentre) => this.evacuationEnds.get(dataCentre) },
     });
     const owned = { ...shared, coldUpstreams, limitOwners: this.owners };
@@ -137,6 +140,15 @@
     this.timers.thaw();
   }
 
+  private get rows(): { upstreamsAgeMs: number } {
+    const ageMs = (): number => this.timers.now() - this.rowsReadMs;
+    return {
+      get upstreamsAgeMs() {
+        return ageMs();
+      },
+    };
+  }
+
   private get members(): Members {
     return {
       self: this.id,
--- a/src/daemon/warmup-parts.ts
+++ b/src/daemon/warmup-parts.ts
@@ -1,4 +1,4 @@
-import { asFunction, asValue } from "awilix";
+import { aliasTo, asFunction } from "awilix";
 import type { FrontSettings } from "../settings/front-settings.js";
 import { ColdUpstreams } from "../warmup/cold-upstreams.js";
 import type { EvacuationEnds } from "../warmup/evacuation-ends.js";
@@ -17,7 +17,7 @@
 
 export const warmupParts = {
   coldUpstreams: asFunction(ColdUpstreams.create).singleton(),
-  evacuationEnds: asValue<EvacuationEnds>({ endedMs: () => undefined }),
+  evacuationEnds: aliasTo("evacuations"),
   warmupBounds: asFunction(
     ({ frontSettings }: { readonly frontSettings: FrontSettings }) => frontSettings.bounds.warmup,
   ).singleton(),
--- a/src/forward/upstream-health.ts
+++ b/src/forward/upstream-health.ts
@@ -27,6 +27,7 @@
   statedLimit: StatedLimit | undefined;
   private backoffUntilMs = -Infinity;
   private lastBackoffEndMs = -Infinity;
+  private lastUnreachableMs = -Infinity;
   private backoffMs = INITIAL_BACKOFF_MS;
   private unavailableUntilMs = -Infinity;
   private meanFailureRate = 0;
@@ -65,6 +66,11 @@
     return this.lastBackoffEndMs;
   }
 
+  /** Time of the last failure to reach the upstream, on the monotonic clock in ms. */
+  get unreachableMs(): number {
+    return this.lastUnreachableMs;
+  }
+
   /** Whether the upstream accepts no new work: it is leaving, or asked for a pause. */
   get unavailable(): boolean {
     return this.availableInMs > 0;
@@ -124,7 +130,8 @@
 
   /** Records a refused connection or a silent upstream; starts or doubles the backoff. */
   recordUnreachable(): void {
-    this.backoffUntilMs = this.timers.now() + this.backoffMs;
+    this.lastUnreachableMs = this.timers.now();
+    this.backoffUntilMs = this.lastUnreachableMs + this.backoffMs;
     this.lastBackoffEndMs = this.backoffUntilMs;
     this.backoffMs = Math.min(2 * this.backoffMs, MAX_BACKOFF_MS);
   }
--- a/src/forward/upstream-statements.ts
+++ b/src/forward/upstream-statements.ts
@@ -22,7 +22,7 @@
   readonly timers: Timers;
   readonly directory: Pick<UpstreamDirectory, "isServing" | "isEvacuated">;
   readonly limitKnowledge: Pick<LimitKnowledge, "recordResponse">;
-  readonly coldUpstreams: Pick<ColdUpstreams, "isCold" | "knownMs" | "record">;
+  readonly coldUpstreams: Pick<ColdUpstreams, "isCold" | "knownMs" | "recordResponse">;
   readonly brittleUpstreams: Pick<BrittleUpstreams, "recordResponse">;
   readonly decisionLines: DecisionLines;
   readonly forwardMetrics: ForwardMetrics;
@@ -60,7 +60,7 @@
     // Another process answers at the address.
     if (attributes.misdirected) return;
     const { decisionLines, limitKnowledge, brittleUpstreams, coldUpstreams } = this.parts;
-    coldUpstreams.record(upstream, attributes.remainingWarmupMs ?? 0);
+    coldUpstreams.recordResponse(upstream, attributes.remainingWarmupMs, permit);
     brittleUpstreams.recordResponse(upstream, attributes.toleratedRejections);
     recordAvailability(decisionLines, upstream, health, attributes);
     limitKnowledge.recordResponse(upstream.id, health, attributes.requestsPerSecond, permit);
--- a/src/limit/permit.ts
+++ b/src/limit/permit.ts
@@ -20,8 +20,9 @@
   private constructor(
     private readonly timers: Timers,
     readonly grant: Grant,
-    private readonly expiresMs: number,
-    private readonly use: PermitUse,
+    /** A time at or before the grant, on this instance's clock. */
+    readonly grantedBeforeMs: number,
+    readonly use: PermitUse,
   ) {}
 
   /** `grantedBeforeMs` is a time at or before the grant, on this instance's clock. */
@@ -31,11 +32,11 @@
     grantedBeforeMs: number,
     use = PermitUse.StatedLimit,
   ): Permit {
-    return new Permit(timers, grant, grantedBeforeMs + PERMIT_LIFETIME_MS, use);
+    return new Permit(timers, grant, grantedBeforeMs, use);
   }
 
   get valid(): boolean {
-    return !this.used && this.timers.now() < this.expiresMs;
+    return !this.used && this.timers.now() < this.grantedBeforeMs + PERMIT_LIFETIME_MS;
   }
 
   /** Uses the permit; returns false if it has expired, was used before or is of another use. */
--- a/src/warmup/warmup-grants.ts
+++ b/src/warmup/warmup-grants.ts
@@ -59,8 +59,10 @@
     );
     updates.subscribe((update) => {
       if (update.kind !== "cold-upstreams") return;
-      for (const { upstream: id, startedMs, remainingMs } of update.upstreams)
-        coldUpstreams.record({ id, startedMs }, remainingMs);
+      for (const process of update.upstreams) this.record(process);
+    });
+    coldUpstreams.subscribe((process) => {
+      updates.publish({ kind: "cold-upstreams", upstreams: [process] });
     });
   }
 
@@ -80,7 +82,7 @@
     // Without the configuration of the service there is no pace.
     if (coldUpstreams.paceOf(service) === undefined)
       return { kind: "refused", availableInMs: RETRY_MS };
-    this.tell({ ...request, remainingMs: this.agreedMs(request, from) });
+    this.tell(this.knowledgeOf(request, from));
     const queue = this.queueOf(upstream, service);
     if (queue === undefined) return { kind: "refused", availableInMs: RETRY_MS };
     const decision = await queue.request(request);
@@ -89,6 +91,15 @@
     return { kind: "granted", grant: { owner: self, incarnation, grantedMs }, waitedMs };
   }
 
+  private record({ upstream: id, startedMs, remainingMs, ...told }: ColdProcess): void {
+    const { timers, coldUpstreams } = this.parts;
+    const process = { id, startedMs };
+    if (told.warmAgeMs !== undefined)
+      coldUpstreams.recordWarm(process, timers.now() - told.warmAgeMs, told.stated === true);
+    else if (told.inferred === true) coldUpstreams.recordInferred(process, remainingMs);
+    else coldUpstreams.record(process, remainingMs);
+  }
+
   private queueOf(upstream: string, service: string): PermitQueue | undefined {
     const { timers, limitOwners, coldUpstreams } = this.parts;
     let queue = this.queues.get(upstream);
@@ -113,27 +124,30 @@
     }
   }
 
-  /** Remaining time in which the upstream is cold, or several instances could not connect to it. */
-  private agreedMs(request: WarmupRequest, from: string): number {
-    const { upstream, remainingMs, unreachedMs = 0 } = request;
-    if (remainingMs > 0 || unreachedMs === 0) return remainingMs;
+  /** That an upstream is cold, or several instances could not connect to it. */
+  private knowledgeOf(request: WarmupRequest, from: string): ColdProcess {
+    const { upstream, startedMs, remainingMs, unreachedMs = 0 } = request;
+    const process = { upstream, startedMs };
+    if (remainingMs > 0 || unreachedMs === 0) return { ...process, remainingMs };
     const now = this.parts.timers.now();
     const untilMs = this.unreached.get(upstream) ?? new Map<string, number>();
     untilMs.set(from, now + unreachedMs);
     for (const [id, endMs] of untilMs) if (endMs <= now) untilMs.delete(id);
     this.unreached.set(upstream, untilMs);
-    return untilMs.size >= MIN_UNREACHED ? unreachedMs : 0;
+    const agreedMs = untilMs.size >= MIN_UNREACHED ? unreachedMs : 0;
+    return { ...process, remainingMs: agreedMs, inferred: true };
   }
 
   /** Tells the fleet what it may not have read; only for the first requester of a process. */
-  private tell({ upstream, startedMs, remainingMs }: WarmupRequest): void {
-    const { timers, updates, coldUpstreams } = this.parts;
-    coldUpstreams.record({ id: upstream, startedMs }, remainingMs);
+  private tell(process: ColdProcess): void {
+    const { timers, updates } = this.parts;
+    const { upstream, startedMs, remainingMs } = process;
+    this.record(process);
     const now = timers.now();
     const told = this.told.get(upstream);
     if (remainingMs <= 0 || (told?.startedMs === startedMs && now < told.untilMs)) return;
     this.told.set(upstream, { startedMs, untilMs: now + remainingMs });
-    this.unpublished.set(upstream, { upstream, startedMs, remainingMs });
+    this.unpublished.set(upstream, process);
     if (this.unpublished.size > 1) return;
     timers.after(PUBLISH_DELAY_MS, () => {
       const upstreams = [...this.unpublished.values()].slice(0, MAX_COLD_UPSTREAMS);
--- a/src/warmup/warmup-messages.ts
+++ b/src/warmup/warmup-messages.ts
@@ -26,9 +26,19 @@
   maxWaitMs: z.number().nonnegative(),
 });
 
-/** Schema of the upstreams that an owner tells other instances to be cold. */
+const toldProcess = z.object({
+  ...processFields,
+  /** Set if the process was not reached, and may be a cold one. */
+  inferred: z.boolean().optional(),
+  /** Age of a request to which the process responded without being cold, in ms; `remainingMs` is 0. */
+  warmAgeMs: z.number().nonnegative().max(MAX_WARMUP_MS).optional(),
+  /** Set if that response stated it. */
+  stated: z.boolean().optional(),
+});
+
+/** Schema of the upstreams that an instance tells others to be cold, or not to be. */
 export const coldUpstreamsSchema = z.object({
-  upstreams: z.array(z.object(processFields)).max(MAX_COLD_UPSTREAMS),
+  upstreams: z.array(toldProcess).max(MAX_COLD_UPSTREAMS),
 });
 
 export type WarmupRequest = z.output<typeof warmupRequestSchema>;
