Tell the fleet of a cold engine when its row is read, and for no longer than it stays cold

Cause: an owner told the fleet only when it was asked for a permit, 50 ms later with the remaining time from before, and again when that had ended at it and not at the others.

Change: the first instance that reads or hears it tells all; the remaining time is computed when it is published, and told again only if it ends 500 ms later or more.

--- a/features/cold-upstreams.feature
+++ b/features/cold-upstreams.feature
@@ -41,6 +41,34 @@
     When 249 requests per second and 20 of the hot prompt arrive for 4 s and the data centre becomes cold
     Then no cold engine gets more than 16 requests in a second
 
+  Scenario: Warm engines become cold under the usual load and 41 requests of a hot prompt
+    Given 64 instances and 99 engines
+    When 249 requests per second and 41 of the hot prompt arrive for 4 s and the data centre becomes cold
+    Then no cold engine gets more than 16 requests in a second
+
+  Scenario: Warm engines become cold under the usual load and 60 requests of a hot prompt
+    Given 64 instances and 99 engines
+    When 249 requests per second and 60 of the hot prompt arrive for 4 s and the data centre becomes cold
+    Then no cold engine gets more than 16 requests in a second
+
+  Scenario: Warm engines become cold under the usual load and 106 requests of a hot prompt
+    Given 64 instances and 99 engines
+    When 249 requests per second and 106 of the hot prompt arrive for 4 s and the data centre becomes cold
+    Then no cold engine gets more than 16 requests in a second
+
+  Scenario: An engine becomes cold without a request
+    Given 64 instances and 9 engines
+    When one instance reads that it is cold
+    And 60 requests of the hot prompt arrive
+    Then no cold engine gets more than 16 requests in a second
+
+  # Guards against statements that prolong each other.
+  Scenario: An engine counts as cold for as long as it says
+    Given 64 instances and 9 engines
+    When one instance reads that it is cold and sends a request
+    And 300 requests per second and 106 of the hot prompt arrive for 6 s
+    Then no instance counted it as cold for longer than 3200 ms
+
   # Guards against instances that each find out by their own rows.
   Scenario: One instance has read that an engine has become cold
     Given 64 instances and 9 engines
@@ -77,7 +105,7 @@
     Then at most 0.2 of the requests are refused
 
   Scenario: Warm engines that state it, to which connects were lost
-    Given 64 instances and 9 engines that state that they are warm
+    Given 64 instances and 9 engines that state how cold they are
     When each instance fails once to connect to each engine
     And 1000 ms pass in the fleet
     And 100 requests per second and 20 of the hot prompt arrive for 5 s
--- a/features/steps/cold-upstreams.ts
+++ b/features/steps/cold-upstreams.ts
@@ -2,6 +2,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { MemberState } from "../../src/peer/member-state.js";
 import type { LimitInstance } from "../support/limit-instance.js";
+import { ColdWatch } from "../support/cold-watch.js";
 import { BOUNDS, ColdFleet } from "../support/cold-fleet.js";
 
 const MS_PER_SECOND = 1_000;
@@ -11,9 +12,10 @@
 /** Longer than the time in which all instances read a row. */
 const ROWS_READ_MS = 1_500;
 
-interface ColdWorld {
+export interface ColdWorld {
   coldFleet: ColdFleet;
   place: string;
+  coldWatch: ColdWatch;
   frozen: readonly LimitInstance[];
 }
 
@@ -37,10 +39,10 @@
 );
 
 Given(
-  "{int} instances and {int} engines that state that they are warm",
+  "{int} instances and {int} engines that state how cold they are",
   async function (this: ColdWorld, instances: number, engines: number) {
     useFleet(this, await ColdFleet.create(instances, engines, BOUNDS));
-    this.coldFleet.statesWarm = true;
+    this.coldFleet.states = true;
   },
 );
 
@@ -132,32 +134,6 @@
   },
 );
 
-When("each instance fails once to connect to each engine", function (this: ColdWorld) {
-  this.coldFleet.loseConnects();
-});
-
-When(
-  "{int} instances are paused for {int} ms",
-  async function (this: ColdWorld, count: number, ms: number) {
-    const { coldFleet: fleet } = this;
-    const paused = fleet.instances.slice(0, count);
-    for (const instance of paused) instance.freeze();
-    await fleet.timers.advance(ms);
-    for (const instance of paused) instance.thaw(ms);
-    fleet.readRows();
-  },
-);
-
-When("its evacuation ends", function (this: ColdWorld) {
-  const { coldFleet: fleet, place } = this;
-  for (const { evacuationEnds } of fleet.instances) evacuationEnds.set(place, fleet.timers.now());
-  fleet.readRows();
-});
-
-When("{int} ms pass in the fleet", async function (this: ColdWorld, ms: number) {
-  await this.coldFleet.timers.advance(ms);
-});
-
 When(
   "{int} instances freeze while the data centre becomes cold",
   async function (this: ColdWorld, count: number) {
@@ -200,6 +176,7 @@
   const reader = fleet.instances.find(({ id }) => id !== fleet.owner);
   assert.ok(reader);
   await fleet.chillBefore(reader, fleet.home);
+  this.coldWatch = ColdWatch.start(fleet);
   void fleet.send(reader);
   await fleet.timers.advance(TOLD_MS);
 });
--- a/features/support/cold-fleet.ts
+++ b/features/support/cold-fleet.ts
@@ -24,11 +24,10 @@
 const PROMPTS = 200;
 const SETTLE_MS = 3_000;
 const TARGET_MS = 1_000;
-/** Longest time from the write of a row until an instance has read it. */
+/** Time from the write of a row until an instance has read it. */
 const ROW_LAG_MS = 1_500;
-/** Between two reads of the rows. */
-const READ_INTERVAL_MS = 600;
 const MIN_ROW_LAG_MS = 300;
+const READ_INTERVAL_MS = 600;
 const DARK_MS = 2_000;
 const SEED = 0x9e3779b1;
 const HOT_PROMPT = "hot";
@@ -38,8 +37,8 @@
   readonly timers = ManualTimers.create();
   readonly instances: LimitInstance[] = [];
   readonly arrivals: EngineArrival[] = [];
-  /** Whether responses of warm engines state that they are warm. */
-  statesWarm = false;
+  /** Whether responses state how long an engine stays cold. */
+  states = false;
   refused = 0;
   asked = 0;
   private readonly random = RandomSource.create(SEED);
@@ -68,11 +67,7 @@
       fleet.engines.set(id, entryOf({ id, service: SERVICE, dataCentre, slots: SLOTS }));
     }
     for (let at = 0; at < instances; at += 1) fleet.start(`i${at}`);
-    const read = (): void => {
-      fleet.confirmRows();
-      fleet.timers.after(READ_INTERVAL_MS, read);
-    };
-    read();
+    fleet.confirmRows(READ_INTERVAL_MS);
     await fleet.timers.advance(SETTLE_MS);
     return fleet;
   }
@@ -89,8 +84,8 @@
       instance.see(other.id, MemberState.Alive, other.incarnation);
     }
     this.instances.push(instance);
-    const { directory, upstreamHealth, upstreamPermits, statements } = instance;
-    const parts = { timers: instance.timers, directory, upstreamHealth, upstreamPermits };
+    const { timers: clock, directory, upstreamHealth, upstreamPermits, statements } = instance;
+    const parts = { timers: clock, directory, upstreamHealth, upstreamPermits };
     const promptGuard = { suspectAmong: () => undefined };
     const upstreamSelector = UpstreamSelector.create({
       ...{ ...parts, routeView, promptGuard, dataCentre: "a" },
@@ -157,27 +152,30 @@
   async chillBefore(reader: LimitInstance, id: string): Promise<void> {
     await this.chill(id, "unseen");
     const entry = this.engines.get(id);
-    if (entry !== undefined) reader.list(entry);
+    if (entry) reader.list(entry);
   }
 
   /** Instances that grant no permits. */
   get others(): LimitInstance[] {
-    const [first] = this.instances;
-    const owners = new Set([...this.engines.keys()].map((id) => first?.owners.ownerOf(id)));
+    const ids = [...this.engines.keys()];
+    const owners = new Set(ids.map((id) => this.instances[0]?.owners.ownerOf(id)));
     return this.instances.filter(({ id }) => !owners.has(id));
   }
 
   /** Each instance reads the present rows at a time of its own; readers tell only those that changed. */
   readRows(): void {
-    const now = this.timers.now();
     for (const entry of this.engines.values())
-      if ((this.coldUntilMs.get(entry.id) ?? 0) > now) this.write(entry);
+      if (this.remainingMs(entry.id) > 0) this.write(entry);
     this.confirmRows();
   }
 
   /** All rows of now are known when the last of them has been read. */
-  private confirmRows(): void {
+  private confirmRows(intervalMs = Infinity): void {
     const now = this.timers.now();
+    if (intervalMs < Infinity)
+      this.timers.after(intervalMs, () => {
+        this.confirmRows(intervalMs);
+      });
     for (const instance of this.instances)
       instance.timers.after(ROW_LAG_MS, () => {
         instance.rowsReadMs = Math.max(instance.rowsReadMs, now);
@@ -186,13 +184,16 @@
 
   /** Each instance fails once to connect to each engine. */
   loseConnects(): void {
-    for (const instance of this.instances)
-      for (const id of this.engines.keys()) instance.healthOf(id).recordUnreachable();
+    for (const id of this.engines.keys())
+      for (const instance of this.instances) instance.healthOf(id).recordUnreachable();
+  }
+
+  private remainingMs(id: string): number {
+    return Math.max(0, (this.coldUntilMs.get(id) ?? 0) - this.timers.now());
   }
 
   private write(entry: UpstreamEntry): void {
-    const untilMs = this.coldUntilMs.get(entry.id) ?? 0;
-    const warmupMs = Math.max(0, untilMs - this.timers.now());
+    const warmupMs = this.remainingMs(entry.id);
     for (const instance of this.instances)
       instance.timers.after(MIN_ROW_LAG_MS + this.random.below(ROW_LAG_MS - MIN_ROW_LAG_MS), () => {
         instance.list({ ...entry, warmupMs });
@@ -232,21 +233,17 @@
         tried.add(entry.id);
         continue;
       }
-      const cold = atMs < (this.coldUntilMs.get(entry.id) ?? -Infinity);
+      const cold = this.remainingMs(entry.id) > 0;
       this.arrivals.push({ atMs, id: entry.id, cold });
       health.inFlight += 1;
       await instance.timers.sleep(SERVICE_MS);
       health.inFlight -= 1;
-      const untilMs = this.coldUntilMs.get(entry.id) ?? -Infinity;
-      const remainingMs = Math.max(0, untilMs - this.timers.now());
-      const stated = remainingMs > 0 || this.statesWarm ? remainingMs : undefined;
-      respond(instance, entry, permit, stated);
+      respond(instance, entry, permit, this.states ? this.remainingMs(entry.id) : undefined);
       return;
     }
     this.refused += 1;
   }
 
-  /** The most requests that a cold engine got in any second. */
   get mostWhileCold(): number {
     return mostWhileCold(this.arrivals);
   }
--- a/features/support/limit-instance.ts
+++ b/features/support/limit-instance.ts
@@ -42,6 +42,7 @@
   readonly owners: LimitOwners;
   readonly grants: LimitGrants;
   readonly warmupPermits: WarmupPermits;
+  readonly coldUpstreams: ColdUpstreams;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   /** Times of the ends of evacuations by data centre. */
@@ -86,11 +87,12 @@
     };
     this.owners = LimitOwners.create(shared);
     this.grants = LimitGrants.create({ ...shared, limitOwners: this.owners });
-    const coldUpstreams = ColdUpstreams.create({
+    this.coldUpstreams = ColdUpstreams.create({
       ...{ ...shared, ...warmup },
       storeView: this.rows,
       evacuationEnds: { endedMs: (dataCentre) => this.evacuationEnds.get(dataCentre) },
     });
+    const { coldUpstreams } = this;
     const owned = { ...shared, coldUpstreams, limitOwners: this.owners };
     const warmupGrants = WarmupGrants.create(owned);
     this.warmupPermits = WarmupPermits.create({ ...owned, warmupGrants });
--- a/src/forward/upstream-directory.ts
+++ b/src/forward/upstream-directory.ts
@@ -1,4 +1,5 @@
 import type { Evacuations } from "../evacuation/evacuations.js";
+import type { Subscription } from "../time/subscription.js";
 import type { Timers } from "../time/timers.js";
 import type { UpstreamEntry } from "./upstream-entry.js";
 
@@ -17,6 +18,8 @@
 
 type EvacuationSource = Pick<Evacuations, "isEvacuated" | "dataCentres" | "subscribe">;
 
+type ListedHandler = (entries: readonly UpstreamEntry[]) => void;
+
 interface Parts {
   readonly timers: Timers;
   readonly evacuations?: EvacuationSource;
@@ -28,6 +31,7 @@
   private byService = new Map<string, UpstreamEntry[]>();
   private byAddress = new Map<string, UpstreamEntry>();
 
+  private readonly handlers = new Set<ListedHandler>();
   /** Services of upstreams that are not draining, but all in evacuated data centres. */
   private whollyEvacuated = new Set<string>();
 
@@ -106,6 +110,12 @@
     return Math.max(0, listing.entry.warmupMs - (this.timers.now() - listing.listedMs));
   }
 
+  /** Calls `handler` with the entries that were read, after they are listed. */
+  subscribe(handler: ListedHandler): Subscription {
+    this.handlers.add(handler);
+    return { cancel: () => void this.handlers.delete(handler) };
+  }
+
   /** IDs of all known upstreams. */
   get ids(): readonly string[] {
     return [...this.listings.keys()];
@@ -126,6 +136,8 @@
       else listing.expiresMs ??= now + retentionMs;
     }
     this.rebuild();
+    const listed = changes.flatMap(([, entry]) => entry ?? []);
+    for (const handler of this.handlers) handler(listed);
   }
 
   private isInEvacuated({ dataCentre }: UpstreamEntry): boolean {
--- a/src/warmup/cold-upstreams.ts
+++ b/src/warmup/cold-upstreams.ts
@@ -10,6 +10,7 @@
 import type { Pauses } from "../time/pauses.js";
 import type { Subscription } from "../time/subscription.js";
 import type { Timers } from "../time/timers.js";
+import { ColdStatements } from "./cold-statements.js";
 import type { EvacuationEnds } from "./evacuation-ends.js";
 import { type WarmupBounds, warmupPace } from "./warmup-bounds.js";
 import type { ColdProcess } from "./warmup-messages.js";
@@ -17,12 +18,6 @@
 /** Far above the number of upstreams of a deployment. */
 const MAX_UPSTREAMS = 4_096;
 
-interface Statement {
-  readonly startedMs: number;
-  readonly learntMs: number;
-  readonly untilMs: number;
-}
-
 /** A response that says of no coldness. Times are on the monotonic clock in ms. */
 interface Confirmation {
   readonly startedMs: number;
@@ -55,9 +50,9 @@
  * entry, read after that, is the same. Both end after the time for which a start would make it cold.
  */
 export class ColdUpstreams {
-  private readonly statements = new LRUCache<string, Statement>({ max: MAX_UPSTREAMS });
+  private readonly statements: ColdStatements;
   /** What instances that could not connect to an upstream have told. */
-  private readonly inferences = new LRUCache<string, Statement>({ max: MAX_UPSTREAMS });
+  private readonly inferences: ColdStatements;
   private readonly confirmations = new LRUCache<string, Confirmation>({ max: MAX_UPSTREAMS });
   private readonly handlers = new Set<(process: ColdProcess) => void>();
   /** Processes that a log line says to be cold. */
@@ -65,6 +60,8 @@
   private pausedMs = -Infinity;
 
   private constructor(private readonly parts: Parts) {
+    this.statements = ColdStatements.create(parts);
+    this.inferences = ColdStatements.create(parts);
     parts.pauses.subscribe(() => {
       this.pausedMs = parts.timers.now();
     });
@@ -94,7 +91,7 @@
   /** The part of the remaining time that an entry or a response states, in ms. */
   knownMs({ id }: Pick<Upstream, "id">): number {
     const { directory } = this.parts;
-    return Math.max(directory.remainingWarmupMs(id), this.remainingOf(this.statements, id));
+    return Math.max(directory.remainingWarmupMs(id), this.statements.remainingMs(id));
   }
 
   /**
@@ -122,12 +119,21 @@
    * Never shortens an earlier statement.
    */
   record(process: Process, remainingMs: number): void {
-    this.keep(this.statements, process, remainingMs);
+    this.statements.record(process, remainingMs);
+  }
+
+  /** Whether nobody has told yet that a process is cold, as its entry says. */
+  isNews({ id, service, startedMs }: Pick<UpstreamEntry, "id" | "service" | "startedMs">): boolean {
+    if (this.rateOf(service) === undefined) return false;
+    return (
+      (this.statements.find(id)?.startedMs ?? -1) < startedMs ||
+      this.statements.remainingMs(id) === 0
+    );
   }
 
   /** Records that other instances could not connect to an upstream. */
   recordInferred(process: Process, remainingMs: number): void {
-    this.keep(this.inferences, process, remainingMs);
+    this.inferences.record(process, remainingMs);
   }
 
   /**
@@ -172,18 +178,9 @@
     for (const handler of this.handlers) handler(process);
   }
 
-  private remainingOf(kept: LRUCache<string, Statement>, id: string): number {
-    const { directory, timers } = this.parts;
-    const statement = kept.get(id);
-    // A newer process than the listed one answers at the same address.
-    if (statement === undefined || statement.startedMs < (directory.find(id)?.startedMs ?? 0))
-      return 0;
-    return Math.max(0, statement.untilMs - timers.now());
-  }
-
   private inferredMs(id: string): number {
-    const learntMs = this.inferences.get(id)?.learntMs ?? -Infinity;
-    return this.confirmedMs(id) > learntMs ? 0 : this.remainingOf(this.inferences, id);
+    const learntMs = this.inferences.find(id)?.learntMs ?? -Infinity;
+    return this.confirmedMs(id) > learntMs ? 0 : this.inferences.remainingMs(id);
   }
 
   /** Time until which doubts of the listed process have ended. */
@@ -199,25 +196,11 @@
   private coversDoubts({ id, startedMs }: Process): boolean {
     const confirmation = this.confirmations.get(id);
     if (confirmation?.startedMs !== startedMs) return false;
-    const learntMs = this.inferences.get(id)?.learntMs ?? -Infinity;
+    const learntMs = this.inferences.find(id)?.learntMs ?? -Infinity;
     const { unreachableMs } = this.parts.upstreamHealth.of(id);
     return confirmation.sentMs > Math.max(learntMs, unreachableMs, this.pausedMs);
   }
 
-  private keep(
-    kept: LRUCache<string, Statement>,
-    { id, startedMs }: Process,
-    remainingMs: number,
-  ): void {
-    if (remainingMs <= 0) return;
-    const learntMs = this.parts.timers.now();
-    const untilMs = learntMs + remainingMs;
-    const known = kept.get(id);
-    if (known !== undefined && known.startedMs > startedMs) return;
-    if (known?.startedMs === startedMs && known.untilMs >= untilMs) return;
-    kept.set(id, { startedMs, learntMs, untilMs });
-  }
-
   /** Remaining time in which what is known of an upstream counts as too old, in ms. */
   private doubtMs(entry: UpstreamEntry, { startMs }: WarmupRate): number {
     const { timers, evacuationEnds, storeView } = this.parts;
--- a/src/warmup/warmup-grants.ts
+++ b/src/warmup/warmup-grants.ts
@@ -1,4 +1,6 @@
 import { LRUCache } from "lru-cache";
+import type { UpstreamDirectory } from "../forward/upstream-directory.js";
+import type { UpstreamEntry } from "../forward/upstream-entry.js";
 import type { PermitAnswer } from "../limit/limit-messages.js";
 import type { LimitOwners } from "../limit/limit-owners.js";
 import { PermitQueue } from "../limit/permit-queue.js";
@@ -18,6 +20,8 @@
 const PUBLISH_DELAY_MS = 50;
 /** Time after which a refused requester asks whether another instance has become the owner. */
 const RETRY_MS = 200;
+/** Least time by which an upstream stays cold for longer than was told, before it is told again. */
+const MIN_EXTENSION_MS = 500;
 
 /** Instances that could not connect to an upstream before all count it as cold. */
 const MIN_UNREACHED = 4;
@@ -31,13 +35,14 @@
   readonly updates: Updates;
   readonly limitOwners: LimitOwners;
   readonly coldUpstreams: ColdUpstreams;
+  readonly directory: Pick<UpstreamDirectory, "subscribe">;
 }
 
 /** Grants the permits of the cold upstreams that this instance owns. */
 export class WarmupGrants {
   /** The queues outlive coldness, so that a grant just before it began again counts. */
   private readonly queues = new Map<string, PermitQueue>();
-  private readonly unpublished = new Map<string, ColdProcess>();
+  private readonly unpublished = new Map<string, ColdProcess & { readonly untilMs: number }>();
   /** Instances that could not connect to an upstream, and how long that counts. */
   private readonly unreached = new LRUCache<string, Map<string, number>>({
     max: MAX_COLD_UPSTREAMS,
@@ -53,7 +58,7 @@
 
   /** Registers for the calls and updates of other instances. */
   start(): void {
-    const { peerMethods, updates, coldUpstreams } = this.parts;
+    const { peerMethods, updates, coldUpstreams, directory } = this.parts;
     peerMethods.register(PeerMethod.WarmupPermit, (params, from) =>
       this.request(warmupRequestSchema.parse(params), from),
     );
@@ -64,6 +69,9 @@
     coldUpstreams.subscribe((process) => {
       updates.publish({ kind: "cold-upstreams", upstreams: [process] });
     });
+    directory.subscribe((entries) => {
+      this.tellRead(entries);
+    });
   }
 
   /** Grants no permits any more. */
@@ -91,6 +99,18 @@
     return { kind: "granted", grant: { owner: self, incarnation, grantedMs }, waitedMs };
   }
 
+  /** Tells at once which upstreams rows say to be cold, unless another instance has told it. */
+  private tellRead(entries: readonly UpstreamEntry[]): void {
+    const { updates, coldUpstreams } = this.parts;
+    const cold = entries
+      .filter((entry) => entry.warmupMs > 0 && coldUpstreams.isNews(entry))
+      .map(({ id, startedMs, warmupMs }) => ({ upstream: id, startedMs, remainingMs: warmupMs }))
+      .slice(0, MAX_COLD_UPSTREAMS);
+    if (cold.length === 0) return;
+    for (const process of cold) this.record(process);
+    updates.publish({ kind: "cold-upstreams", upstreams: cold });
+  }
+
   private record({ upstream: id, startedMs, remainingMs, ...told }: ColdProcess): void {
     const { timers, coldUpstreams } = this.parts;
     const process = { id, startedMs };
@@ -145,12 +165,19 @@
     this.record(process);
     const now = timers.now();
     const told = this.told.get(upstream);
-    if (remainingMs <= 0 || (told?.startedMs === startedMs && now < told.untilMs)) return;
-    this.told.set(upstream, { startedMs, untilMs: now + remainingMs });
-    this.unpublished.set(upstream, process);
+    const untilMs = now + remainingMs;
+    const known = told?.startedMs === startedMs ? told.untilMs : now;
+    // Each message takes time, so that what was told comes back as a little longer.
+    if (remainingMs <= 0 || (known > now && untilMs < known + MIN_EXTENSION_MS)) return;
+    this.told.set(upstream, { startedMs, untilMs });
+    this.unpublished.set(upstream, { ...process, untilMs });
     if (this.unpublished.size > 1) return;
     timers.after(PUBLISH_DELAY_MS, () => {
-      const upstreams = [...this.unpublished.values()].slice(0, MAX_COLD_UPSTREAMS);
+      const publishedMs = timers.now();
+      const upstreams = [...this.unpublished.values()]
+        .map(({ untilMs: endMs, ...rest }) => ({ ...rest, remainingMs: endMs - publishedMs }))
+        .filter((each) => each.remainingMs > 0)
+        .slice(0, MAX_COLD_UPSTREAMS);
       this.unpublished.clear();
       updates.publish({ kind: "cold-upstreams", upstreams });
     });
