--- a/src/crash/prompt-guard.ts
+++ b/src/crash/prompt-guard.ts
@@ -150,6 +150,7 @@
         return;
       case "configuration":
       case "upstream-limits":
+      case "cold-upstreams":
       case "upstream-full":
       case "version-plan":
       case "crash-suspicion":
--- a/src/peer/update.ts
+++ b/src/peer/update.ts
@@ -50,7 +50,7 @@
   partConvictionSchema.extend({ kind: z.literal("part-conviction") }),
   /** Limits that upstreams state for the requests of all instances together. */
   knownLimitsSchema.extend({ kind: z.literal("upstream-limits") }),
-  /** Upstreams that are cold; the owner of their permits tells it. */
+  /** Upstreams that are cold; an owner of permits, or the first instance that knows, tells it. */
   coldUpstreamsSchema.extend({ kind: z.literal("cold-upstreams") }),
   /** A brittle upstream that turned a request away; it gets nothing for a second. */
   z.object({
--- a/src/routing/crash-suspects.ts
+++ b/src/routing/crash-suspects.ts
@@ -207,6 +207,7 @@
     switch (update.kind) {
       case "configuration":
       case "upstream-limits":
+      case "cold-upstreams":
       case "upstream-full":
       case "version-plan":
       case "part-crash":
