--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -57,6 +57,7 @@
 import { type IsolationCradle, isolationParts } from "./isolation-parts.js";
 import { Readiness } from "./readiness.js";
 import { type VersionCradle, versionParts } from "./version-parts.js";
+import { type WarmupCradle, warmupParts } from "./warmup-parts.js";
 
 /** What the platform's adapter gives to a daemon. */
 export interface PlatformAdapter {
@@ -71,7 +72,8 @@
     Omit<PeerCradle, "demandReports" | "peerVersions">,
     VersionCradle,
     IsolationCradle,
-    IntakeCradle {
+    IntakeCradle,
+    WarmupCradle {
   readonly frontSettings: FrontSettings;
   readonly settings: PeerSettings;
   readonly self: string;
@@ -142,6 +144,7 @@
     ...versionParts,
     ...isolationParts,
     ...intakeParts,
+    ...warmupParts,
     frontSettings: asValue(frontSettings),
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
