Place requests at engines by the expected time until the first event

Cause: an instance counted only its own requests at an engine, so that a home was kept with up to half of its slots from each of 64 or 89 instances, and an engine's speed was known from own answers alone. Change: instances tell each other, on calls that they make anyway, what they send to engines, how much work each part brings and how fast engines answer. A part that brings more work than an engine bears has two to four homes; slow engines are no homes; a request leaves its home if another engine is faster by more than the price of reading the parts again.

--- a/features/steps/closed-upstreams.ts
+++ b/features/steps/closed-upstreams.ts
@@ -19,6 +19,7 @@
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import { AttemptSelection } from "../../src/version/attempt-selection.js";
 import { StreamVersion } from "../../src/version/stream-version.js";
+import { engineFleetParts } from "../support/engine-fleet-parts.js";
 import { configurationOf, entryOf, routeOf } from "../support/forward-samples.js";
 
 const SERVICE = "s";
@@ -86,10 +87,12 @@
       upstreamSelector: UpstreamSelector.create({
         ...{ ...parts, routeView, dataCentre: "a" },
         promptGuard: { suspectAmong: () => undefined },
+        ...engineFleetParts(parts),
       }),
     });
     const dispatchParts = {
       ...{ ...parts, permittedSelection, brittleUpstreams: { isClosed: () => false } },
+      enginePlacement: engineFleetParts(parts).enginePlacement,
     } as unknown as DispatchParts;
     const context = {
       ...{ service: SERVICE, route: routeOf({}), rank: 0, team: undefined },
--- a/features/steps/forward-placement.ts
+++ b/features/steps/forward-placement.ts
@@ -1,17 +1,17 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { selectEngine } from "../../src/forward/engine-selection.js";
-import { hashFraction } from "../../src/forward/hash-fraction.js";
 import { selectPlainUpstream } from "../../src/forward/plain-selection.js";
 import { UpstreamDirectory } from "../../src/forward/upstream-directory.js";
 import { UpstreamHealthRegistry } from "../../src/forward/upstream-health-registry.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import { type EngineFleetParts, engineFleetParts } from "../support/engine-fleet-parts.js";
 import { entryOf } from "../support/forward-samples.js";
 
 interface PlacementWorld {
   timers: ManualTimers;
   directory: UpstreamDirectory;
   upstreamHealth: UpstreamHealthRegistry;
+  engines: EngineFleetParts;
   selectedIds: string[];
   firstEngineId: string;
 }
@@ -20,21 +20,27 @@
   world.timers = ManualTimers.create();
   world.directory = UpstreamDirectory.create({ timers: world.timers });
   world.upstreamHealth = UpstreamHealthRegistry.create(world);
+  world.engines = engineFleetParts(world);
   world.directory.apply(
     ids.map((id) => [id, entryOf({ id, service })]),
     0,
   );
 }
 
+let requests = 0;
+
 function selectEngineId(world: PlacementWorld, prefix: string): string {
-  const entry = selectEngine({
+  requests += 1;
+  const chosen = world.engines.enginePlacement.place({
+    ...{ service: "engine", prefix, tried: new Set() },
     candidates: world.directory.forService("engine"),
-    healthOf: (id) => world.upstreamHealth.of(id),
-    weight: (id) => hashFraction(`${prefix} ${id}`),
-    tried: new Set(),
+    promptParts: [
+      { id: prefix, tokens: 1_000 },
+      { id: `${requests}`, tokens: 100 },
+    ],
   });
-  assert.ok(entry !== undefined);
-  return entry.id;
+  assert.ok(chosen !== undefined);
+  return chosen.option.entry.id;
 }
 
 Given("{int} engines", function (this: PlacementWorld, count: number) {
@@ -79,7 +85,7 @@
 
 Given("all engines respond at the same speed", function (this: PlacementWorld) {
   for (const id of this.directory.ids) {
-    for (let at = 0; at < 4; at += 1) this.upstreamHealth.of(id).recordSuccess(1);
+    for (let at = 0; at < 4; at += 1) this.engines.engineSpeeds.record(id, 1);
   }
 });
 
@@ -87,8 +93,7 @@
   "the home of prefix {string} becomes {int} times slower",
   function (this: PlacementWorld, prefix: string, factor: number) {
     this.firstEngineId = selectEngineId(this, prefix);
-    for (let at = 0; at < 6; at += 1)
-      this.upstreamHealth.of(this.firstEngineId).recordSuccess(factor);
+    for (let at = 0; at < 6; at += 1) this.engines.engineSpeeds.record(this.firstEngineId, factor);
   },
 );
 
--- a/features/steps/limited-selection.ts
+++ b/features/steps/limited-selection.ts
@@ -11,6 +11,7 @@
 import { UpstreamSelector } from "../../src/forward/upstream-selector.js";
 import type { UpstreamPermits } from "../../src/limit/upstream-permits.js";
 import { ManualTimers } from "../../src/time/manual-timers.js";
+import { engineFleetParts } from "../support/engine-fleet-parts.js";
 import { configurationOf, entryOf, routeOf } from "../support/forward-samples.js";
 
 const SERVICE = "engines";
@@ -69,6 +70,7 @@
     this.upstreamSelector = UpstreamSelector.create({
       ...{ ...parts, routeView, dataCentre: a },
       promptGuard: { suspectAmong: () => undefined },
+      ...engineFleetParts(parts),
     });
     const upstreamPermits = {
       expectedWaitMs: () => 0,
--- a/features/support/paused-retry.ts
+++ b/features/support/paused-retry.ts
@@ -43,6 +43,7 @@
       select: () => Promise.resolve({ kind: "selected", entry, permit: undefined }),
     },
     upstreamStatements: { isOpen: () => true, trySend: () => true, recordResponse: ignore },
+    enginePlacement: { begin: ignore },
     retryBudget: { recordRequest: ignore, tryTakeRetry: () => true },
     crashRegistry: { isSuspected: () => false },
     crashReports: { record: () => Promise.resolve(false) } as unknown as CrashReports,
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -52,6 +52,7 @@
 import type { Timers } from "../time/timers.js";
 import type { RowStore } from "../version/row-store.js";
 import { type PeerCradle, peerParts } from "./peer-parts.js";
+import { type EngineCradle, engineParts } from "./engine-parts.js";
 import { type IsolationCradle, isolationParts } from "./isolation-parts.js";
 import { Readiness } from "./readiness.js";
 import { type VersionCradle, versionParts } from "./version-parts.js";
@@ -65,7 +66,11 @@
 
 /** The parts of a daemon on the platform by name. */
 export interface FrontCradle
-  extends Omit<PeerCradle, "demandReports" | "peerVersions">, VersionCradle, IsolationCradle {
+  extends
+    Omit<PeerCradle, "demandReports" | "peerVersions">,
+    VersionCradle,
+    IsolationCradle,
+    EngineCradle {
   readonly frontSettings: FrontSettings;
   readonly settings: PeerSettings;
   readonly self: string;
@@ -134,6 +139,7 @@
     ...peerParts,
     ...versionParts,
     ...isolationParts,
+    ...engineParts,
     frontSettings: asValue(frontSettings),
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
--- a/src/daemon/peer-parts.ts
+++ b/src/daemon/peer-parts.ts
@@ -1,4 +1,5 @@
 import type { DemandReports } from "../admission/demand-reports.js";
+import type { CallRider } from "../peer/call-rider.js";
 import { AddressBook } from "../peer/address-book.js";
 import { Broadcast } from "../peer/broadcast.js";
 import { HeartbeatReports } from "../peer/heartbeat-reports.js";
@@ -13,7 +14,7 @@
 import { PeerServer } from "../peer/peer-server.js";
 import type { PeerVersions } from "../peer/peer-versions.js";
 import type { Updates } from "../peer/updates.js";
-import { aliasTo, asFunction } from "awilix";
+import { aliasTo, asFunction, asValue } from "awilix";
 import type { Cradle } from "./container.js";
 
 /** The parts for other instances. */
@@ -22,6 +23,8 @@
   readonly peerServer: PeerServer;
   readonly peerMethods: PeerMethods;
   readonly peerCalls: PeerClients;
+  /** Undefined if calls carry nothing beside. */
+  readonly callRider: CallRider | undefined;
   readonly memberTable: MemberTable;
   readonly members: Members;
   /** Start time of this process in ms since the epoch. */
@@ -43,6 +46,7 @@
   peerServer: asFunction(PeerServer.create).singleton(),
   peerMethods: aliasTo("peerServer"),
   peerCalls: asFunction(PeerClients.create).singleton(),
+  callRider: asValue(undefined),
   memberTable: asFunction(MemberTable.create).singleton(),
   members: aliasTo("memberTable"),
   incarnation: asFunction((parts: Cradle) => parts.memberTable.own.incarnation).singleton(),
--- /dev/null
+++ b/src/engine/engine-speeds.ts
@@ -0,0 +1,145 @@
+import type { Timers } from "../time/timers.js";
+import type { FigureEntry } from "./shared-figures.js";
+
+/** Time after which measurements no longer count; a slow engine is then tried again. */
+const LIFETIME_MS = 4_000;
+/** Measurements below which an engine counts as usual. */
+const MIN_SAMPLES = 3;
+/** Largest weight of the newest measurement in the mean. */
+const SMOOTHING_FACTOR = 0.2;
+/** Factors beyond these tell of waits rather than of speed. */
+const MIN_FACTOR = 0.2;
+const MAX_FACTOR = 6;
+/** Smallest step of the usual factor for one measurement, as a logarithm. */
+const USUAL_STEP = 0.02;
+/** Factor from which an engine counts as slow, and below which it no longer does. */
+const SLOW_FACTOR = 1.6;
+const SOUND_FACTOR = 1.3;
+/** Measurements that another instance has not been told yet. */
+const MAX_PENDING = 32;
+const MAX_SAMPLES = 8;
+const MAX_SLOW = 40;
+const DIGITS = 3;
+
+interface Speed {
+  logFactor: number;
+  samples: number;
+  atMs: number;
+}
+
+/**
+ * How much longer each engine takes than the usual one, from the times until first events and
+ * between events, of this instance and of those that tell it theirs.
+ */
+export class EngineSpeeds {
+  private readonly measured = new Map<string, Speed>();
+  private readonly told = new Map<string, { factor: number; atMs: number }>();
+  private readonly slow = new Set<string>();
+  private readonly pending: FigureEntry[] = [];
+  private sampleCount = 0;
+  /** Logarithm of the median of all measurements. */
+  private usualLog = 0;
+
+  private constructor(private readonly timers: Timers) {}
+
+  static create(parts: { timers: Timers }): EngineSpeeds {
+    return new EngineSpeeds(parts.timers);
+  }
+
+  /** Time that the usual engine takes as a multiple of the assumed one. */
+  get usualFactor(): number {
+    return Math.exp(this.usualLog);
+  }
+
+  /** Number of the newest own measurement. */
+  get newest(): number {
+    return this.ownCount;
+  }
+
+  private ownCount = 0;
+
+  /** Records an own measurement: the time taken as a multiple of the assumed one. */
+  record(id: string, factor: number): void {
+    const bounded = Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
+    this.ownCount += 1;
+    this.pending.push([id, Number(bounded.toPrecision(DIGITS))]);
+    if (this.pending.length > MAX_PENDING) this.pending.shift();
+    this.add(id, bounded);
+  }
+
+  /** Records measurements of another instance. */
+  recordSamples(samples: readonly FigureEntry[]): void {
+    for (const [id, factor] of samples)
+      this.add(id, Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor)));
+  }
+
+  /** Records which engines another instance found slow, from measurements of many. */
+  recordSlow(slow: readonly FigureEntry[]): void {
+    const atMs = this.timers.now();
+    for (const [id, factor] of slow) this.told.set(id, { factor, atMs });
+    for (const [id, { atMs: toldMs }] of this.told)
+      if (atMs - toldMs > LIFETIME_MS) this.told.delete(id);
+  }
+
+  /** Time that an engine takes as a multiple of the usual one. */
+  factor(id: string): number {
+    const now = this.timers.now();
+    const measured = this.measuredFactor(id, now);
+    if (measured !== undefined) return measured;
+    const told = this.told.get(id);
+    return told !== undefined && now - told.atMs < LIFETIME_MS / 2 ? told.factor : 1;
+  }
+
+  /** Whether an engine is much slower than the usual one. It changes late. */
+  isSlow(id: string): boolean {
+    const factor = this.factor(id);
+    if (factor >= SLOW_FACTOR) this.slow.add(id);
+    else if (factor < SOUND_FACTOR) this.slow.delete(id);
+    return this.slow.has(id);
+  }
+
+  /** Own measurements after the one with number `after`. */
+  samplesAfter(after: number): FigureEntry[] {
+    const count = Math.min(this.ownCount - after, MAX_SAMPLES, this.pending.length);
+    return count <= 0 ? [] : this.pending.slice(-count);
+  }
+
+  /** The slow engines; told figures are not passed on, as they would never end. */
+  slowEngines(): FigureEntry[] {
+    const now = this.timers.now();
+    const slow: FigureEntry[] = [];
+    for (const [id, { atMs }] of this.measured) {
+      if (now - atMs > LIFETIME_MS) {
+        this.measured.delete(id);
+        continue;
+      }
+      const factor = this.measuredFactor(id, now) ?? 1;
+      if (factor >= SOUND_FACTOR) slow.push([id, Number(factor.toPrecision(DIGITS))]);
+    }
+    return slow.sort((a, b) => b[1] - a[1]).slice(0, MAX_SLOW);
+  }
+
+  private measuredFactor(id: string, now: number): number | undefined {
+    const speed = this.measured.get(id);
+    if (speed === undefined || speed.samples < MIN_SAMPLES) return undefined;
+    if (now - speed.atMs > LIFETIME_MS) return undefined;
+    return Math.exp(speed.logFactor - this.usualLog);
+  }
+
+  private add(id: string, factor: number): void {
+    const atMs = this.timers.now();
+    const logFactor = Math.log(factor);
+    this.sampleCount += 1;
+    const step = Math.max(USUAL_STEP, 1 / (2 + this.sampleCount));
+    this.usualLog += logFactor > this.usualLog ? step : -step;
+    let speed = this.measured.get(id);
+    if (speed === undefined || atMs - speed.atMs > LIFETIME_MS) {
+      speed = { logFactor, samples: 0, atMs };
+      this.measured.set(id, speed);
+    }
+    speed.samples += 1;
+    speed.atMs = atMs;
+    const weight = Math.max(SMOOTHING_FACTOR, 1 / speed.samples);
+    speed.logFactor += weight * (logFactor - speed.logFactor);
+  }
+}
--- /dev/null
+++ b/src/engine/part-demand.ts
@@ -0,0 +1,112 @@
+import type { Timers } from "../time/timers.js";
+import { type FigureEntry, SharedFigures } from "./shared-figures.js";
+
+/** Time over which work of a part is averaged, in ms. */
+const AVERAGING_MS = 1_000;
+/** Share of a home's time that one part may take before it gets a further home. */
+const MAX_SHARE = 0.5;
+/** Share below which a home is taken back. */
+const MIN_SHARE = 0.3;
+export const MAX_HOMES = 4;
+/** Parts remembered; far above the parts that one instance sees within the averaging time. */
+const MAX_PARTS = 1_024;
+const MAX_OWN = 8;
+const MAX_SUMS = 8;
+/** Share of an engine below which a part is not worth a message to all. */
+const MIN_TOLD_SHARE = 0.15;
+const DIGITS = 3;
+
+interface OwnDemand {
+  /** Work in ms, decayed to `atMs`. */
+  workMs: number;
+  atMs: number;
+  homes: number;
+}
+
+/** How much work the parts of prompts bring, and how many engines keep each. */
+export class PartDemand {
+  /** By part, most recently used last. */
+  private readonly own = new Map<string, OwnDemand>();
+  private readonly shared: SharedFigures;
+
+  private constructor(private readonly timers: Timers) {
+    this.shared = SharedFigures.create(timers, (value, ageMs) => decayed(value, ageMs));
+  }
+
+  static create(parts: { timers: Timers }): PartDemand {
+    return new PartDemand(parts.timers);
+  }
+
+  /** Records a request; `workMs` is the time that its home needs for it. */
+  record(part: string, workMs: number): void {
+    const atMs = this.timers.now();
+    const before = this.own.get(part);
+    this.own.delete(part);
+    for (const oldest of this.own.keys()) {
+      if (this.own.size < MAX_PARTS) break;
+      this.own.delete(oldest);
+    }
+    const left = before === undefined ? 0 : decayed(before.workMs, atMs - before.atMs);
+    this.own.set(part, { workMs: left + workMs, atMs, homes: before?.homes ?? 1 });
+  }
+
+  /** Whether a request with this part was seen, here or elsewhere, some time ago at most. */
+  isKnown(part: string): boolean {
+    return this.own.has(part) || this.shared.others(part) > 0;
+  }
+
+  /** Engines that keep the part. It changes late, so that a part at the limit stays where it is. */
+  homes(part: string): number {
+    const own = this.own.get(part);
+    const share = this.ownShare(part) + this.shared.others(part);
+    const least = Math.min(MAX_HOMES, Math.max(1, Math.ceil(share / MAX_SHARE)));
+    const most = Math.min(MAX_HOMES, Math.max(1, Math.ceil(share / MIN_SHARE)));
+    const homes = Math.max(least, Math.min(own?.homes ?? 1, most));
+    if (own !== undefined) own.homes = homes;
+    return homes;
+  }
+
+  ownParts(): FigureEntry[] {
+    const now = this.timers.now();
+    const recent: FigureEntry[] = [];
+    for (const [part, { workMs, atMs }] of [...this.own].slice(-MAX_SUMS * MAX_OWN))
+      if (now - atMs < AVERAGING_MS) recent.push([part, rounded(workMs / AVERAGING_MS)]);
+    return highest(recent, MAX_OWN);
+  }
+
+  sumsFor(instance: string): FigureEntry[] {
+    const sums: FigureEntry[] = [];
+    for (const part of this.shared.reportedKeys) {
+      const sum = this.ownShare(part) + this.shared.reported(part, instance);
+      if (sum >= MIN_TOLD_SHARE) sums.push([part, rounded(sum)]);
+    }
+    return highest(sums, MAX_SUMS);
+  }
+
+  recordReport(instance: string, parts: readonly FigureEntry[]): void {
+    this.shared.recordReport(instance, parts);
+  }
+
+  recordSums(instance: string, parts: readonly FigureEntry[]): void {
+    this.shared.recordSums(instance, parts);
+  }
+
+  private ownShare(part: string): number {
+    const own = this.own.get(part);
+    if (own === undefined) return 0;
+    return decayed(own.workMs, this.timers.now() - own.atMs) / AVERAGING_MS;
+  }
+}
+
+function decayed(value: number, ageMs: number): number {
+  return value * Math.exp(-ageMs / AVERAGING_MS);
+}
+
+function rounded(value: number): number {
+  return Number(value.toPrecision(DIGITS));
+}
+
+function highest(figures: FigureEntry[], count: number): FigureEntry[] {
+  if (figures.length <= count) return figures;
+  return figures.sort((a, b) => b[1] - a[1]).slice(0, count);
+}
--- a/src/forward/attempt-line.ts
+++ b/src/forward/attempt-line.ts
@@ -7,6 +7,8 @@
   readonly startedMs: number;
   readonly endedMs: number;
   readonly after: string | undefined;
+  /** Why it went to this engine, and the expected and actual time until the first event. */
+  readonly placed: Readonly<Record<string, unknown>> | undefined;
 }
 
 /** Fields of the log line about an attempt. */
@@ -14,7 +16,7 @@
   { attributes, service, deadlineMs, progress }: RequestContext,
   entry: UpstreamEntry,
   outcome: AttemptOutcome,
-  { startedMs, endedMs, after }: AttemptSpan,
+  { startedMs, endedMs, after, placed }: AttemptSpan,
 ): Readonly<Record<string, unknown>> {
   return {
     attempt: attributes.attemptId,
@@ -25,6 +27,7 @@
     promptTokens: attributes.promptParts.reduce((sum, { tokens }) => sum + tokens, 0),
     ms: Math.round(endedMs - startedMs),
     ...(after === undefined ? {} : { after }),
+    ...placed,
     end: outcome.kind,
     ...("status" in outcome ? { status: outcome.status } : {}),
     ...("detail" in outcome ? { detail: outcome.detail } : {}),
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -108,6 +108,7 @@
     const { context, streamVersion } = this;
     const { request, attributes, route, progress, writer, service, sharedParts } = context;
     const health = upstreamHealth.of(entry.id);
+    const work = this.parts.enginePlacement.begin(entry, attributes.promptParts);
     this.selection.recordAttempt(entry);
     const startedMs = timers.now();
     const after = progress.lastEventId;
@@ -142,6 +143,7 @@
           },
           onResponseStart: this.onInputsRead,
           onAnswer: () => {
+            work?.answer();
             promptGuard.recordAnswer(service, sharedParts);
           },
           beginStream: () => streamVersion.begin(entry),
@@ -153,7 +155,7 @@
         },
       ).run();
       forwardMetrics.recordAttempt(service, outcome.kind);
-      const span = { startedMs, endedMs: timers.now(), after };
+      const span = { startedMs, endedMs: timers.now(), after, placed: work?.fields };
       decisionLines.write("attempt", attemptLine(context, entry, outcome, span));
       if (outcome.kind === "relayed") {
         const latencyRatio = attemptLatencyRatio(context, timers.now() - startedMs, this.runCount);
@@ -167,6 +169,7 @@
     } finally {
       sendState.recordAnswered();
       health.inFlight -= 1;
+      work?.end();
     }
   }
 
--- a/src/forward/dispatch-parts.ts
+++ b/src/forward/dispatch-parts.ts
@@ -3,6 +3,7 @@
 import type { CrashReports } from "../crash/crash-reports.js";
 import type { PromptGuard } from "../crash/prompt-guard.js";
 import type { UpstreamReach } from "../isolation/upstream-reach.js";
+import type { EnginePlacement } from "../engine/engine-placement.js";
 import type { Timers } from "../time/timers.js";
 import type { DecisionLines } from "./decision-lines.js";
 import type { CrashRegistry } from "./crash-registry.js";
@@ -23,6 +24,7 @@
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly upstreamSelector: UpstreamSelector;
+  readonly enginePlacement: Pick<EnginePlacement, "begin">;
   readonly permittedSelection: PermittedSelection;
   readonly upstreamStatements: UpstreamStatements;
   readonly upstreamReach: UpstreamReach;
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -2,6 +2,7 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
 import type { Timers } from "../time/timers.js";
+import type { CallRider } from "./call-rider.js";
 import { type CallLimits, PeerConnection, type PeerEndpoints } from "./peer-connection.js";
 import { PeerMethod } from "./peer-method.js";
 import { MAX_CALLS_PER_INSTANCE } from "./peer-server.js";
@@ -45,10 +46,11 @@
   private constructor(
     private readonly timers: Timers,
     private readonly endpoints: PeerEndpoints,
+    private readonly callRider: CallRider | undefined,
   ) {}
 
-  static create(timers: Timers, endpoints: PeerEndpoints): PeerClient {
-    return new PeerClient(timers, endpoints);
+  static create(timers: Timers, endpoints: PeerEndpoints, callRider?: CallRider): PeerClient {
+    return new PeerClient(timers, endpoints, callRider);
   }
 
   get address(): string {
@@ -121,7 +123,7 @@
   }
 
   private connect(): PeerConnection {
-    this.connection = PeerConnection.create(this.timers, this.endpoints);
+    this.connection = PeerConnection.create(this.timers, this.endpoints, this.callRider);
     return this.connection;
   }
 }
--- a/src/peer/peer-clients.ts
+++ b/src/peer/peer-clients.ts
@@ -3,6 +3,7 @@
 import type { PeerSettings } from "./peer-settings.js";
 import type { Timers } from "../time/timers.js";
 import type { AddressBook } from "./address-book.js";
+import type { CallRider } from "./call-rider.js";
 import type { PeerCalls } from "./peer-calls.js";
 import { PeerClient } from "./peer-client.js";
 import type { PeerConnections } from "./peer-connections.js";
@@ -12,6 +13,7 @@
   readonly settings: PeerSettings;
   readonly timers: Timers;
   readonly addressBook: AddressBook;
+  readonly callRider?: CallRider | undefined;
 }
 
 /** One client for each peer, created at the first call and replaced when the address changes. */
@@ -62,10 +64,10 @@
     const known = this.clients.get(instance);
     if (known?.address === address) return known;
     this.disconnect(instance);
-    const { settings, timers } = this.parts;
+    const { settings, timers, callRider } = this.parts;
     const { secret } = settings.peers;
     const self = settings.instance.id;
-    const client = PeerClient.create(timers, { self, instance, address, secret });
+    const client = PeerClient.create(timers, { self, instance, address, secret }, callRider);
     this.clients.set(instance, client);
     return client;
   }
--- a/src/peer/peer-connection.ts
+++ b/src/peer/peer-connection.ts
@@ -8,6 +8,7 @@
 } from "json-rpc-2.0";
 import { WebSocket } from "ws";
 import type { Timers } from "../time/timers.js";
+import type { CallRider } from "./call-rider.js";
 import { MessageBatch } from "./message-batch.js";
 import type { PeerMethod } from "./peer-method.js";
 import { INSTANCE_HEADER, RPC_PATH } from "./peer-server.js";
@@ -54,10 +55,15 @@
   private constructor(
     private readonly timers: Timers,
     private readonly socket: WebSocket,
+    private readonly instance: string,
+    private readonly callRider: CallRider | undefined,
   ) {
     this.batch = MessageBatch.create(socket);
     this.rpc = new JSONRPCClient((request: JSONRPCRequest) => {
-      this.withdrawLastMessage = this.batch.add(request);
+      const carried = callRider?.outgoing(instance);
+      this.withdrawLastMessage = this.batch.add(
+        carried === undefined ? request : { ...request, carried },
+      );
     });
     const openTimer = timers.after(OPEN_TIMEOUT_MS, () => {
       this.end(`connection not accepted within ${OPEN_TIMEOUT_MS} ms`);
@@ -82,7 +88,11 @@
   }
 
   /** Starts to connect; calls wait until the peer has accepted the connection. */
-  static create(timers: Timers, { self, address, secret }: PeerEndpoints): PeerConnection {
+  static create(
+    timers: Timers,
+    { self, instance, address, secret }: PeerEndpoints,
+    callRider?: CallRider,
+  ): PeerConnection {
     const url = new URL(RPC_PATH, address.replace(/^http/, "ws"));
     const socket = new WebSocket(url, {
       headers: { authorization: `Bearer ${secret}`, [INSTANCE_HEADER]: self },
@@ -90,7 +100,7 @@
       skipUTF8Validation: true,
       maxPayload: MAX_RESPONSE_BYTES,
     });
-    return new PeerConnection(timers, socket);
+    return new PeerConnection(timers, socket, instance, callRider);
   }
 
   /** Whether calls can be made. */
@@ -156,6 +166,7 @@
         this.end("the peer sent a message that is not a JSON-RPC response");
         return;
       }
+      if ("carried" in response) this.callRider?.receive(this.instance, response.carried);
       this.rpc.receive(response);
     }
   }
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -10,6 +10,7 @@
 import { z } from "zod";
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import type { CallRider } from "./call-rider.js";
 import { MessageBatch } from "./message-batch.js";
 import type { PeerSettings } from "./peer-settings.js";
 import type { PeerMethod } from "./peer-method.js";
@@ -33,7 +34,15 @@
   id: z.union([z.string().max(64), z.number()]),
   method: z.string().max(64),
   params: z.unknown(),
+  carried: z.unknown().optional(),
 });
+
+interface Parts {
+  readonly settings: PeerSettings;
+  readonly callRider?: CallRider | undefined;
+}
+
+type CarryingCall = JSONRPCRequest & { readonly carried?: unknown };
 const instanceSchema = z.string().min(1).max(63);
 
 /** The JSON-RPC interface of this daemon for the other daemons: batches over persistent WebSockets. */
@@ -45,9 +54,10 @@
   private constructor(
     private readonly settings: PeerSettings,
     private readonly server: FastifyInstance,
+    private readonly callRider: CallRider | undefined,
   ) {}
 
-  static create(parts: { settings: PeerSettings }): PeerServer {
+  static create(parts: Parts): PeerServer {
     const { limits, peers } = parts.settings;
     const server = fastify({
       bodyLimit: limits.bodyBytes,
@@ -70,7 +80,7 @@
     });
     // Registered after the WebSocket plugin, which closes the connection of a refused upgrade.
     void server.register(bearerAuth, { keys: new Set([peers.secret]) });
-    const peerServer = new PeerServer(parts.settings, server);
+    const peerServer = new PeerServer(parts.settings, server, parts.callRider);
     peerServer.addRoutes();
     return peerServer;
   }
@@ -140,9 +150,11 @@
         socket.terminate();
         return;
       }
-      for (const call of calls) {
+      for (const { carried, ...call } of calls) {
+        if (carried !== undefined) this.callRider?.receive(from.data, carried);
         void this.handleCall(call, from.data).then((response) => {
-          batch.add(response);
+          const answer = this.callRider?.outgoing(from.data);
+          batch.add(answer === undefined ? response : { ...response, carried: answer });
         });
       }
     });
@@ -176,7 +188,7 @@
 }
 
 /** The calls of a message; undefined if it holds anything else. */
-function parseCalls(data: Buffer): JSONRPCRequest[] | undefined {
+function parseCalls(data: Buffer): CarryingCall[] | undefined {
   try {
     return callsSchema.parse(JSON.parse(data.toString())).map((call) => callSchema.parse(call));
   } catch {
