Tell the speed of engines from the time between events

Change: the lower median of the times between events of a stream tells the speed; first events correct the forecast.

--- a/src/engine/engine-forecast.ts
+++ b/src/engine/engine-forecast.ts
@@ -15,8 +15,18 @@
   readonly keptParts: KeptParts;
 }
 
+/** Share of the shared parts that a home is assumed to read if it is not known to keep them. */
+const UNKNOWN_SHARE = 0.5;
+/** Step of the correction for one measurement, as a factor. */
+const CORRECTION_STEP = 1.02;
+const MIN_CORRECTION = 0.5;
+const MAX_CORRECTION = 2;
+
 /** Forecasts how long engines take until the first event of a request. */
 export class EngineForecast {
+  /** Median of the measured times as multiples of the expected ones. */
+  private correction = 1;
+
   private constructor(private readonly parts: Parts) {}
 
   static create(parts: Parts): EngineForecast {
@@ -24,38 +34,39 @@
   }
 
   /**
-   * Time to read what the engine does not keep, at the assumed speed, in ms. `assumeKept` tells
-   * whether requests of other instances have brought the shared parts there.
+   * Time to read what the engine does not keep, at the assumed speed, in ms. `isHome` tells
+   * whether requests of other instances bring the shared parts there.
    */
-  readMs(engine: UpstreamEntry, promptParts: readonly PromptPart[], assumeKept: boolean): number {
+  readMs(engine: UpstreamEntry, promptParts: readonly PromptPart[], isHome: boolean): number {
     const known = this.parts.keptParts.count(engine, promptParts);
-    const kept = assumeKept ? Math.max(known, promptParts.length - 1) : known;
-    return tokensOf(promptParts.slice(kept)) / TOKENS_PER_MS;
+    const own = tokensOf(promptParts.slice(Math.max(known, promptParts.length - 1)));
+    const shared = tokensOf(promptParts.slice(known, -1));
+    return (own + (isHome ? UNKNOWN_SHARE : 1) * shared) / TOKENS_PER_MS;
   }
 
   /** Time to read what no other request has, at the usual speed, in ms. */
   ownReadMs(promptParts: readonly PromptPart[]): number {
-    const factor = this.parts.engineSpeeds.usualFactor;
-    return (tokensOf(promptParts.slice(-1)) / TOKENS_PER_MS) * factor;
+    return (tokensOf(promptParts.slice(-1)) / TOKENS_PER_MS) * this.correction;
   }
 
   /** Time to read the shared parts that the engine does not keep, at its speed, in ms. */
   rereadMs(engine: UpstreamEntry, promptParts: readonly PromptPart[]): number {
-    const { keptParts, engineSpeeds } = this.parts;
-    const unread = promptParts.slice(keptParts.count(engine, promptParts), -1);
-    return (tokensOf(unread) / TOKENS_PER_MS) * engineSpeeds.usualFactor;
-  }
-
-  /** Assumed time until the first event for a prompt that is read in `readMs`, in ms. */
-  assumedMs(engine: UpstreamEntry, readMs: number): number {
-    return BASE_MS + this.parts.engineLoad.waitMs(engine) + readMs;
+    const unread = promptParts.slice(this.parts.keptParts.count(engine, promptParts), -1);
+    return (tokensOf(unread) / TOKENS_PER_MS) * this.correction;
   }
 
   /** Expected time until the first event for a prompt that is read in `readMs`, in ms. */
   expectedMs(engine: UpstreamEntry, readMs: number): number {
-    const { engineSpeeds } = this.parts;
-    const factor = engineSpeeds.usualFactor * engineSpeeds.factor(engine.id);
-    return this.assumedMs(engine, readMs) * factor;
+    const { engineSpeeds, engineLoad } = this.parts;
+    const usualMs = BASE_MS + engineLoad.waitMs(engine) + readMs;
+    return usualMs * engineSpeeds.factor(engine.id) * this.correction;
+  }
+
+  /** Records the time until a first event that was expected after `expectedMs`. */
+  recordFirstEvent(expectedMs: number, actualMs: number): void {
+    const corrected =
+      this.correction * (actualMs > expectedMs ? CORRECTION_STEP : 1 / CORRECTION_STEP);
+    this.correction = Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, corrected));
   }
 }
 
--- a/src/engine/engine-placement.ts
+++ b/src/engine/engine-placement.ts
@@ -51,8 +51,8 @@
   private constructor(private readonly parts: Parts) {
     const { timers, engineLoad, engineSpeeds } = parts;
     const keptParts = KeptParts.create(parts);
-    this.workParts = { timers, engineLoad, engineSpeeds, keptParts };
-    this.forecast = EngineForecast.create(this.workParts);
+    this.forecast = EngineForecast.create({ engineLoad, engineSpeeds, keptParts });
+    this.workParts = { timers, engineLoad, engineSpeeds, keptParts, forecast: this.forecast };
   }
 
   static create(parts: Parts): EnginePlacement {
@@ -63,13 +63,12 @@
   place(request: EngineRequest): ChosenEngine | undefined {
     const { prefix, promptParts } = request;
     const { partDemand } = this.parts;
-    const known = partDemand.isKnown(prefix);
     if (!this.chosen.has(promptParts)) {
       const workMs = this.forecast.ownReadMs(promptParts);
       partDemand.record(prefix, workMs);
     }
     const homes = partDemand.homes(prefix);
-    const chosen = this.choose(request, homes, known) ?? this.unreachable(request);
+    const chosen = this.choose(request, homes) ?? this.unreachable(request);
     if (chosen !== undefined) this.chosen.set(promptParts, chosen);
     return chosen;
   }
@@ -80,19 +79,12 @@
     if (chosen === undefined) return undefined;
     const known = chosen.option.entry.id === entry.id ? chosen : undefined;
     const readMs = known?.option.readMs ?? this.forecast.readMs(entry, promptParts, false);
-    const task: EngineTask = {
-      ...{ entry, promptParts, readMs },
-      assumedMs: this.forecast.assumedMs(entry, readMs),
-      reason: known?.reason,
-    };
+    const expectedMs = this.forecast.expectedMs(entry, readMs);
+    const task: EngineTask = { entry, promptParts, readMs, expectedMs, reason: known?.reason };
     return EngineWork.create(this.workParts, task);
   }
 
-  private choose(
-    request: EngineRequest,
-    homes: number,
-    keptAtHomes: boolean,
-  ): ChosenEngine | undefined {
+  private choose(request: EngineRequest, homes: number): ChosenEngine | undefined {
     const { service, prefix, candidates, tried, promptParts } = request;
     const { upstreamHealth, engineSpeeds } = this.parts;
     const options: EngineOption[] = [];
@@ -102,8 +94,7 @@
       const health = upstreamHealth.of(entry.id);
       if (health.unavailable || health.backingOff) continue;
       const slow = engineSpeeds.isSlow(entry.id);
-      const assumeKept = keptAtHomes && !slow && sound < homes;
-      const option = this.option(entry, promptParts, { slow, assumeKept });
+      const option = this.option(entry, promptParts, { slow, isHome: !slow && sound < homes });
       if (health.failing) {
         if (options.length > 0 || !health.tryClaimProbe()) continue;
         return { option, reason: PlacementReason.Probe };
@@ -124,10 +115,10 @@
   private option(
     entry: UpstreamEntry,
     promptParts: readonly PromptPart[],
-    { slow, assumeKept }: { slow: boolean; assumeKept: boolean },
+    { slow, isHome }: { slow: boolean; isHome: boolean },
   ): EngineOption {
-    const readMs = this.forecast.readMs(entry, promptParts, assumeKept);
-    const rereadMs = assumeKept ? 0 : this.forecast.rereadMs(entry, promptParts);
+    const readMs = this.forecast.readMs(entry, promptParts, isHome);
+    const rereadMs = isHome ? 0 : this.forecast.rereadMs(entry, promptParts);
     const expectedMs = this.forecast.expectedMs(entry, readMs);
     return { entry, readMs, rereadMs, expectedMs, slow, full: false };
   }
@@ -147,7 +138,7 @@
     );
     const entry = least ?? open.find(({ id }) => id === first?.id) ?? open[0];
     if (entry === undefined) return undefined;
-    const option = this.option(entry, request.promptParts, { slow: false, assumeKept: false });
+    const option = this.option(entry, request.promptParts, { slow: false, isHome: false });
     return { option, reason: PlacementReason.Unreachable };
   }
 }
--- a/src/engine/engine-speeds.ts
+++ b/src/engine/engine-speeds.ts
@@ -4,9 +4,9 @@
 /** Time after which measurements no longer count; a slow engine is then tried again. */
 const LIFETIME_MS = 4_000;
 /** Measurements below which an engine counts as usual. */
-const MIN_SAMPLES = 3;
+const MIN_SAMPLES = 2;
 /** Largest weight of the newest measurement in the mean. */
-const SMOOTHING_FACTOR = 0.2;
+const SMOOTHING_FACTOR = 0.3;
 /** Factors beyond these tell of waits rather than of speed. */
 const MIN_FACTOR = 0.2;
 const MAX_FACTOR = 6;
@@ -28,8 +28,8 @@
 }
 
 /**
- * How much longer each engine takes than the usual one, from the times until first events and
- * between events, of this instance and of those that tell it theirs.
+ * How much longer each engine takes than the usual one, from the times between events of this
+ * instance's streams and of those of instances that tell it theirs.
  */
 export class EngineSpeeds {
   private readonly measured = new Map<string, Speed>();
@@ -46,11 +46,6 @@
     return new EngineSpeeds(parts.timers);
   }
 
-  /** Time that the usual engine takes as a multiple of the assumed one. */
-  get usualFactor(): number {
-    return Math.exp(this.usualLog);
-  }
-
   /** Number of the newest own measurement. */
   get newest(): number {
     return this.ownCount;
--- a/src/engine/engine-work.ts
+++ b/src/engine/engine-work.ts
@@ -1,27 +1,34 @@
 import type { PromptPart } from "../forward/prompt-part.js";
 import type { UpstreamEntry } from "../forward/upstream-entry.js";
 import type { Timers } from "../time/timers.js";
+import type { EngineForecast } from "./engine-forecast.js";
 import type { EngineLoad } from "./engine-load.js";
 import type { EngineSpeeds } from "./engine-speeds.js";
 import type { KeptParts } from "./kept-parts.js";
 import type { PlacementReason } from "./placement-reason.js";
 
-/** Share of the assumed time after which a request without an event tells of a slow engine. */
-const OVERDUE_FACTOR = 2;
+/** Typical time between events; speeds are ratios between engines only. */
+const USUAL_INTERVAL_MS = 25;
+/** Intervals from which the speed is told; the lower median leaves out waits for other prompts. */
+const MIN_INTERVALS = 2;
+const MAX_INTERVALS = 16;
+/** Multiple of the expected time after which a request without an event tells of a slow engine. */
+const OVERDUE_FACTOR = 4;
 
 interface Parts {
   readonly timers: Timers;
   readonly engineLoad: EngineLoad;
   readonly engineSpeeds: EngineSpeeds;
   readonly keptParts: KeptParts;
+  readonly forecast: EngineForecast;
 }
 
-/** What is to be read, and how long that was assumed to take when it was sent, in ms. */
+/** What is to be read, and the expected time until the first event when it was sent, in ms. */
 export interface EngineTask {
   readonly entry: UpstreamEntry;
   readonly promptParts: readonly PromptPart[];
   readonly readMs: number;
-  readonly assumedMs: number;
+  readonly expectedMs: number;
   /** Undefined if it was sent there for another reason than the choice by expected time. */
   readonly reason: PlacementReason | undefined;
 }
@@ -29,64 +36,62 @@
 /** A request at an engine, from its dispatch to its end. */
 export class EngineWork {
   private readonly startedMs: number;
-  private readonly expectedMs: number;
-  private answeredMs: number | undefined;
-  private reading = true;
+  private readonly intervals: number[] = [];
+  private firstMs: number | undefined;
+  private lastMs = 0;
 
   private constructor(
     private readonly parts: Parts,
     private readonly task: EngineTask,
   ) {
     this.startedMs = parts.timers.now();
-    const { entry, readMs, assumedMs } = task;
-    const { engineLoad, engineSpeeds } = parts;
-    this.expectedMs = assumedMs * engineSpeeds.usualFactor * engineSpeeds.factor(entry.id);
-    engineLoad.begin(entry.id, readMs);
+    parts.engineLoad.begin(task.entry.id, task.readMs);
   }
 
   static create(parts: Parts, task: EngineTask): EngineWork {
     return new EngineWork(parts, task);
   }
 
-  /** Records the first event. */
+  /** Records that events have arrived. */
   answer(): void {
-    if (!this.reading) return;
-    const { entry, promptParts, assumedMs } = this.task;
-    const { engineSpeeds, keptParts } = this.parts;
-    this.endRead();
-    this.answeredMs = this.elapsedMs;
-    keptParts.record(entry, promptParts);
-    engineSpeeds.record(entry.id, this.elapsedMs / assumedMs);
+    const { entry, promptParts, readMs, expectedMs } = this.task;
+    const { keptParts, forecast, engineLoad } = this.parts;
+    const { elapsedMs } = this;
+    if (this.firstMs === undefined) {
+      this.firstMs = elapsedMs;
+      engineLoad.endRead(entry.id, readMs);
+      keptParts.record(entry, promptParts);
+      forecast.recordFirstEvent(expectedMs, elapsedMs);
+    } else if (this.intervals.length < MAX_INTERVALS) this.intervals.push(elapsedMs - this.lastMs);
+    this.lastMs = elapsedMs;
   }
 
   end(): void {
-    const { entry, assumedMs } = this.task;
+    const { entry, readMs, expectedMs } = this.task;
     const { engineSpeeds, engineLoad } = this.parts;
-    if (this.reading) {
-      this.endRead();
-      const factor = this.elapsedMs / assumedMs;
-      if (factor > OVERDUE_FACTOR * engineSpeeds.usualFactor) engineSpeeds.record(entry.id, factor);
+    const { elapsedMs, intervals } = this;
+    if (this.firstMs === undefined) {
+      engineLoad.endRead(entry.id, readMs);
+      if (elapsedMs > OVERDUE_FACTOR * expectedMs) engineSpeeds.record(entry.id, OVERDUE_FACTOR);
+    } else if (intervals.length >= MIN_INTERVALS) {
+      intervals.sort((a, b) => a - b);
+      const median = intervals[Math.floor((intervals.length - 1) / 2)] ?? USUAL_INTERVAL_MS;
+      engineSpeeds.record(entry.id, median / USUAL_INTERVAL_MS);
     }
-    engineLoad.end(entry.id, this.elapsedMs);
+    engineLoad.end(entry.id, elapsedMs);
   }
 
   /** Fields of the log line about the attempt; empty if no choice led to it. */
   get fields(): Readonly<Record<string, unknown>> {
-    const { reason } = this.task;
+    const { reason, expectedMs } = this.task;
     if (reason === undefined) return {};
-    const { expectedMs, answeredMs } = this;
     return {
       placed: reason,
       expectedMs: Math.round(expectedMs),
-      ...(answeredMs === undefined ? {} : { firstMs: Math.round(answeredMs) }),
+      ...(this.firstMs === undefined ? {} : { firstMs: Math.round(this.firstMs) }),
     };
   }
 
-  private endRead(): void {
-    this.reading = false;
-    this.parts.engineLoad.endRead(this.task.entry.id, this.task.readMs);
-  }
-
   private get elapsedMs(): number {
     return this.parts.timers.now() - this.startedMs;
   }
--- a/src/engine/part-demand.ts
+++ b/src/engine/part-demand.ts
@@ -50,11 +50,6 @@
     this.own.set(part, { workMs: left + workMs, atMs, homes: before?.homes ?? 1 });
   }
 
-  /** Whether a request with this part was seen, here or elsewhere, some time ago at most. */
-  isKnown(part: string): boolean {
-    return this.own.has(part) || this.shared.others(part) > 0;
-  }
-
   /** Engines that keep the part. It changes late, so that a part at the limit stays where it is. */
   homes(part: string): number {
     const own = this.own.get(part);
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -143,11 +143,11 @@
           },
           onResponseStart: this.onInputsRead,
           onAnswer: () => {
-            work?.answer();
             promptGuard.recordAnswer(service, sharedParts);
           },
           beginStream: () => streamVersion.begin(entry),
           onEvents: () => {
+            work?.answer();
             upstreamReach.recordReceived();
             streamVersion.recordEvents(entry);
           },
