--- a/features/support/engine-fleet.ts
+++ b/features/support/engine-fleet.ts
@@ -9,7 +9,7 @@
 import { SimulatedEngine } from "./simulated-engine.js";
 
 const SERVICE = "engine";
-export const SLOTS = 24;
+const SLOTS = 24;
 const SHARED_TOKENS = 6_300;
 const OWN_TOKENS = 2_900;
 const SEED = 7;
@@ -45,6 +45,7 @@
   readonly timers = ManualTimers.create();
   readonly engines = new Map<string, SimulatedEngine>();
   readonly placed: PlacedRequest[] = [];
+  largestDigestBytes = 0;
   private readonly random = RandomSource.create(SEED);
   private readonly directory: UpstreamDirectory;
   private readonly instances: Instance[];
@@ -77,10 +78,6 @@
     return new EngineFleet(size);
   }
 
-  get sharedTokens(): number {
-    return SHARED_TOKENS;
-  }
-
   /** Sends requests for some time; each arrives at any of the instances. */
   async serve({ perSecond, parts, hotShare }: FleetLoad, ms: number): Promise<void> {
     const endMs = this.timers.now() + ms;
@@ -97,6 +94,19 @@
     for (const at of this.instances.keys()) this.send(at, 0);
   }
 
+  /** The instances send one request with the first part, one after the other. */
+  async sendInTurn(everyMs: number): Promise<void> {
+    for (const at of this.instances.keys()) {
+      this.send(at, 0);
+      await this.timers.advance(everyMs);
+    }
+  }
+
+  /** Gives the first instance what a call carried. */
+  receive(carried: unknown): void {
+    this.instances[0]?.loadExchange.receive("1", carried);
+  }
+
   private send(at: number, part: number): void {
     const instance = this.instances[at];
     if (instance === undefined) return;
@@ -142,6 +152,11 @@
     const told = caller.outgoing("0");
     if (told !== undefined) called.receive(`${at}`, told);
     const answered = called.outgoing(`${at}`);
+    for (const digest of [told, answered])
+      this.largestDigestBytes = Math.max(
+        this.largestDigestBytes,
+        JSON.stringify(digest ?? {}).length,
+      );
     if (answered !== undefined) caller.receive("0", answered);
   }
 }
--- a/src/engine/engine-load.ts
+++ b/src/engine/engine-load.ts
@@ -1,6 +1,7 @@
 import type { Timers } from "../time/timers.js";
 import type { UpstreamEntry } from "../forward/upstream-entry.js";
 import type { LoadedEngine } from "./load-digest.js";
+import { RecentValue } from "./recent-value.js";
 import { SharedFigures } from "./shared-figures.js";
 
 /** Weight of the newest request in the mean time that a request takes. */
@@ -11,6 +12,8 @@
 const MAX_OWN = 8;
 /** Engines that an instance passes on the sums of; the most loaded ones. */
 const MAX_SUMS = 16;
+/** Time for which the sums are used again; far below the time until they are told again. */
+const SUMS_LIFETIME_MS = 50;
 /** Load below which an engine is not worth a message: about one request. */
 const MIN_TOLD_WAIT_MS = 150;
 const MIN_TOLD_RUNNING = 4;
@@ -28,8 +31,10 @@
   private readonly readMs: SharedFigures;
   private readonly running: SharedFigures;
   private meanRunMs = INITIAL_RUN_MS;
+  private readonly sums: RecentValue<LoadedEngine[]>;
 
   private constructor(timers: Timers) {
+    this.sums = RecentValue.create(timers, SUMS_LIFETIME_MS, () => this.computeSums());
     this.readMs = SharedFigures.create(timers, (value, ageMs) => value - ageMs);
     this.running = SharedFigures.create(timers, (value, ageMs) =>
       ageMs < this.meanRunMs ? value : (value * this.meanRunMs) / ageMs,
@@ -81,14 +86,12 @@
   /** What this instance knows of all but `instance`. */
   sumsFor(instance: string): LoadedEngine[] {
     const sums: LoadedEngine[] = [];
-    for (const id of new Set([...this.own.keys(), ...this.running.reportedKeys])) {
-      const own = this.own.get(id);
-      const readMs = Math.round((own?.readMs ?? 0) + this.readMs.reported(id, instance));
-      const running = Math.round((own?.running ?? 0) + this.running.reported(id, instance));
-      if (readMs >= MIN_TOLD_WAIT_MS || running >= MIN_TOLD_RUNNING)
-        sums.push([id, readMs, running]);
+    for (const [id, allReadMs, allRunning] of this.sums.get()) {
+      const readMs = Math.round(allReadMs - this.readMs.reportedBy(instance, id));
+      const running = Math.round(allRunning - this.running.reportedBy(instance, id));
+      if (readMs > 0 || running > 0) sums.push([id, Math.max(0, readMs), Math.max(0, running)]);
     }
-    return mostLoaded(sums, MAX_SUMS);
+    return sums;
   }
 
   recordReport(instance: string, engines: readonly LoadedEngine[]): void {
@@ -112,6 +115,18 @@
       engines.map(([id, , running]) => [id, running]),
     );
   }
+
+  private computeSums(): LoadedEngine[] {
+    const sums: LoadedEngine[] = [];
+    for (const id of new Set([...this.own.keys(), ...this.running.reportedKeys])) {
+      const own = this.own.get(id);
+      const readMs = (own?.readMs ?? 0) + this.readMs.reported(id);
+      const running = (own?.running ?? 0) + this.running.reported(id);
+      if (readMs >= MIN_TOLD_WAIT_MS || running >= MIN_TOLD_RUNNING)
+        sums.push([id, readMs, running]);
+    }
+    return mostLoaded(sums, MAX_SUMS);
+  }
 }
 
 function mostLoaded(engines: LoadedEngine[], count: number): LoadedEngine[] {
--- a/src/engine/engine-speeds.ts
+++ b/src/engine/engine-speeds.ts
@@ -1,12 +1,15 @@
 import type { Timers } from "../time/timers.js";
+import { RecentValue } from "./recent-value.js";
 import type { FigureEntry } from "./shared-figures.js";
 
 /** Time after which measurements no longer count; a slow engine is then tried again. */
-const LIFETIME_MS = 4_000;
+const LIFETIME_MS = 8_000;
 /** Measurements below which an engine counts as usual. */
 const MIN_SAMPLES = 2;
 /** Largest weight of the newest measurement in the mean. */
 const SMOOTHING_FACTOR = 0.3;
+/** Multiple of a measurement from which the mean is replaced by it: the engine has recovered. */
+const RECOVERY_FACTOR = 2;
 /** Factors beyond these tell of waits rather than of speed. */
 const MIN_FACTOR = 0.2;
 const MAX_FACTOR = 6;
@@ -19,6 +22,8 @@
 const MAX_PENDING = 32;
 const MAX_SAMPLES = 8;
 const MAX_SLOW = 40;
+/** Time for which the list of slow engines is used again, as it changes late. */
+const SLOW_LIFETIME_MS = 100;
 const DIGITS = 3;
 
 interface Speed {
@@ -37,10 +42,15 @@
   private readonly slow = new Set<string>();
   private readonly pending: FigureEntry[] = [];
   private sampleCount = 0;
+  private ownCount = 0;
   /** Logarithm of the median of all measurements. */
   private usualLog = 0;
 
-  private constructor(private readonly timers: Timers) {}
+  private readonly slowList: RecentValue<FigureEntry[]>;
+
+  private constructor(private readonly timers: Timers) {
+    this.slowList = RecentValue.create(timers, SLOW_LIFETIME_MS, () => this.computeSlow());
+  }
 
   static create(parts: { timers: Timers }): EngineSpeeds {
     return new EngineSpeeds(parts.timers);
@@ -51,8 +61,6 @@
     return this.ownCount;
   }
 
-  private ownCount = 0;
-
   /** Records an own measurement: the time taken as a multiple of the assumed one. */
   record(id: string, factor: number): void {
     const bounded = Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
@@ -101,6 +109,10 @@
 
   /** The slow engines; told figures are not passed on, as they would never end. */
   slowEngines(): FigureEntry[] {
+    return this.slowList.get();
+  }
+
+  private computeSlow(): FigureEntry[] {
     const now = this.timers.now();
     const slow: FigureEntry[] = [];
     for (const [id, { atMs }] of this.measured) {
@@ -134,7 +146,8 @@
     }
     speed.samples += 1;
     speed.atMs = atMs;
-    const weight = Math.max(SMOOTHING_FACTOR, 1 / speed.samples);
+    const recovered = speed.logFactor - logFactor > Math.log(RECOVERY_FACTOR);
+    const weight = recovered ? 1 : Math.max(SMOOTHING_FACTOR, 1 / speed.samples);
     speed.logFactor += weight * (logFactor - speed.logFactor);
   }
 }
--- a/src/engine/part-demand.ts
+++ b/src/engine/part-demand.ts
@@ -1,4 +1,5 @@
 import type { Timers } from "../time/timers.js";
+import { RecentValue } from "./recent-value.js";
 import { type FigureEntry, SharedFigures } from "./shared-figures.js";
 
 /** Time over which work of a part is averaged, in ms. */
@@ -12,6 +13,8 @@
 const MAX_PARTS = 1_024;
 const MAX_OWN = 8;
 const MAX_SUMS = 8;
+/** Time for which the sums are used again; far below the time until they are told again. */
+const SUMS_LIFETIME_MS = 50;
 /** Share of an engine below which a part is not worth a message to all. */
 const MIN_TOLD_SHARE = 0.15;
 const DIGITS = 3;
@@ -28,9 +31,11 @@
   /** By part, most recently used last. */
   private readonly own = new Map<string, OwnDemand>();
   private readonly shared: SharedFigures;
+  private readonly sums: RecentValue<FigureEntry[]>;
 
   private constructor(private readonly timers: Timers) {
     this.shared = SharedFigures.create(timers, (value, ageMs) => decayed(value, ageMs));
+    this.sums = RecentValue.create(timers, SUMS_LIFETIME_MS, () => this.computeSums());
   }
 
   static create(parts: { timers: Timers }): PartDemand {
@@ -69,13 +74,12 @@
     return highest(recent, MAX_OWN);
   }
 
+  /** What this instance knows of all but `instance`. */
   sumsFor(instance: string): FigureEntry[] {
-    const sums: FigureEntry[] = [];
-    for (const part of this.shared.reportedKeys) {
-      const sum = this.ownShare(part) + this.shared.reported(part, instance);
-      if (sum >= MIN_TOLD_SHARE) sums.push([part, rounded(sum)]);
-    }
-    return highest(sums, MAX_SUMS);
+    return this.sums.get().map(([part, sum]) => {
+      const others = Math.max(0, sum - this.shared.reportedBy(instance, part));
+      return [part, rounded(others)];
+    });
   }
 
   recordReport(instance: string, parts: readonly FigureEntry[]): void {
@@ -86,6 +90,15 @@
     this.shared.recordSums(instance, parts);
   }
 
+  private computeSums(): FigureEntry[] {
+    const sums: FigureEntry[] = [];
+    for (const part of this.shared.reportedKeys) {
+      const sum = this.ownShare(part) + this.shared.reported(part);
+      if (sum >= MIN_TOLD_SHARE) sums.push([part, sum]);
+    }
+    return highest(sums, MAX_SUMS);
+  }
+
   private ownShare(part: string): number {
     const own = this.own.get(part);
     if (own === undefined) return 0;
--- a/src/engine/shared-figures.ts
+++ b/src/engine/shared-figures.ts
@@ -14,12 +14,16 @@
   readonly atMs: number;
 }
 
-type FiguresByKey = Map<string, Map<string, Figure>>;
+interface Figures {
+  /** By key and instance. */
+  readonly byKey: Map<string, Map<string, Figure>>;
+  readonly keysOf: Map<string, readonly string[]>;
+}
 
 /** Figures of other instances by key: what they state of themselves, and sums that they know. */
 export class SharedFigures {
-  private readonly reports: FiguresByKey = new Map();
-  private readonly sums: FiguresByKey = new Map();
+  private readonly reports: Figures = { byKey: new Map(), keysOf: new Map() };
+  private readonly sums: Figures = { byKey: new Map(), keysOf: new Map() };
   private sweptMs: number;
 
   private constructor(
@@ -50,23 +54,28 @@
   others(key: string): number {
     let highest = this.reported(key);
     const now = this.timers.now();
-    for (const figure of this.sums.get(key)?.values() ?? [])
+    for (const figure of this.sums.byKey.get(key)?.values() ?? [])
       highest = Math.max(highest, this.left(figure, now));
     return highest;
   }
 
-  /** Sum of what the instances state of their own, without that of `except`. */
-  reported(key: string, except?: string): number {
+  /** Sum of what the instances state of their own. */
+  reported(key: string): number {
     let sum = 0;
     const now = this.timers.now();
-    for (const [instance, figure] of this.reports.get(key) ?? [])
-      if (instance !== except) sum += this.left(figure, now);
+    for (const figure of this.reports.byKey.get(key)?.values() ?? []) sum += this.left(figure, now);
     return sum;
   }
 
+  /** What an instance states of its own. */
+  reportedBy(instance: string, key: string): number {
+    const figure = this.reports.byKey.get(key)?.get(instance);
+    return figure === undefined ? 0 : this.left(figure, this.timers.now());
+  }
+
   /** Keys of all that the instances state of their own. */
   get reportedKeys(): Iterable<string> {
-    return this.reports.keys();
+    return this.reports.byKey.keys();
   }
 
   private left({ value, atMs }: Figure, now: number): number {
@@ -74,17 +83,28 @@
     return ageMs > LIFETIME_MS ? 0 : Math.max(0, this.decay(value, ageMs));
   }
 
-  private replace(figures: FiguresByKey, instance: string, entries: readonly FigureEntry[]): void {
+  private replace(
+    { byKey, keysOf }: Figures,
+    instance: string,
+    entries: readonly FigureEntry[],
+  ): void {
     const atMs = this.timers.now();
     this.sweep(atMs);
-    const stated = new Map(entries);
-    for (const [key, byInstance] of figures)
-      if (!stated.has(key) && byInstance.delete(instance) && byInstance.size === 0)
-        figures.delete(key);
-    for (const [key, value] of stated) {
-      const byInstance = figures.get(key) ?? new Map<string, Figure>();
+    for (const key of keysOf.get(instance) ?? []) {
+      const byInstance = byKey.get(key);
+      byInstance?.delete(instance);
+      if (byInstance?.size === 0) byKey.delete(key);
+    }
+    keysOf.delete(instance);
+    if (entries.length > 0)
+      keysOf.set(
+        instance,
+        entries.map(([key]) => key),
+      );
+    for (const [key, value] of entries) {
+      const byInstance = byKey.get(key) ?? new Map<string, Figure>();
       byInstance.set(instance, { value, atMs });
-      figures.set(key, byInstance);
+      byKey.set(key, byInstance);
     }
   }
 
@@ -92,11 +112,14 @@
   private sweep(now: number): void {
     if (now - this.sweptMs < LIFETIME_MS) return;
     this.sweptMs = now;
-    for (const figures of [this.reports, this.sums]) {
-      for (const [key, byInstance] of figures) {
+    for (const { byKey, keysOf } of [this.reports, this.sums]) {
+      for (const [key, byInstance] of byKey) {
         for (const [instance, { atMs }] of byInstance)
-          if (now - atMs > LIFETIME_MS) byInstance.delete(instance);
-        if (byInstance.size === 0) figures.delete(key);
+          if (now - atMs > LIFETIME_MS) {
+            byInstance.delete(instance);
+            keysOf.delete(instance);
+          }
+        if (byInstance.size === 0) byKey.delete(key);
       }
     }
   }
