--- a/features/engine-placement.feature
+++ b/features/engine-placement.feature
@@ -73,6 +73,16 @@
     And 67 requests a second of 300 parts arrive for 12 s
     Then at most 16 in 100 of the requests of the last 4 s went to these engines
 
+  # Guards against calls that an instance of the previous version, which carries nothing, refuses.
+  Scenario Outline: Calls carry figures between instances that know them
+    When an instance that carries figures calls one that carries <figures>
+    Then the call is answered, and <count> figures have arrived on each side
+
+    Examples:
+      | figures | count |
+      | figures | 1     |
+      | nothing | 0     |
+
   Scenario: Figures that are not a digest are ignored
     Then a digest that is not one is ignored
 
--- a/features/steps/engine-placement.ts
+++ b/features/steps/engine-placement.ts
@@ -1,5 +1,8 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import type { CallRider } from "../../src/peer/call-rider.js";
+import { PeerMethod } from "../../src/peer/peer-method.js";
+import { PeerHost } from "../support/peer-host.js";
 import { EngineFleet, type PlacedRequest } from "../support/engine-fleet.js";
 
 const LATE_MS = 900;
@@ -9,6 +12,8 @@
   engineFleet: EngineFleet;
   sinceMs: number;
   slowIds: string[];
+  arrived: { caller: unknown[]; called: unknown[] };
+  answer: unknown;
 }
 
 async function serve(
@@ -151,6 +156,33 @@
   },
 );
 
+When(
+  /^an instance that carries figures calls one that carries (figures|nothing)$/,
+  async function (this: EngineWorld, figures: string) {
+    this.arrived = { caller: [], called: [] };
+    const riderOf = (side: unknown[]): CallRider => ({
+      outgoing: (instance) => ({ to: instance }),
+      receive: (_, carried) => side.push(carried),
+    });
+    const host = await PeerHost.create(
+      figures === "figures" ? riderOf(this.arrived.called) : undefined,
+    );
+    const clients = host.clientsAs("i2", undefined, undefined, riderOf(this.arrived.caller));
+    const called = host.settings.instance.id;
+    this.answer = await clients.call(called, PeerMethod.Probe, { target: "x" }, 2_000);
+    await host.close();
+  },
+);
+
+Then(
+  "the call is answered, and {int} figures have arrived on each side",
+  function (this: EngineWorld, count: number) {
+    assert.deepEqual(this.answer, [{ target: "x" }, "i2"]);
+    const called = [{ to: "tunis-a-1" }].slice(0, count);
+    assert.deepEqual(this.arrived, { caller: [{ to: "i2" }].slice(0, count), called });
+  },
+);
+
 Then("a digest that is not one is ignored", function (this: EngineWorld) {
   const fleet = EngineFleet.create({ instances: 2, engines: 2, exchangeMs: 200 });
   for (const carried of [1, null, { engines: "many" }, { engines: [["e", -1, 0]] }])
--- a/features/support/engine-fleet-parts.ts
+++ b/features/support/engine-fleet-parts.ts
@@ -22,7 +22,11 @@
   const engineLoad = EngineLoad.create(parts);
   const engineSpeeds = EngineSpeeds.create(parts);
   const partDemand = PartDemand.create(parts);
-  const all = { ...parts, engineLoad, engineSpeeds, partDemand };
+  const all = {
+    ...{ ...parts, engineLoad, engineSpeeds, partDemand },
+    decisionLines: { write: (): undefined => undefined },
+    forwardMetrics: { recordPlacement: (): undefined => undefined },
+  };
   return {
     ...{ engineSpeeds, partDemand },
     enginePlacement: EnginePlacement.create(all),
--- a/features/support/peer-host.ts
+++ b/features/support/peer-host.ts
@@ -1,6 +1,7 @@
 import { ErrorKind } from "../../src/error/error-kind.js";
 import { Outcome } from "../../src/error/outcome.js";
 import { ServeError } from "../../src/error/serve-error.js";
+import type { CallRider } from "../../src/peer/call-rider.js";
 import { AddressBook } from "../../src/peer/address-book.js";
 import { PeerClients } from "../../src/peer/peer-clients.js";
 import { PeerMethod } from "../../src/peer/peer-method.js";
@@ -23,11 +24,11 @@
     private readonly server: PeerServer,
   ) {}
 
-  static async create(): Promise<PeerHost> {
+  static async create(callRider?: CallRider): Promise<PeerHost> {
     const timers = SystemTimers.create();
     const [port = 0] = await freePorts(1);
     const settings = settingsOf("tunis-a-1", port, SECRET);
-    const server = PeerServer.create({ settings });
+    const server = PeerServer.create({ settings, callRider });
     server.register(PeerMethod.Probe, (params, from) => {
       host.probes += 1;
       return Promise.resolve([params, from]);
@@ -55,12 +56,17 @@
   }
 
   /** Clients that call the host as another instance. */
-  clientsAs(id: string, address = `http://${HOST}:${this.port}`, secret = SECRET): PeerClients {
+  clientsAs(
+    id: string,
+    address = `http://${HOST}:${this.port}`,
+    secret = SECRET,
+    callRider?: CallRider,
+  ): PeerClients {
     const addressBook = AddressBook.create();
     addressBook.set(this.settings.instance.id, address);
     const timers = SystemTimers.create();
     const settings = settingsOf(id, this.port, secret);
-    const clients = PeerClients.create({ settings, timers, addressBook });
+    const clients = PeerClients.create({ settings, timers, addressBook, callRider });
     this.clients.push(clients);
     return clients;
   }
--- a/src/engine/engine-forecast.ts
+++ b/src/engine/engine-forecast.ts
@@ -18,7 +18,7 @@
 /** Share of the shared parts that a home is assumed to read if it is not known to keep them. */
 const UNKNOWN_SHARE = 0.5;
 /** Step of the correction for one measurement, as a factor. */
-const CORRECTION_STEP = 1.02;
+const CORRECTION_STEP = 1.04;
 const MIN_CORRECTION = 0.5;
 const MAX_CORRECTION = 2;
 
--- a/src/engine/engine-placement.ts
+++ b/src/engine/engine-placement.ts
@@ -1,3 +1,5 @@
+import type { DecisionLines } from "../forward/decision-lines.js";
+import type { ForwardMetrics } from "../forward/forward-metrics.js";
 import { MAX_UTILIZATION } from "../forward/engine-selection.js";
 import { hashFraction } from "../forward/hash-fraction.js";
 import type { PromptPart } from "../forward/prompt-part.js";
@@ -24,6 +26,8 @@
   readonly engineLoad: EngineLoad;
   readonly engineSpeeds: EngineSpeeds;
   readonly partDemand: PartDemand;
+  readonly decisionLines: Pick<DecisionLines, "write">;
+  readonly forwardMetrics: Pick<ForwardMetrics, "recordPlacement">;
 }
 
 type WorkParts = Parameters<typeof EngineWork.create>[0];
@@ -61,13 +65,14 @@
 
   /** Undefined if no engine is left. */
   place(request: EngineRequest): ChosenEngine | undefined {
-    const { prefix, promptParts } = request;
-    const { partDemand } = this.parts;
+    const { service, prefix, promptParts } = request;
+    const { partDemand, decisionLines } = this.parts;
     if (!this.chosen.has(promptParts)) {
       const workMs = this.forecast.ownReadMs(promptParts);
       partDemand.record(prefix, workMs);
     }
-    const homes = partDemand.homes(prefix);
+    const { homes, changed } = partDemand.homes(prefix);
+    if (changed) decisionLines.write("part homes", { service, part: prefix, homes });
     const chosen = this.choose(request, homes) ?? this.unreachable(request);
     if (chosen !== undefined) this.chosen.set(promptParts, chosen);
     return chosen;
@@ -78,6 +83,7 @@
     const chosen = this.chosen.get(promptParts);
     if (chosen === undefined) return undefined;
     const known = chosen.option.entry.id === entry.id ? chosen : undefined;
+    if (known !== undefined) this.parts.forwardMetrics.recordPlacement(entry.service, known.reason);
     const readMs = known?.option.readMs ?? this.forecast.readMs(entry, promptParts, false);
     const expectedMs = this.forecast.expectedMs(entry, readMs);
     const task: EngineTask = { entry, promptParts, readMs, expectedMs, reason: known?.reason };
--- a/src/engine/part-demand.ts
+++ b/src/engine/part-demand.ts
@@ -55,15 +55,19 @@
     this.own.set(part, { workMs: left + workMs, atMs, homes: before?.homes ?? 1 });
   }
 
-  /** Engines that keep the part. It changes late, so that a part at the limit stays where it is. */
-  homes(part: string): number {
+  /**
+   * Number of engines that keep the part, and whether it has changed. It changes late, so that a
+   * part at the limit stays where it is.
+   */
+  homes(part: string): { homes: number; changed: boolean } {
     const own = this.own.get(part);
     const share = this.ownShare(part) + this.shared.others(part);
     const least = Math.min(MAX_HOMES, Math.max(1, Math.ceil(share / MAX_SHARE)));
     const most = Math.min(MAX_HOMES, Math.max(1, Math.ceil(share / MIN_SHARE)));
-    const homes = Math.max(least, Math.min(own?.homes ?? 1, most));
+    const before = own?.homes ?? 1;
+    const homes = Math.max(least, Math.min(before, most));
     if (own !== undefined) own.homes = homes;
-    return homes;
+    return { homes, changed: homes !== before };
   }
 
   ownParts(): FigureEntry[] {
--- a/src/forward/forward-metrics.ts
+++ b/src/forward/forward-metrics.ts
@@ -41,6 +41,12 @@
     labelNames: ["service", "end"],
     registers: [this.registry],
   });
+  private readonly placements = new Counter({
+    name: "nutmegstage_placements_total",
+    help: "Requests sent to engines by service and reason of the choice",
+    labelNames: ["service", "reason"],
+    registers: [this.registry],
+  });
   private readonly storeCalls = new Counter({
     name: "nutmegstage_store_calls_total",
     help: "Calls to the store by call and result",
@@ -132,6 +138,10 @@
     this.attempts.inc({ service, end });
   }
 
+  recordPlacement(service: string, reason: string): void {
+    this.placements.inc({ service, reason });
+  }
+
   recordSentUnderLimit(service: string, kind: string): void {
     this.sentUnderLimit.inc({ service, kind });
   }
