Count an engine as slow only by the lowest of four measurements

Change: the lowest of the last four measurements tells the speed, and a time between events counts only while no other prompt is known to be read there.

--- a/features/support/simulated-engine.ts
+++ b/features/support/simulated-engine.ts
@@ -5,6 +5,8 @@
 const FIRST_EVENT_MS = 40;
 const EVENTS = 4;
 const EVENT_INTERVAL_MS = 25;
+/** How much longer the time between events is while another prompt is read. */
+const READING_FACTOR = 5;
 
 /** What a simulated engine reports of a request. */
 export interface SimulatedRun {
@@ -43,11 +45,18 @@
     }
     this.busyUntilMs = Math.max(now, this.busyUntilMs) + (tokens / TOKENS_PER_MS) * this.factor;
     const firstMs = this.busyUntilMs - now + FIRST_EVENT_MS * this.factor;
-    for (let event = 0; event < EVENTS; event += 1)
-      this.timers.after(firstMs + event * EVENT_INTERVAL_MS * this.factor, onEvent);
-    this.timers.after(firstMs + EVENTS * EVENT_INTERVAL_MS * this.factor, () => {
-      this.inProgress -= 1;
-      onEnd();
-    });
+    let left = EVENTS;
+    const next = (): void => {
+      if (left === 0) {
+        this.inProgress -= 1;
+        onEnd();
+        return;
+      }
+      left -= 1;
+      onEvent();
+      const reading = this.busyUntilMs > this.timers.now();
+      this.timers.after(EVENT_INTERVAL_MS * this.factor * (reading ? READING_FACTOR : 1), next);
+    };
+    this.timers.after(firstMs, next);
   }
 }
--- a/src/engine/engine-load.ts
+++ b/src/engine/engine-load.ts
@@ -17,6 +17,8 @@
 /** Load below which an engine is not worth a message: about one request. */
 const MIN_TOLD_WAIT_MS = 150;
 const MIN_TOLD_RUNNING = 4;
+/** Requests of other instances at an engine from which one is most likely being read. */
+const MIN_READING_RUNNING = 2;
 
 interface OwnLoad {
   /** Time in which a usual engine reads the prompts that have had no event yet, in ms. */
@@ -54,6 +56,13 @@
     return readMs + (excess * this.meanRunMs) / Math.max(1, slots);
   }
 
+  /** Whether the engine may be reading prompts: it has some, or several requests of others. */
+  mayRead(id: string): boolean {
+    const own = this.own.get(id)?.readMs ?? 0;
+    if (own > 0 || this.readMs.others(id) > 0) return true;
+    return this.running.others(id) >= MIN_READING_RUNNING;
+  }
+
   begin(id: string, readMs: number): void {
     const own = this.own.get(id) ?? { readMs: 0, running: 0 };
     own.readMs += readMs;
--- a/src/engine/engine-speeds.ts
+++ b/src/engine/engine-speeds.ts
@@ -4,15 +4,14 @@
 
 /** Time after which measurements no longer count; a slow engine is then tried again. */
 const LIFETIME_MS = 8_000;
-/** Measurements below which an engine counts as usual. */
-const MIN_SAMPLES = 2;
-/** Largest weight of the newest measurement in the mean. */
-const SMOOTHING_FACTOR = 0.3;
-/** Multiple of a measurement from which the mean is replaced by it: the engine has recovered. */
-const RECOVERY_FACTOR = 2;
+/**
+ * The lowest of this many measurements tells the speed: other prompts that are read lengthen some of
+ * them, and nothing makes an engine look faster than it is. With fewer it counts as usual.
+ */
+const SAMPLES = 4;
 /** Factors beyond these tell of waits rather than of speed. */
 const MIN_FACTOR = 0.2;
-const MAX_FACTOR = 6;
+const MAX_FACTOR = 3;
 /** Smallest step of the usual factor for one measurement, as a logarithm. */
 const USUAL_STEP = 0.02;
 /** Factor from which an engine counts as slow, and below which it no longer does. */
@@ -27,8 +26,8 @@
 const DIGITS = 3;
 
 interface Speed {
-  logFactor: number;
-  samples: number;
+  /** Logarithms of the last measurements. */
+  readonly logFactors: number[];
   atMs: number;
 }
 
@@ -128,9 +127,9 @@
 
   private measuredFactor(id: string, now: number): number | undefined {
     const speed = this.measured.get(id);
-    if (speed === undefined || speed.samples < MIN_SAMPLES) return undefined;
+    if (speed === undefined || speed.logFactors.length < SAMPLES) return undefined;
     if (now - speed.atMs > LIFETIME_MS) return undefined;
-    return Math.exp(speed.logFactor - this.usualLog);
+    return Math.exp(Math.min(...speed.logFactors) - this.usualLog);
   }
 
   private add(id: string, factor: number): void {
@@ -141,13 +140,11 @@
     this.usualLog += logFactor > this.usualLog ? step : -step;
     let speed = this.measured.get(id);
     if (speed === undefined || atMs - speed.atMs > LIFETIME_MS) {
-      speed = { logFactor, samples: 0, atMs };
+      speed = { logFactors: [], atMs };
       this.measured.set(id, speed);
     }
-    speed.samples += 1;
     speed.atMs = atMs;
-    const recovered = speed.logFactor - logFactor > Math.log(RECOVERY_FACTOR);
-    const weight = recovered ? 1 : Math.max(SMOOTHING_FACTOR, 1 / speed.samples);
-    speed.logFactor += weight * (logFactor - speed.logFactor);
+    speed.logFactors.push(logFactor);
+    if (speed.logFactors.length > SAMPLES) speed.logFactors.shift();
   }
 }
--- a/src/engine/engine-work.ts
+++ b/src/engine/engine-work.ts
@@ -39,6 +39,7 @@
   private readonly intervals: number[] = [];
   private firstMs: number | undefined;
   private lastMs = 0;
+  private readingAtLast = false;
 
   private constructor(
     private readonly parts: Parts,
@@ -62,7 +63,13 @@
       engineLoad.endRead(entry.id, readMs);
       keptParts.record(entry, promptParts);
       forecast.recordFirstEvent(expectedMs, elapsedMs);
-    } else if (this.intervals.length < MAX_INTERVALS) this.intervals.push(elapsedMs - this.lastMs);
+      this.readingAtLast = true;
+    }
+    // While another prompt is read, the time between events does not tell the speed.
+    const reading = engineLoad.mayRead(entry.id);
+    if (!reading && !this.readingAtLast && this.intervals.length < MAX_INTERVALS)
+      this.intervals.push(elapsedMs - this.lastMs);
+    this.readingAtLast = reading;
     this.lastMs = elapsedMs;
   }
 
