Bound what callers state of prompts before it is told to other instances

Cause: a caller's header may state any number of tokens and any ID; a negative number or a long ID would have spoilt the whole digest for its receivers. Change: tokens are bounded, and parts with long IDs are not counted; a test that fails without it (the digest is refused by its schema).

--- a/features/engine-placement.feature
+++ b/features/engine-placement.feature
@@ -86,6 +86,10 @@
   Scenario: Figures that are not a digest are ignored
     Then a digest that is not one is ignored
 
+  # Guards against a caller that states any numbers and IDs.
+  Scenario: Odd prompt parts spoil no digest
+    Then a digest after requests with odd prompt parts is one, and tells less than 60 s of work
+
   # Guards against messages that grow with the fleet.
   Scenario: A digest of engines is small, whatever the fleet
     Given 300 instances that exchange figures of 1400 engines every 200 ms
--- a/features/steps/engine-placement.ts
+++ b/features/steps/engine-placement.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { CallRider } from "../../src/peer/call-rider.js";
+import { loadDigestSchema } from "../../src/engine/load-digest.js";
 import { PeerMethod } from "../../src/peer/peer-method.js";
 import { PeerHost } from "../support/peer-host.js";
 import { EngineFleet, type PlacedRequest } from "../support/engine-fleet.js";
@@ -191,6 +192,21 @@
     });
 });
 
+Then(
+  "a digest after requests with odd prompt parts is one, and tells less than 60 s of work",
+  function (this: EngineWorld) {
+    const fleet = EngineFleet.create({ instances: 2, engines: 2, exchangeMs: 200 });
+    for (const tokens of [-1e9, Infinity, 1e308])
+      fleet.sendParts(0, [
+        { id: "p".repeat(5_000), tokens },
+        { id: "", tokens },
+      ]);
+    const digest = loadDigestSchema.parse(fleet.digestOf(0));
+    assert.ok(digest.engines.length > 0);
+    for (const [, readMs] of digest.engines) assert.ok(readMs < 60_000);
+  },
+);
+
 Then("a digest has at most {int} bytes", function (this: EngineWorld, most: number) {
   const bytes = this.engineFleet.largestDigestBytes;
   assert.ok(bytes > 0 && bytes <= most, `${bytes} bytes`);
--- a/features/support/engine-fleet.ts
+++ b/features/support/engine-fleet.ts
@@ -108,13 +108,22 @@
   }
 
   private send(at: number, part: number): void {
-    const instance = this.instances[at];
-    if (instance === undefined) return;
     this.requests += 1;
-    const promptParts: PromptPart[] = [
+    this.sendParts(at, [
       { id: `part-${part}`, tokens: SHARED_TOKENS },
       { id: `own-${this.requests}`, tokens: OWN_TOKENS },
-    ];
+    ]);
+  }
+
+  /** What an instance would tell another one. */
+  digestOf(at: number): unknown {
+    return this.instances[at]?.loadExchange.outgoing("other");
+  }
+
+  sendParts(at: number, promptParts: readonly PromptPart[]): void {
+    const instance = this.instances[at];
+    if (instance === undefined) return;
+    const part = promptParts[0]?.id ?? "";
     const entry = this.place(instance, promptParts);
     const engine = this.engines.get(entry?.id ?? "");
     if (entry === undefined || engine === undefined) throw new Error("no engine was chosen");
@@ -127,7 +136,7 @@
       onEvent: () => {
         work?.answer();
         const firstMs = this.timers.now() - sentMs;
-        if (!begun) this.placed.push({ part: `part-${part}`, engine: entry.id, sentMs, firstMs });
+        if (!begun) this.placed.push({ part, engine: entry.id, sentMs, firstMs });
         begun = true;
       },
       onEnd: () => {
--- a/src/engine/engine-forecast.ts
+++ b/src/engine/engine-forecast.ts
@@ -22,6 +22,9 @@
 const MIN_CORRECTION = 0.5;
 const MAX_CORRECTION = 2;
 
+/** Above the memory of an engine, which declines larger prompts. */
+const MAX_TOKENS = 500_000;
+
 /** Forecasts how long engines take until the first event of a request. */
 export class EngineForecast {
   /** Median of the measured times as multiples of the expected ones. */
@@ -70,6 +73,8 @@
   }
 }
 
+/** Callers state the tokens, and may state anything. */
 function tokensOf(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const sum = parts.reduce((total, { tokens }) => total + Math.max(0, tokens), 0);
+  return Math.min(MAX_TOKENS, sum);
 }
--- a/src/engine/load-digest.ts
+++ b/src/engine/load-digest.ts
@@ -3,7 +3,10 @@
 const MAX_ENGINES = 64;
 const MAX_PARTS = 32;
 
-const idSchema = z.string().max(128);
+/** Longer IDs of parts are told to no other instance. */
+export const MAX_ID_LENGTH = 128;
+
+const idSchema = z.string().max(MAX_ID_LENGTH);
 const figureSchema = z.number().nonnegative();
 const engineSchema = z.tuple([idSchema, figureSchema, figureSchema]);
 const engineFigureSchema = z.tuple([idSchema, figureSchema]);
--- a/src/engine/part-demand.ts
+++ b/src/engine/part-demand.ts
@@ -1,4 +1,5 @@
 import type { Timers } from "../time/timers.js";
+import { MAX_ID_LENGTH } from "./load-digest.js";
 import { RecentValue } from "./recent-value.js";
 import { type FigureEntry, SharedFigures } from "./shared-figures.js";
 
@@ -44,6 +45,7 @@
 
   /** Records a request; `workMs` is the time that its home needs for it. */
   record(part: string, workMs: number): void {
+    if (part.length > MAX_ID_LENGTH) return;
     const atMs = this.timers.now();
     const before = this.own.get(part);
     this.own.delete(part);
