--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -1,5 +1,9 @@
 import { type AwilixContainer, aliasTo, asFunction, asValue, createContainer } from "awilix";
 import { BufferBudget } from "../buffer/buffer-budget.js";
+import { CallerConnections } from "../intake/caller-connections.js";
+import { CallerLosses } from "../intake/caller-losses.js";
+import { type CallerShares, callerSharesOf } from "../intake/caller-shares.js";
+import { UnreadResponses } from "../intake/unread-responses.js";
 import type { ConsolaInstance } from "consola";
 import { CrashReports } from "../crash/crash-reports.js";
 import { PromptGuard } from "../crash/prompt-guard.js";
@@ -7,6 +11,8 @@
 import { StoredSuspicions } from "../crash/stored-suspicions.js";
 import { createLogger } from "../decision/logger.js";
 import { LogOutput } from "../decision/log-output.js";
+import { EvacuationReport } from "../evacuation/evacuation-report.js";
+import { Evacuations } from "../evacuation/evacuations.js";
 import { CrashProbe } from "../forward/crash-probe.js";
 import { CrashRegistry } from "../forward/crash-registry.js";
 import { DecisionLines } from "../forward/decision-lines.js";
@@ -84,12 +90,18 @@
   readonly pauses: PauseDetection;
   readonly loopDelay: LoopDelay;
   readonly bufferBudget: BufferBudget;
+  readonly callerShares: CallerShares;
+  readonly callerLosses: CallerLosses;
+  readonly callerConnections: CallerConnections;
+  readonly unreadResponses: UnreadResponses;
   readonly dialect: Dialect;
   readonly rowDecoder: RowDecoder;
   readonly rowFeed: RowFeed;
   readonly rowStore: RowStore;
   readonly routeView: RouteView;
   readonly instanceList: InstanceList;
+  readonly evacuations: Evacuations;
+  readonly evacuationReport: EvacuationReport;
   readonly directory: UpstreamDirectory;
   readonly upstreamHealth: UpstreamHealthRegistry;
   readonly limitOwners: LimitOwners;
@@ -158,7 +170,13 @@
     decisionLines: asFunction(DecisionLines.create).singleton(),
     pauses: asFunction(PauseDetection.create).singleton(),
     loopDelay: asFunction(LoopDelay.create).singleton(),
-    bufferBudget: asFunction(() => BufferBudget.create()).singleton(),
+    callerShares: asFunction(() => callerSharesOf(frontSettings.limits)).singleton(),
+    callerLosses: asFunction(CallerLosses.create).singleton(),
+    callerConnections: asFunction(CallerConnections.create).singleton(),
+    unreadResponses: asFunction(UnreadResponses.create).singleton(),
+    bufferBudget: asFunction(({ callerShares }: FrontCradle) =>
+      BufferBudget.create(callerShares.bufferBytes),
+    ).singleton(),
     dialect: asValue(adapter.dialect),
     rowDecoder: asValue(adapter.rowDecoder),
     rowStore: asFunction(adapter.rowStore).singleton(),
@@ -167,6 +185,8 @@
     configurationView: aliasTo("routeView"),
     demandSource: asValue({ digest: () => ({ services: {}, teams: {} }) }),
     instanceList: asFunction(instanceList).singleton(),
+    evacuations: asFunction(Evacuations.create).singleton(),
+    evacuationReport: asFunction(EvacuationReport.create).singleton(),
     directory: asFunction(UpstreamDirectory.create).singleton(),
     upstreamHealth: asFunction(UpstreamHealthRegistry.create).singleton(),
     limitOwners: asFunction(LimitOwners.create).singleton(),
--- a/src/forward/request-forwarder.ts
+++ b/src/forward/request-forwarder.ts
@@ -1,5 +1,6 @@
 import { ErrorKind } from "../error/error-kind.js";
 import { ServeError } from "../error/serve-error.js";
+import { requireServedStages } from "../evacuation/require-served-stages.js";
 import type { Timers } from "../time/timers.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { CrashRegistry } from "./crash-registry.js";
@@ -65,7 +66,9 @@
       this.parts.admit();
       const headMatch = requestMatcher.matchHead(head);
       cancellation.setDeadline(headMatch.deadlineMs);
-      const body = await readBody(headMatch.configuration.limits.bodyBytes, signal);
+      const { configuration, team } = headMatch;
+      writer.owner = team?.name ?? "";
+      const body = await readBody(configuration.limits.bodyBytes, signal, writer.owner);
       // A stop may have begun meanwhile, which waits for requests that have arrived whole only.
       this.parts.admit();
       const matched = requestMatcher.match({ ...head, body }, headMatch, writer, signal);
@@ -120,6 +123,7 @@
    */
   private admitToStages(context: RequestContext): number {
     this.requirePermitsInTime(context);
+    requireServedStages(this.parts.directory, context.route.stages, context.attributes.pieces);
     const { route, attributes, configuration, rank, targetMs, returning } = context;
     const { stageLoads, timers, decisionLines } = this.parts;
     const { attemptId, pieces } = attributes;
@@ -185,6 +189,7 @@
       run,
       allowedMs,
       rank: context.rank,
+      returning: context.returning,
       targetMs: context.targetMs,
       deadlineMs: context.deadlineMs,
       services: configuration.services,
