Take no run time of a whole answer for a late first event

Cause: only streams recorded an answer, so that the run time of an unstreamed one was compared with four times the expected time to the first event, and sound engines counted as slow. Change: the head of a whole answer records that the prompt was read; only streams, and attempts that broke off, can be overdue.

--- a/features/engine-placement.feature
+++ b/features/engine-placement.feature
@@ -95,3 +95,19 @@
     Given 300 instances that exchange figures of 1400 engines every 200 ms
     When 1500 requests a second of 5000 parts arrive for 2 s
     Then a digest has at most 3000 bytes
+
+  # Guards against run times of whole answers that are taken for times to the first event.
+  Scenario: Whole answers do not make an engine look slow
+    Given one instance and 6 engines of 24 slots
+    When 30 requests of one prefix get whole answers after 1 s, one after the other
+    Then all of them went to the home
+
+  Scenario Outline: An engine that gives <answers> is left
+    Given one instance and 6 engines of 24 slots
+    When 30 requests of one prefix get <answers> after 1 s, one after the other
+    Then no engine got more than 12 of them
+
+    Examples:
+      | answers        |
+      | no answer      |
+      | broken answers |
--- a/features/support/engine-fleet.ts
+++ b/features/support/engine-fleet.ts
@@ -128,7 +128,7 @@
     const engine = this.engines.get(entry?.id ?? "");
     if (entry === undefined || engine === undefined) throw new Error("no engine was chosen");
     const health = instance.health.of(entry.id);
-    const work = instance.enginePlacement.begin(entry, promptParts);
+    const work = instance.enginePlacement.begin(entry, promptParts, { streamed: true });
     const sentMs = this.timers.now();
     health.inFlight += 1;
     let begun = false;
--- a/src/engine/engine-placement.ts
+++ b/src/engine/engine-placement.ts
@@ -79,14 +79,25 @@
   }
 
   /** Begins to account for a request that is sent; undefined if it was not placed here. */
-  begin(entry: UpstreamEntry, promptParts: readonly PromptPart[]): EngineWork | undefined {
+  begin(
+    entry: UpstreamEntry,
+    promptParts: readonly PromptPart[],
+    { streamed }: { readonly streamed: boolean },
+  ): EngineWork | undefined {
     const chosen = this.chosen.get(promptParts);
     if (chosen === undefined) return undefined;
     const known = chosen.option.entry.id === entry.id ? chosen : undefined;
     if (known !== undefined) this.parts.forwardMetrics.recordPlacement(entry.service, known.reason);
     const readMs = known?.option.readMs ?? this.forecast.readMs(entry, promptParts, false);
     const expectedMs = this.forecast.expectedMs(entry, readMs);
-    const task: EngineTask = { entry, promptParts, readMs, expectedMs, reason: known?.reason };
+    const task: EngineTask = {
+      entry,
+      promptParts,
+      readMs,
+      expectedMs,
+      streamed,
+      reason: known?.reason,
+    };
     return EngineWork.create(this.workParts, task);
   }
 
--- a/src/engine/engine-work.ts
+++ b/src/engine/engine-work.ts
@@ -29,6 +29,8 @@
   readonly promptParts: readonly PromptPart[];
   readonly readMs: number;
   readonly expectedMs: number;
+  /** Whether the answer comes in events. */
+  readonly streamed: boolean;
   /** Undefined if it was sent there for another reason than the choice by expected time. */
   readonly reason: PlacementReason | undefined;
 }
@@ -40,6 +42,7 @@
   private firstMs: number | undefined;
   private lastMs = 0;
   private readingAtLast = false;
+  private broken = false;
 
   private constructor(
     private readonly parts: Parts,
@@ -55,13 +58,11 @@
 
   /** Records that events have arrived. */
   answer(): void {
-    const { entry, promptParts, readMs, expectedMs } = this.task;
-    const { keptParts, forecast, engineLoad } = this.parts;
+    const { entry, expectedMs } = this.task;
+    const { forecast, engineLoad } = this.parts;
     const { elapsedMs } = this;
     if (this.firstMs === undefined) {
-      this.firstMs = elapsedMs;
-      engineLoad.endRead(entry.id, readMs);
-      keptParts.record(entry, promptParts);
+      this.recordRead();
       forecast.recordFirstEvent(expectedMs, elapsedMs);
       this.readingAtLast = true;
     }
@@ -73,13 +74,26 @@
     this.lastMs = elapsedMs;
   }
 
+  /** Records the head of an answer; unless events follow, the prompt was read before. */
+  answerHead(): void {
+    if (this.task.streamed || this.firstMs !== undefined) return;
+    this.recordRead();
+  }
+
+  /** Records that the answer was broken off, or was none. */
+  breakOff(): void {
+    this.broken = true;
+  }
+
   end(): void {
-    const { entry, readMs, expectedMs } = this.task;
+    const { entry, readMs, expectedMs, streamed } = this.task;
     const { engineSpeeds, engineLoad } = this.parts;
     const { elapsedMs, intervals } = this;
     if (this.firstMs === undefined) {
       engineLoad.endRead(entry.id, readMs);
-      if (elapsedMs > OVERDUE_FACTOR * expectedMs) engineSpeeds.record(entry.id, OVERDUE_FACTOR);
+      // The run time of a whole answer does not tell when the first event was due.
+      const overdue = elapsedMs > OVERDUE_FACTOR * expectedMs;
+      if (overdue && (streamed || this.broken)) engineSpeeds.record(entry.id, OVERDUE_FACTOR);
     } else if (intervals.length >= MIN_INTERVALS) {
       intervals.sort((a, b) => a - b);
       const median = intervals[Math.floor((intervals.length - 1) / 2)] ?? USUAL_INTERVAL_MS;
@@ -99,6 +113,14 @@
     };
   }
 
+  private recordRead(): void {
+    const { entry, promptParts, readMs } = this.task;
+    const { keptParts, engineLoad } = this.parts;
+    this.firstMs = this.elapsedMs;
+    engineLoad.endRead(entry.id, readMs);
+    keptParts.record(entry, promptParts);
+  }
+
   private get elapsedMs(): number {
     return this.parts.timers.now() - this.startedMs;
   }
--- a/src/forward/dispatch-loop.ts
+++ b/src/forward/dispatch-loop.ts
@@ -10,7 +10,7 @@
 import type { DispatchParts } from "./dispatch-parts.js";
 import { attemptSilenceMs, canRetry } from "./retry-rules.js";
 import { attemptLatencyRatio } from "./expected-latency.js";
-import { readsInputsAtOnce } from "./inputs-read.js";
+import { scheduleInputsRead } from "./inputs-read.js";
 import type { RequestContext } from "./request-context.js";
 import { Repeatability } from "./repeatability.js";
 import { UpstreamAttempt } from "./upstream-attempt.js";
@@ -24,8 +24,6 @@
 const MAX_NOT_RUN_ATTEMPTS = 3;
 /** Connection failures, each at a different upstream, after which a request fails. */
 const MAX_UNSENT_ATTEMPTS = 4;
-/** Time in which an engine with free slots reads the stage results; several transfers. */
-const INPUTS_READ_DELAY_MS = 120;
 
 /** Sends a request to upstreams until one responds or the request may not be retried. */
 export class DispatchLoop {
@@ -105,10 +103,11 @@
   private async attempt(entry: UpstreamEntry, permit: Permit | undefined): Promise<AttemptOutcome> {
     const { timers, upstreamHealth, upstreamStatements, dialect } = this.parts;
     const { decisionLines, forwardMetrics, promptGuard, upstreamReach, bufferBudget } = this.parts;
-    const { context, streamVersion } = this;
+    const { context, streamVersion, inputs } = this;
     const { request, attributes, route, progress, writer, service, sharedParts } = context;
     const health = upstreamHealth.of(entry.id);
-    const work = this.parts.enginePlacement.begin(entry, attributes.promptParts);
+    const streamed = route.repeatability === Repeatability.Stream;
+    const work = this.parts.enginePlacement.begin(entry, attributes.promptParts, { streamed });
     this.selection.recordAttempt(entry);
     const startedMs = timers.now();
     const after = progress.lastEventId;
@@ -121,10 +120,10 @@
           request,
           attemptId: attributes.attemptId,
           entry,
-          dispatch: attemptDispatch(context, entry.id, this.inputs, startedMs),
+          dispatch: attemptDispatch(context, entry.id, inputs, startedMs),
           writer,
           progress,
-          streamed: route.repeatability === Repeatability.Stream,
+          streamed,
           silenceTimeoutMs: attemptSilenceMs(context, this.runCount),
           trySend: () => {
             // Another instance may have found out more while the connection was opened.
@@ -132,7 +131,7 @@
             if (!streamVersion.allows(entry)) return false;
             sendState.sent = upstreamStatements.trySend(entry, health, SentKind.Request, permit);
             if (!sendState.sent) return false;
-            this.scheduleInputsRead(entry);
+            scheduleInputsRead(this.parts, { route, inputs, entry }, this.onInputsRead);
             sendState.recordAnswered = upstreamReach.recordRequest(entry);
             return true;
           },
@@ -141,7 +140,10 @@
             upstreamReach.recordContact();
             upstreamStatements.recordResponse(entry, health, responseAttributes, permit);
           },
-          onResponseStart: this.onInputsRead,
+          onResponseStart: () => {
+            work?.answerHead();
+            this.onInputsRead();
+          },
           onAnswer: () => {
             promptGuard.recordAnswer(service, sharedParts);
           },
@@ -154,6 +156,7 @@
           signal: context.signal,
         },
       ).run();
+      if (outcome.kind === "broken") work?.breakOff();
       forwardMetrics.recordAttempt(service, outcome.kind);
       const span = { startedMs, endedMs: timers.now(), after, placed: work?.fields };
       decisionLines.write("attempt", attemptLine(context, entry, outcome, span));
@@ -229,11 +232,6 @@
     return phase !== AttemptPhase.Begun || !(await suspect);
   }
 
-  private scheduleInputsRead(entry: UpstreamEntry): void {
-    if (readsInputsAtOnce(this.parts, this.context.route, this.inputs, entry))
-      this.parts.timers.after(INPUTS_READ_DELAY_MS, this.onInputsRead);
-  }
-
   /** The deadline may also pass between two attempts. */
   private withOutcome(error: unknown): ServeError {
     const failure = ServeError.from(error, ErrorKind.Internal);
