Look for engines with room beyond the first eight that are full

Cause: full engines counted among the eight that are looked at, so that the ninth was never used. Change: eight engines with room are looked at; if all are full, the one with the lowest expected time of all gets the request. Result: 16 engines of 4 slots, one instance: of 32, 64 and 80 requests at most 2, 4 and 6 go to one engine (before: 9, 25 and 31).

--- a/features/engine-placement.feature
+++ b/features/engine-placement.feature
@@ -111,3 +111,15 @@
       | answers        |
       | no answer      |
       | broken answers |
+
+  # Guards against full engines that hide the others.
+  Scenario Outline: Requests of one prefix use the slots of all engines
+    Given one instance and 16 engines of 4 slots
+    When <count> requests of one prefix are sent at the same moment
+    Then no engine got more than <most> of them
+
+    Examples:
+      | count | most |
+      | 32    | 2    |
+      | 64    | 4    |
+      | 80    | 6    |
--- a/src/engine/engine-choice.ts
+++ b/src/engine/engine-choice.ts
@@ -37,21 +37,29 @@
 export function chooseEngine(choice: EngineChoice): ChosenEngine | undefined {
   const { options, homes, draw } = choice;
   const open = options.filter(({ full }) => !full);
-  const usable = open.length > 0 ? open : options;
-  const first = usable[0];
-  if (first === undefined) return undefined;
+  const first = open[0];
+  if (first === undefined) return leastOption(options);
   if (first.slow && draw("probe") < PROBE_SHARE && choice.tryProbe(first.entry))
     return { option: first, reason: PlacementReason.Probe };
-  const sound = usable.filter(({ slow }) => !slow);
-  const candidates = sound.length > 0 ? sound : usable;
+  const sound = open.filter(({ slow }) => !slow);
+  const candidates = sound.length > 0 ? sound : open;
   const keeping = Math.min(homes, candidates.length);
   const at = Math.floor(draw("home") * keeping);
   const home = candidates[at] ?? first;
-  const faster = fasterOption(home, usable, draw);
+  const faster = fasterOption(home, open, draw);
   if (faster !== undefined) return { option: faster, reason: PlacementReason.Faster };
   return { option: home, reason: at === 0 ? PlacementReason.Home : PlacementReason.FurtherHome };
 }
 
+/** If all are full, how soon they respond tells more than where the parts are kept. */
+function leastOption(options: readonly EngineOption[]): ChosenEngine | undefined {
+  let least = options[0];
+  if (least === undefined) return undefined;
+  for (const option of options) if (option.expectedMs < least.expectedMs) least = option;
+  const reason = least === options[0] ? PlacementReason.Home : PlacementReason.Faster;
+  return { option: least, reason };
+}
+
 function fasterOption(
   home: EngineOption,
   usable: readonly EngineOption[],
--- a/src/engine/engine-placement.ts
+++ b/src/engine/engine-placement.ts
@@ -17,7 +17,7 @@
 import { MAX_HOMES, type PartDemand } from "./part-demand.js";
 import { PlacementReason } from "./placement-reason.js";
 
-/** Engines that are looked at: the homes, some that are slow or full, and fallbacks. */
+/** Engines with room that are looked at: the homes, some that are slow, and fallbacks. */
 const MAX_OPTIONS = 2 * MAX_HOMES;
 
 interface Parts {
@@ -106,6 +106,7 @@
     const { upstreamHealth, engineSpeeds } = this.parts;
     const options: EngineOption[] = [];
     let sound = 0;
+    let open = 0;
     for (const entry of this.engineOrder.of(service, prefix, candidates)) {
       if (tried.has(entry.id)) continue;
       const health = upstreamHealth.of(entry.id);
@@ -117,8 +118,10 @@
         return { option, reason: PlacementReason.Probe };
       }
       if (!slow) sound += 1;
-      options.push({ ...option, full: health.inFlight >= MAX_UTILIZATION * entry.slots });
-      if (options.length === MAX_OPTIONS) break;
+      const full = health.inFlight >= MAX_UTILIZATION * entry.slots;
+      options.push({ ...option, full });
+      if (!full) open += 1;
+      if (open === MAX_OPTIONS) break;
     }
     const id = promptParts.at(-1)?.id ?? "";
     const draw = (purpose: string): number => hashFraction(`${id} ${purpose}`);
