Give a slow engine its parts back only after a fast measurement

Cause: when the measurements of a slow engine expired (8 s, told: 4 s), it counted as usual and got all its parts at once. A request that probed a failing home claimed the probe again for each of its choices, so that its stages and its dispatch went to different engines. Change: a slow engine stays so, with probes, until one measurement is fast, or its teller tells other figures and not it; forgotten after 10 min. The claim of a failing home is shared by the choices for one request.

--- a/features/engine-placement.feature
+++ b/features/engine-placement.feature
@@ -123,3 +123,38 @@
       | 32    | 2    |
       | 64    | 4    |
       | 80    | 6    |
+
+  # Guards against a slow engine that gets all its parts back without a measurement.
+  Scenario: A slow engine whose measurements are old gets probes until one is fast
+    Given one instance and 6 engines of 24 slots
+    When the home is measured to be 3 times slower
+    And 9 s later 60 requests of one prefix are placed
+    Then one of them went to the home
+    And an instance still tells that it is slow
+    When the home is measured once at the usual speed
+    And 1 s later 60 requests of one prefix are placed
+    Then all of them went to the home
+
+  Scenario: An engine that others told to be slow gets probes until they tell it no longer
+    Given one instance and 6 engines of 24 slots
+    When the home is told to be 3 times slower
+    And 9 s later 60 requests of one prefix are placed
+    Then one of them went to the home
+    When the others no longer tell that it is slow
+    And 1 s later 60 requests of one prefix are placed
+    Then all of them went to the home
+
+  Scenario: A slow engine that was told by an instance that ended gets probes until one is fast
+    Given one instance and 6 engines of 24 slots
+    When the home is told to be 3 times slower
+    And 9 s later 60 requests of one prefix are placed
+    Then one of them went to the home
+    When the home is measured once at the usual speed
+    And 1 s later 60 requests of one prefix are placed
+    Then all of them went to the home
+
+  # Guards against a request whose stages, dispatch and session go to different engines.
+  Scenario: All choices for a request that probes a failing home agree
+    Given one instance and 6 engines of 24 slots
+    When the home fails
+    Then the first request that is placed goes to the home each time, the next one elsewhere
--- a/features/steps/engine-measurements.ts
+++ b/features/steps/engine-measurements.ts
@@ -104,7 +104,7 @@
   /^the home is (measured|told) to be 3 times slower$/,
   function (this: MeasuredWorld, source: string) {
     const { engineSpeeds } = this.parts;
-    if (source === "told") engineSpeeds.recordSlow([[this.home, 3]]);
+    if (source === "told") engineSpeeds.recordSlow("other", [[this.home, 3]]);
     else for (let at = 0; at < 6; at += 1) engineSpeeds.record(this.home, 3);
   },
 );
@@ -122,7 +122,7 @@
 });
 
 When("the others no longer tell that it is slow", function (this: MeasuredWorld) {
-  this.parts.engineSpeeds.recordSlow([]);
+  this.parts.engineSpeeds.recordSlow("other", []);
 });
 
 Then(/^(one|all) of them went to the home$/, function (this: MeasuredWorld, share: string) {
--- a/src/engine/engine-placement.ts
+++ b/src/engine/engine-placement.ts
@@ -104,6 +104,10 @@
   private choose(request: EngineRequest, homes: number): ChosenEngine | undefined {
     const { service, prefix, candidates, tried, promptParts } = request;
     const { upstreamHealth, engineSpeeds } = this.parts;
+    const before = this.chosen.get(promptParts);
+    const tryProbe = ({ id: engine }: UpstreamEntry): boolean =>
+      (before?.reason === PlacementReason.Probe && before.option.entry.id === engine) ||
+      upstreamHealth.of(engine).tryClaimProbe();
     const options: EngineOption[] = [];
     let sound = 0;
     let open = 0;
@@ -114,7 +118,7 @@
       const slow = engineSpeeds.isSlow(entry.id);
       const option = this.option(entry, promptParts, { slow, isHome: !slow && sound < homes });
       if (health.failing) {
-        if (options.length > 0 || !health.tryClaimProbe()) continue;
+        if (options.length > 0 || !tryProbe(entry)) continue;
         return { option, reason: PlacementReason.Probe };
       }
       if (!slow) sound += 1;
@@ -125,10 +129,6 @@
     }
     const id = promptParts.at(-1)?.id ?? "";
     const draw = (purpose: string): number => hashFraction(`${id} ${purpose}`);
-    const before = this.chosen.get(promptParts);
-    const tryProbe = ({ id: engine }: UpstreamEntry): boolean =>
-      (before?.reason === PlacementReason.Probe && before.option.entry.id === engine) ||
-      upstreamHealth.of(engine).tryClaimProbe();
     return chooseEngine({ options, homes, draw, tryProbe });
   }
 
--- a/src/engine/engine-speeds.ts
+++ b/src/engine/engine-speeds.ts
@@ -2,8 +2,10 @@
 import { RecentValue } from "./recent-value.js";
 import type { FigureEntry } from "./shared-figures.js";
 
-/** Time after which measurements no longer count; a slow engine is then tried again. */
+/** Time after which measurements no longer count, except those of slow engines. */
 const LIFETIME_MS = 8_000;
+/** Time after which a slow engine that got no probe is forgotten; it may be gone for good. */
+const SLOW_MEMORY_MS = 600_000;
 /**
  * The lowest of this many measurements tells the speed: other prompts that are read lengthen some of
  * them, and nothing makes an engine look faster than it is. With fewer it counts as usual.
@@ -28,18 +30,28 @@
 interface Speed {
   /** Logarithms of the last measurements. */
   readonly logFactors: number[];
+  /** Whether the engine was slow when the measurements before these expired: one is enough. */
+  readonly wasSlow: boolean;
   atMs: number;
 }
 
+interface ToldSpeed {
+  readonly factor: number;
+  readonly atMs: number;
+  readonly instance: string;
+}
+
 /**
  * How much longer each engine takes than the usual one, from the times between events of this
  * instance's streams and of those of instances that tell it theirs.
  */
 export class EngineSpeeds {
   private readonly measured = new Map<string, Speed>();
-  private readonly told = new Map<string, { factor: number; atMs: number }>();
+  private readonly told = new Map<string, ToldSpeed>();
   private readonly slow = new Set<string>();
   private readonly pending: FigureEntry[] = [];
+  /** When another instance last told figures, by instance. */
+  private readonly heardMs = new Map<string, number>();
   private sampleCount = 0;
   private ownCount = 0;
   /** Logarithm of the median of all measurements. */
@@ -76,11 +88,14 @@
   }
 
   /** Records which engines another instance found slow, from measurements of many. */
-  recordSlow(slow: readonly FigureEntry[]): void {
+  recordSlow(instance: string, slow: readonly FigureEntry[]): void {
     const atMs = this.timers.now();
-    for (const [id, factor] of slow) this.told.set(id, { factor, atMs });
+    this.heardMs.set(instance, atMs);
+    for (const [id, factor] of slow) this.told.set(id, { factor, atMs, instance });
     for (const [id, { atMs: toldMs }] of this.told)
-      if (atMs - toldMs > LIFETIME_MS) this.told.delete(id);
+      if (atMs - toldMs > SLOW_MEMORY_MS) this.told.delete(id);
+    for (const [teller, heardMs] of this.heardMs)
+      if (atMs - heardMs > SLOW_MEMORY_MS) this.heardMs.delete(teller);
   }
 
   /** Time that an engine takes as a multiple of the usual one. */
@@ -89,7 +104,10 @@
     const measured = this.measuredFactor(id, now);
     if (measured !== undefined) return measured;
     const told = this.told.get(id);
-    return told !== undefined && now - told.atMs < LIFETIME_MS / 2 ? told.factor : 1;
+    if (told === undefined || now - told.atMs > SLOW_MEMORY_MS) return 1;
+    // An instance that tells nothing at all may have ended or be cut off.
+    const heardMs = this.heardMs.get(told.instance) ?? told.atMs;
+    return heardMs - told.atMs < LIFETIME_MS / 2 ? told.factor : 1;
   }
 
   /** Whether an engine is much slower than the usual one. It changes late. */
@@ -115,11 +133,12 @@
     const now = this.timers.now();
     const slow: FigureEntry[] = [];
     for (const [id, { atMs }] of this.measured) {
-      if (now - atMs > LIFETIME_MS) {
+      const measured = this.measuredFactor(id, now);
+      if (measured === undefined && now - atMs > LIFETIME_MS) {
         this.measured.delete(id);
         continue;
       }
-      const factor = this.measuredFactor(id, now) ?? 1;
+      const factor = measured ?? 1;
       if (factor >= SOUND_FACTOR) slow.push([id, Number(factor.toPrecision(DIGITS))]);
     }
     return slow.sort((a, b) => b[1] - a[1]).slice(0, MAX_SLOW);
@@ -127,9 +146,13 @@
 
   private measuredFactor(id: string, now: number): number | undefined {
     const speed = this.measured.get(id);
-    if (speed === undefined || speed.logFactors.length < SAMPLES) return undefined;
-    if (now - speed.atMs > LIFETIME_MS) return undefined;
-    return Math.exp(Math.min(...speed.logFactors) - this.usualLog);
+    if (speed === undefined) return undefined;
+    const { logFactors, wasSlow, atMs } = speed;
+    if (logFactors.length < SAMPLES && !wasSlow) return undefined;
+    const factor = Math.exp(Math.min(...logFactors) - this.usualLog);
+    if (now - atMs <= LIFETIME_MS) return factor;
+    const remembered = now - atMs <= SLOW_MEMORY_MS && this.slow.has(id) && factor >= SOUND_FACTOR;
+    return remembered ? factor : undefined;
   }
 
   private add(id: string, factor: number): void {
@@ -140,11 +163,14 @@
     this.usualLog += logFactor > this.usualLog ? step : -step;
     let speed = this.measured.get(id);
     if (speed === undefined || atMs - speed.atMs > LIFETIME_MS) {
-      speed = { logFactors: [], atMs };
+      const wasSlow = speed !== undefined && this.measuredFactor(id, atMs) !== undefined;
+      speed = { logFactors: [], wasSlow, atMs };
       this.measured.set(id, speed);
     }
     speed.atMs = atMs;
     speed.logFactors.push(logFactor);
     if (speed.logFactors.length > SAMPLES) speed.logFactors.shift();
+    if (logFactor - this.usualLog < Math.log(SOUND_FACTOR)) this.told.delete(id);
+    this.isSlow(id);
   }
 }
--- a/src/engine/load-exchange.ts
+++ b/src/engine/load-exchange.ts
@@ -73,7 +73,7 @@
     partDemand.recordReport(instance, parts);
     partDemand.recordSums(instance, sumParts);
     engineSpeeds.recordSamples(samples);
-    engineSpeeds.recordSlow(slow);
+    engineSpeeds.recordSlow(instance, slow);
   }
 
   private sentTo(instance: string): Sent {
