--- a/features/support/cold-fleet.ts
+++ b/features/support/cold-fleet.ts
@@ -9,6 +9,7 @@
 import { ManualTimers } from "../../src/time/manual-timers.js";
 import { configurationOf, entryOf, routeOf } from "./forward-samples.js";
 import { respond } from "./engine-response.js";
+import { engineFleetParts } from "./engine-fleet-parts.js";
 import { LimitInstance, type Warmup } from "./limit-instance.js";
 import { arriveAtRandom, type ColdLoad } from "./cold-load.js";
 import { type EngineArrival, mostWhileCold } from "./engine-arrivals.js";
@@ -89,6 +90,7 @@
     const promptGuard = { suspectAmong: () => undefined };
     const upstreamSelector = UpstreamSelector.create({
       ...{ ...parts, routeView, promptGuard, dataCentre: "a" },
+      enginePlacement: engineFleetParts(parts).enginePlacement,
     });
     const selectionParts = { ...parts, upstreamSelector, upstreamStatements: statements };
     this.selections.set(instance, PermittedSelection.create(selectionParts));
@@ -110,8 +112,9 @@
     const prompt = [{ id: HOT_PROMPT, tokens: 1 }];
     const [instance] = this.instances;
     if (instance === undefined) throw new Error("there are no instances");
-    const { directory, upstreamHealth } = instance;
+    const { timers, directory, upstreamHealth } = instance;
     const selector = UpstreamSelector.create({
+      enginePlacement: engineFleetParts({ timers, upstreamHealth }).enginePlacement,
       ...{ directory, upstreamHealth, routeView: this.routeView, dataCentre: "a" },
       promptGuard: { suspectAmong: () => undefined },
     });
--- a/src/daemon/front-container.ts
+++ b/src/daemon/front-container.ts
@@ -53,6 +53,7 @@
 import type { Timers } from "../time/timers.js";
 import type { RowStore } from "../version/row-store.js";
 import { type PeerCradle, peerParts } from "./peer-parts.js";
+import { type EngineCradle, engineParts } from "./engine-parts.js";
 import { type IntakeCradle, intakeParts } from "./intake-parts.js";
 import { type IsolationCradle, isolationParts } from "./isolation-parts.js";
 import { Readiness } from "./readiness.js";
@@ -73,7 +74,8 @@
     VersionCradle,
     IsolationCradle,
     IntakeCradle,
-    WarmupCradle {
+    WarmupCradle,
+    EngineCradle {
   readonly frontSettings: FrontSettings;
   readonly settings: PeerSettings;
   readonly self: string;
@@ -145,6 +147,7 @@
     ...isolationParts,
     ...intakeParts,
     ...warmupParts,
+    ...engineParts,
     frontSettings: asValue(frontSettings),
     settings: asValue(peerSettingsOf(frontSettings)),
     self: asValue(frontSettings.instance.id),
