--- a/features/support/cold-fleet.ts
+++ b/features/support/cold-fleet.ts
@@ -87,11 +87,7 @@
     this.instances.push(instance);
     const { timers: clock, directory, upstreamHealth, upstreamPermits, statements } = instance;
     const parts = { timers: clock, directory, upstreamHealth, upstreamPermits };
-    const promptGuard = { suspectAmong: () => undefined };
-    const upstreamSelector = UpstreamSelector.create({
-      ...{ ...parts, routeView, promptGuard, dataCentre: "a" },
-      enginePlacement: engineFleetParts(parts).enginePlacement,
-    });
+    const upstreamSelector = this.selectorOf(instance);
     const selectionParts = { ...parts, upstreamSelector, upstreamStatements: statements };
     this.selections.set(instance, PermittedSelection.create(selectionParts));
   }
@@ -112,13 +108,15 @@
     const prompt = [{ id: HOT_PROMPT, tokens: 1 }];
     const [instance] = this.instances;
     if (instance === undefined) throw new Error("there are no instances");
-    const { timers, directory, upstreamHealth } = instance;
-    const selector = UpstreamSelector.create({
-      enginePlacement: engineFleetParts({ timers, upstreamHealth }).enginePlacement,
+    return this.selectorOf(instance).select(SERVICE, prompt, new Set())?.id ?? "";
+  }
+
+  private selectorOf({ timers, directory, upstreamHealth }: LimitInstance): UpstreamSelector {
+    return UpstreamSelector.create({
       ...{ directory, upstreamHealth, routeView: this.routeView, dataCentre: "a" },
+      enginePlacement: engineFleetParts({ timers, upstreamHealth }).enginePlacement,
       promptGuard: { suspectAmong: () => undefined },
     });
-    return selector.select(SERVICE, prompt, new Set())?.id ?? "";
   }
 
   get owner(): string {
