--- a/features/support/cold-fleet.ts
+++ b/features/support/cold-fleet.ts
@@ -87,9 +87,8 @@
     this.instances.push(instance);
     const { timers: clock, directory, upstreamHealth, upstreamPermits, statements } = instance;
     const parts = { timers: clock, directory, upstreamHealth, upstreamPermits };
-    const upstreamSelector = this.selectorOf(instance);
-    const selectionParts = { ...parts, upstreamSelector, upstreamStatements: statements };
-    this.selections.set(instance, PermittedSelection.create(selectionParts));
+    const others = { upstreamSelector: this.selectorOf(instance), upstreamStatements: statements };
+    this.selections.set(instance, PermittedSelection.create({ ...parts, ...others }));
   }
 
   end(id: string): void {
