Put two bounds back to what they were before their first measurement

The bound of refusals of warm engines to which connects were lost was raised from 0.1 to 0.2 after the scenario measured 115 of 618, and that of the share of slow engines from 12 to 16 in 100 after 13.5; bounds come from the target.

--- a/features/cold-upstreams.feature
+++ b/features/cold-upstreams.feature
@@ -102,7 +102,7 @@
     When each instance fails once to connect to each engine
     And 1000 ms pass in the fleet
     And 100 requests per second and 20 of the hot prompt arrive for 5 s
-    Then at most 0.2 of the requests are refused
+    Then at most 0.1 of the requests are refused
 
   Scenario: Warm engines that state it, to which connects were lost
     Given 64 instances and 9 engines that state how cold they are
--- a/features/engine-placement.feature
+++ b/features/engine-placement.feature
@@ -71,7 +71,7 @@
     Given 89 instances that exchange figures of 63 engines every 200 ms
     When every third engine takes 1.7 times as long and the others 0.7 times
     And 67 requests a second of 300 parts arrive for 12 s
-    Then at most 16 in 100 of the requests of the last 4 s went to these engines
+    Then at most 12 in 100 of the requests of the last 4 s went to these engines
 
   # Guards against calls that an instance of the previous version, which carries nothing, refuses.
   Scenario Outline: Calls carry figures between instances that know them
