--- a/review/kit-2/run-case.ts
+++ b/review/kit-2/run-case.ts
@@ -16,7 +16,15 @@
   play: (site: Site, trouble: boolean) => Promise<readonly string[]>,
 ): Promise<void> {
   const trouble = process.env.TROUBLE !== "0";
+  const started: Site[] = [];
+  // An error of the script itself says nothing about the rule.
+  process.on("uncaughtException", (error) => {
+    console.error(error);
+    for (const daemon of started.flatMap(({ daemons }) => daemons)) daemon.signal("SIGKILL");
+    process.exit(NOT_RUN);
+  });
   const site = await Site.create(folder);
+  started.push(site);
   let code = NOT_RUN;
   const limit = new Promise<never>((_resolve, reject) => {
     setTimeout(() => {
